--- /dev/null
+++ b/config/table.go
@@ -0,0 +1,266 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"wisteriapond/label"
+)
+
+// Table is the compiled form of an accepted configuration. It is immutable.
+type Table struct {
+	Version  Version
+	Manifest *Manifest
+	services []*CompiledService
+	routes   []route
+	headers  []string
+}
+
+type route struct {
+	match   Match
+	service *CompiledService
+}
+
+// CompiledService is a service with its selectors parsed.
+type CompiledService struct {
+	*Service
+	// Upstreams hides the plain list: the compiled ones carry their label sets.
+	Upstreams      []*CompiledUpstream
+	rules          []compiledRule
+	idempotentWhen []label.Selector
+	longWhen       []label.Selector
+}
+
+// CompiledUpstream is an upstream with its label set.
+type CompiledUpstream struct {
+	Upstream
+	LabelSet label.Set
+}
+
+type compiledRule struct {
+	when  label.Selector
+	hosts label.Selector
+}
+
+// Request holds the attributes of a request that routing looks at.
+type Request struct {
+	Method  string
+	Host    string
+	Path    string
+	Headers []Header
+}
+
+// Header is one header field that a label rule names, with a lower-case name.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// CompileService checks a service part and compiles it.
+func CompileService(s *Service) (*CompiledService, []Problem) {
+	if problems := CheckService(s); len(problems) > 0 {
+		return nil, problems
+	}
+	compiled := &CompiledService{Service: s}
+	for _, rule := range s.Selectors {
+		compiled.rules = append(compiled.rules, compiledRule{
+			when:  mustParse(rule.When),
+			hosts: mustParse(rule.Hosts),
+		})
+	}
+	compiled.idempotentWhen = parseAll(s.IdempotentWhen)
+	compiled.longWhen = parseAll(s.LongWhen)
+	for _, u := range s.Upstreams {
+		compiled.Upstreams = append(compiled.Upstreams, compileUpstream(u))
+	}
+	return compiled, nil
+}
+
+// mustParse parses a selector that CheckService has accepted.
+func mustParse(source string) label.Selector {
+	selector, _ := label.Parse(source)
+	return selector
+}
+
+func parseAll(sources []string) []label.Selector {
+	selectors := make([]label.Selector, 0, len(sources))
+	for _, source := range sources {
+		selectors = append(selectors, mustParse(source))
+	}
+	return selectors
+}
+
+// compileUpstream adds the built-in labels "host", "region" and
+// "failure_domain" to the operator's.
+func compileUpstream(u Upstream) *CompiledUpstream {
+	set := make(label.Set, 0, len(u.Labels)+3)
+	for _, pair := range u.Labels {
+		set = set.With(pair.Key, pair.Value)
+	}
+	set = set.With("host", u.Host)
+	set = set.With("region", u.Region)
+	set = set.With("failure_domain", u.FailureDomain)
+	return &CompiledUpstream{Upstream: u, LabelSet: set}
+}
+
+// NewTable joins compiled services into a table. The services may come in any
+// order. Two services that claim the same match are refused.
+func NewTable(version Version, manifest *Manifest, services []*CompiledService) (*Table, []Problem) {
+	t := &Table{Version: version, Manifest: manifest}
+	t.services = slices.SortedFunc(slices.Values(services), func(a, b *CompiledService) int {
+		return cmp.Compare(a.Name, b.Name)
+	})
+	for _, service := range t.services {
+		for _, match := range service.Match {
+			t.routes = append(t.routes, route{match: match, service: service})
+		}
+		for _, rule := range service.Labels {
+			t.addHeader(rule.FromHeader)
+		}
+	}
+	slices.SortStableFunc(t.routes, compareRoutes)
+	slices.Sort(t.headers)
+	return t, t.conflicts()
+}
+
+func (t *Table) addHeader(name string) {
+	name = strings.ToLower(name)
+	if name != "" && !slices.Contains(t.headers, name) {
+		t.headers = append(t.headers, name)
+	}
+}
+
+// compareRoutes puts the more specific match first: a named host before any
+// host, then the longer path prefix, then named methods before any method.
+func compareRoutes(a, b route) int {
+	return cmp.Or(
+		cmp.Compare(len(b.match.Host), len(a.match.Host)),
+		cmp.Compare(len(b.match.PathPrefix), len(a.match.PathPrefix)),
+		cmp.Compare(methodRank(a.match), methodRank(b.match)),
+	)
+}
+
+func methodRank(m Match) int {
+	if len(m.Methods) > 0 {
+		return 0
+	}
+	return 1
+}
+
+func (t *Table) conflicts() []Problem {
+	var problems []Problem
+	owners := make(map[string]string)
+	for _, r := range t.routes {
+		key := r.match.key()
+		owner, taken := owners[key]
+		if taken && owner != r.service.Name {
+			problems = append(problems, Problem{
+				Document: "services/" + r.service.Name,
+				Field:    "match",
+				Reason:   "the same match is claimed by service " + owner,
+			})
+		}
+		owners[key] = r.service.Name
+	}
+	return problems
+}
+
+func (m Match) key() string {
+	methods := slices.Sorted(slices.Values(m.Methods))
+	return m.Host + "\x00" + m.PathPrefix + "\x00" + strings.Join(methods, ",")
+}
+
+// Services returns the services in the order of their names.
+func (t *Table) Services() []*CompiledService { return t.services }
+
+// HeaderNames returns the lower-case names of the request headers that label
+// rules look at.
+func (t *Table) HeaderNames() []string { return t.headers }
+
+// Service returns the service that a request belongs to, or nil.
+func (t *Table) Service(r *Request) *CompiledService {
+	for i := range t.routes {
+		if t.routes[i].match.Matches(r) {
+			return t.routes[i].service
+		}
+	}
+	return nil
+}
+
+// Matches reports whether the request fits the description.
+func (m Match) Matches(r *Request) bool {
+	if m.Host != "" && !strings.EqualFold(m.Host, r.Host) {
+		return false
+	}
+	if !strings.HasPrefix(r.Path, m.PathPrefix) {
+		return false
+	}
+	return len(m.Methods) == 0 || slices.Contains(m.Methods, r.Method)
+}
+
+// RequestLabels derives the labels of a request. The built-in label "method"
+// is always present. Header values that are no valid label value are ignored,
+// since callers could otherwise forge labels that no selector can name.
+func (s *CompiledService) RequestLabels(r *Request) label.Set {
+	set := make(label.Set, 0, len(s.Labels)+1)
+	if label.ValidValue(r.Method) {
+		set = set.With("method", r.Method)
+	}
+	for i := range s.Labels {
+		rule := &s.Labels[i]
+		if !rule.When.Matches(r) {
+			continue
+		}
+		if value := rule.valueFor(r); label.ValidValue(value) {
+			set = set.With(rule.Label, value)
+		}
+	}
+	return set
+}
+
+func (rule *LabelRule) valueFor(r *Request) string {
+	if rule.FromHeader == "" {
+		return rule.Value
+	}
+	for _, header := range r.Headers {
+		if strings.EqualFold(header.Name, rule.FromHeader) {
+			return header.Value
+		}
+	}
+	return ""
+}
+
+// Eligible reports whether requests with the given labels may go to the
+// upstream. When not, it returns the host selector and its failing term.
+func (s *CompiledService) Eligible(request label.Set, u *CompiledUpstream) (ok bool, selector, term string) {
+	for i := range s.rules {
+		rule := &s.rules[i]
+		if !rule.when.Matches(request) {
+			continue
+		}
+		if failing := rule.hosts.FailingTerm(u.LabelSet); failing != "" {
+			return false, rule.hosts.String(), failing
+		}
+	}
+	return true, "", ""
+}
+
+// Idempotent reports whether a request may run more than once.
+func (s *CompiledService) Idempotent(method string, request label.Set) bool {
+	switch method {
+	case "GET", "HEAD", "OPTIONS":
+		return true
+	}
+	return matchesAny(s.idempotentWhen, request)
+}
+
+// Long reports whether a request is expected to run many times longer than
+// the others.
+func (s *CompiledService) Long(request label.Set) bool {
+	return matchesAny(s.longWhen, request)
+}
+
+func matchesAny(selectors []label.Selector, set label.Set) bool {
+	return slices.ContainsFunc(selectors, func(s label.Selector) bool { return s.Matches(set) })
+}
--- /dev/null
+++ b/config/validate.go
@@ -0,0 +1,189 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"wisteriapond/label"
+)
+
+// Bounds of the configuration.
+const (
+	MaxServices          = 4096
+	MaxUpstreams         = 4096 // per service
+	MaxLabels            = 64   // per upstream, and rules per service
+	MaxSlots             = 4096 // per upstream
+	MaxQueue             = 65536
+	MaxRequestTimeout    = time.Hour
+	MaxColdStart         = 10 * time.Minute
+	MaxEntryHosts        = 4096
+	MaxProbeAnswer       = 1 << 20 // bytes
+	minNotRunStatus      = 400
+	maxNotRunStatus      = 599
+	maxPercent           = 100
+	maxNameBytes         = 128
+	maxMatchEntries      = 256
+	maxSelectorRules     = 256
+	maxConnectionsPerRef = 65536
+)
+
+// CheckManifest returns every reason why the manifest is refused.
+func CheckManifest(m *Manifest) []Problem {
+	c := checker{document: "manifest"}
+	c.require(m.Generation > 0, "generation", "must be at least 1")
+	c.between("entry_hosts", m.EntryHosts, 1, MaxEntryHosts)
+	c.require(len(m.Services) <= MaxServices, "services", "at most %d services", MaxServices)
+	c.between("links.long_percent", m.Links.LongPercent, 1, maxPercent)
+	c.require(m.Links.BytesPerSecond >= 0, "links.rate", "must not be negative")
+	c.measuring(m)
+	for _, ref := range m.Services {
+		c.name("services."+ref.Name, ref.Name)
+		c.require(len(ref.Hash) == 64, "services."+ref.Name, "must be a SHA-256 in hexadecimal")
+	}
+	return c.problems
+}
+
+// CheckService returns every reason why the service part is refused.
+func CheckService(s *Service) []Problem {
+	c := checker{document: "services/" + s.Name}
+	c.name("service", s.Name)
+	c.require(len(s.Match) > 0, "match", "at least one entry is needed")
+	c.require(len(s.Match) <= maxMatchEntries, "match", "at most %d entries", maxMatchEntries)
+	for i, match := range s.Match {
+		c.match(fmt.Sprintf("match[%d]", i), match)
+	}
+	c.labelRules(s.Labels)
+	c.selectorRules(s.Selectors)
+	c.selectors("idempotent_when", s.IdempotentWhen)
+	c.selectors("long_when", s.LongWhen)
+	c.durationBetween("timeout", s.Timeout, time.Millisecond, MaxRequestTimeout)
+	c.between("queue", s.Queue, 0, MaxQueue)
+	c.durationBetween("cold_start", s.ColdStart, 0, MaxColdStart)
+	c.notRun(s.NotRun)
+	c.probe(s.Probe)
+	c.upstreams(s.Upstreams)
+	return c.problems
+}
+
+type checker struct {
+	document string
+	problems []Problem
+}
+
+func (c *checker) require(ok bool, field, format string, args ...any) {
+	if ok {
+		return
+	}
+	c.problems = append(c.problems, Problem{Document: c.document, Field: field, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) between(field string, value, low, high int) {
+	c.require(value >= low && value <= high, field, "must be between %d and %d, got %d", low, high, value)
+}
+
+func (c *checker) durationBetween(field string, value, low, high time.Duration) {
+	c.require(value >= low && value <= high, field, "must be between %v and %v, got %v", low, high, value)
+}
+
+func (c *checker) name(field, name string) {
+	ok := len(name) <= maxNameBytes && label.ValidKey(name)
+	c.require(ok, field, "invalid name %q", name)
+}
+
+func (c *checker) measuring(m *Manifest) {
+	budget := m.Measuring
+	c.require(budget.RequestsPerMinute >= 0, "measuring.requests_per_minute", "must not be negative")
+	c.require(budget.BytesPerMinute >= 0, "measuring.bytes_per_minute", "must not be negative")
+	// Below one probe a minute and host, the shares could not be kept apart
+	// without coordination, and their sum could exceed the budget.
+	enough := budget.RequestsPerMinute <= 0 || budget.RequestsPerMinute >= m.EntryHosts
+	c.require(enough, "measuring.requests_per_minute", "must be 0 or at least entry_hosts (%d)", m.EntryHosts)
+}
+
+func (c *checker) match(field string, match Match) {
+	ok := match.PathPrefix == "" || strings.HasPrefix(match.PathPrefix, "/")
+	c.require(ok, field+".path_prefix", "must begin with /")
+	for _, method := range match.Methods {
+		c.require(method != "" && method == strings.ToUpper(method), field+".methods", "must be in upper case, got %q", method)
+	}
+}
+
+func (c *checker) labelRules(rules []LabelRule) {
+	c.require(len(rules) <= MaxLabels, "request_labels", "at most %d rules", MaxLabels)
+	for i, rule := range rules {
+		field := fmt.Sprintf("request_labels[%d]", i)
+		c.require(label.ValidKey(rule.Label), field+".label", "invalid key %q", rule.Label)
+		one := (rule.Value == "") != (rule.FromHeader == "")
+		c.require(one, field, "exactly one of value and from_header is needed")
+		c.require(rule.Value == "" || label.ValidValue(rule.Value), field+".value", "invalid value %q", rule.Value)
+		c.match(field+".when", rule.When)
+	}
+}
+
+func (c *checker) selectorRules(rules []SelectorRule) {
+	c.require(len(rules) <= maxSelectorRules, "selectors", "at most %d rules", maxSelectorRules)
+	for i, rule := range rules {
+		field := fmt.Sprintf("selectors[%d]", i)
+		c.selector(field+".when", rule.When)
+		c.selector(field+".hosts", rule.Hosts)
+	}
+}
+
+func (c *checker) selectors(field string, sources []string) {
+	c.require(len(sources) <= maxSelectorRules, field, "at most %d entries", maxSelectorRules)
+	for i, source := range sources {
+		c.selector(fmt.Sprintf("%s[%d]", field, i), source)
+	}
+}
+
+func (c *checker) selector(field, source string) {
+	if _, err := label.Parse(source); err != nil {
+		c.require(false, field, "%v", err)
+	}
+}
+
+func (c *checker) notRun(form NotRunForm) {
+	if form == (NotRunForm{}) {
+		return
+	}
+	c.between("not_run.status", form.Status, minNotRunStatus, maxNotRunStatus)
+	// A status alone is also sent by servers that fail half-way.
+	c.require(form.Header != "", "not_run.header", "is needed")
+}
+
+func (c *checker) probe(probe Probe) {
+	if probe.Path == "" {
+		return
+	}
+	c.require(strings.HasPrefix(probe.Path, "/"), "probe.path", "must begin with /")
+	c.durationBetween("probe.timeout", probe.Timeout, time.Millisecond, time.Minute)
+	ok := probe.AnswerLimit >= 1 && probe.AnswerLimit <= MaxProbeAnswer
+	c.require(ok, "probe.answer_limit", "must be between 1 B and %d B", MaxProbeAnswer)
+}
+
+func (c *checker) upstreams(upstreams []Upstream) {
+	c.require(len(upstreams) <= MaxUpstreams, "upstreams", "at most %d upstreams", MaxUpstreams)
+	names := make(map[string]bool, len(upstreams))
+	for i, u := range upstreams {
+		field := fmt.Sprintf("upstreams[%d]", i)
+		c.name(field+".name", u.Name)
+		c.name(field+".host", u.Host)
+		c.require(!names[u.Name], field+".name", "%q is used twice", u.Name)
+		names[u.Name] = true
+		c.require(u.Address != "", field+".address", "is needed")
+		c.require(u.Region != "", field+".region", "is needed")
+		c.require(u.FailureDomain != "", field+".failure_domain", "is needed")
+		c.between(field+".slots", u.Slots, 1, MaxSlots)
+		c.between(field+".connections", u.Connections, 1, maxConnectionsPerRef)
+		c.upstreamLabels(field+".labels", u.Labels)
+	}
+}
+
+func (c *checker) upstreamLabels(field string, labels []LabelPair) {
+	c.require(len(labels) <= MaxLabels, field, "at most %d labels", MaxLabels)
+	for _, pair := range labels {
+		c.require(label.ValidKey(pair.Key), field, "invalid key %q", pair.Key)
+		c.require(label.ValidValue(pair.Value), field, "invalid value %q", pair.Value)
+	}
+}
--- /dev/null
+++ b/core/service.go
@@ -0,0 +1,54 @@
+package core
+
+import "wisteriapond/config"
+
+// service is the changing state of a service.
+type service struct {
+	config    *config.CompiledService
+	upstreams []*upstream
+}
+
+// upstream is the changing state of an upstream as this host sees it.
+type upstream struct {
+	config  *config.CompiledUpstream
+	running int
+}
+
+// updateServices carries the state of services and upstreams over to the
+// table in force. Requests in flight keep pointing at the upstream they use.
+func (s *State) updateServices() {
+	services := make(map[string]*service, len(s.table.Services()))
+	for _, compiled := range s.table.Services() {
+		services[compiled.Name] = s.updateService(compiled)
+	}
+	s.services = services
+}
+
+func (s *State) updateService(compiled *config.CompiledService) *service {
+	old := s.services[compiled.Name]
+	if old != nil && old.config == compiled {
+		return old
+	}
+	svc := &service{config: compiled}
+	for _, u := range compiled.Upstreams {
+		state := old.find(u.Name)
+		if state == nil || state.config.Address != u.Address {
+			state = &upstream{}
+		}
+		state.config = u
+		svc.upstreams = append(svc.upstreams, state)
+	}
+	return svc
+}
+
+func (svc *service) find(name string) *upstream {
+	if svc == nil {
+		return nil
+	}
+	for _, u := range svc.upstreams {
+		if u.config.Name == name {
+			return u
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/state.go
@@ -0,0 +1,93 @@
+package core
+
+import (
+	"time"
+
+	"wisteriapond/config"
+)
+
+// TickInterval is the longest time between two Tick events.
+const TickInterval = 100 * time.Millisecond
+
+// State is the control state of an entry host. It has one owner, which calls
+// Step for one event after the other.
+type State struct {
+	self     Start
+	now      Instant
+	random   random
+	table    *config.Table
+	services map[string]*service
+	requests map[RequestID]*request
+	hosts    map[string]HostEntry
+	pending  *pendingConfiguration
+	parts    map[config.Hash]*config.CompiledService
+	ready    bool
+	stop     stopState
+	out      *Effects
+}
+
+// New returns an empty state. Its first event must be Start.
+func New() *State {
+	return &State{
+		services: make(map[string]*service),
+		requests: make(map[RequestID]*request),
+		hosts:    make(map[string]HostEntry),
+		parts:    make(map[config.Hash]*config.CompiledService),
+	}
+}
+
+// Step applies one event at the given instant and appends its effects to out.
+func (s *State) Step(at Instant, event Event, out *Effects) {
+	s.now = max(s.now, at)
+	s.out = out
+	switch e := event.(type) {
+	case Start:
+		s.start(e)
+	case Tick:
+		s.tick()
+	case StopRequested:
+		s.stopRequested()
+	case RequestArrived:
+		s.requestArrived(e)
+	case AnswerBegun:
+		s.answerBegun(e)
+	case AttemptFinished:
+		s.attemptFinished(e)
+	case AnswerDelivered:
+		s.answerDelivered(e)
+	case CallerGone:
+		s.callerGone(e)
+	case ManifestRead:
+		s.manifestRead(e)
+	case PartRead:
+		s.partRead(e)
+	case DocumentRefused:
+		s.documentRefused(e)
+	case PlatformFailed:
+		s.platformFailed(e)
+	case HostListRead:
+		s.hostListRead(e)
+	case PeerMessage:
+		s.peerMessage(e)
+	case PeerUnreachable:
+	case ProbeFinished:
+	case StatusRequested:
+		s.out.add(ReportStatus{ID: e.ID, Status: s.status()})
+	}
+	s.out = nil
+}
+
+func (s *State) start(e Start) {
+	s.self = e
+	s.random.state = e.Seed
+	s.out.add(ReadHostList{})
+	s.out.add(WatchManifest{})
+}
+
+func (s *State) tick() {
+	s.checkStop()
+}
+
+func (s *State) count(counter Counter, label string) {
+	s.out.add(Count{Counter: counter, Label: label, Add: 1})
+}
--- /dev/null
+++ b/label/selector_test.go
@@ -0,0 +1,54 @@
+package label_test
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/label"
+)
+
+// Guards against requests being sent to hosts that the operator excluded.
+var _ = DescribeTable("Selector.Matches",
+	func(source, labels string, want bool) {
+		selector, err := label.Parse(source)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(selector.Matches(setOf(labels))).To(Equal(want))
+	},
+	Entry("empty matches everything", "", "", true),
+	Entry("equality", "tier=old", "tier=old", true),
+	Entry("equality without the key", "tier=old", "", false),
+	Entry("inequality", "tier!=old", "tier=new", true),
+	Entry("inequality without the key", "tier!=old", "", true),
+	Entry("set", "region in (mtl, qc)", "region=qc", true),
+	Entry("set without the value", "region in (mtl,qc)", "region=sag", false),
+	Entry("negated set", "region notin (mtl,qc)", "region=sag", true),
+	Entry("existence", "archive", "archive=yes", true),
+	Entry("absence", "!archive", "archive=yes", false),
+	Entry("conjunction", "tier=old,!archive", "tier=old", true),
+	Entry("conjunction with one failing term", "tier=old,!archive", "archive=yes,tier=old", false),
+)
+
+var _ = DescribeTable("Parse refuses",
+	func(source string) {
+		_, err := label.Parse(source)
+		Expect(err).To(MatchError(label.ErrSyntax))
+	},
+	Entry("an empty term", "a=b,,c=d"),
+	Entry("an empty value", "a="),
+	Entry("an unclosed set", "a in (b,c"),
+	Entry("an unknown operator", "a near (b)"),
+	Entry("a key that does not start with a letter or digit", "-a=b"),
+	Entry("an overlong selector", strings.Repeat("a", label.MaxSelectorBytes+1)),
+)
+
+func setOf(labels string) label.Set {
+	set := label.NewSet()
+	for _, pair := range strings.Split(labels, ",") {
+		if key, value, ok := strings.Cut(pair, "="); ok {
+			set = set.With(key, value)
+		}
+	}
+	return set
+}
