entryhost: serve a request from caller to backend server

Cause: a thin version of the whole path is needed before any part grows. Change: control loop, caller server, backend connections, platform client, stand-ins, serve and demo commands. Before: nothing ran. Found on the way: reading a response stream after its release panics in fasthttp; the body reader now stops at its end.

--- /dev/null
+++ b/caller/answers.go
@@ -0,0 +1,77 @@
+package caller
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"github.com/valyala/fasthttp"
+
+	"wisteriapond/backend"
+	"wisteriapond/core"
+	"wisteriapond/outcome"
+)
+
+// The values of the outcome header.
+const (
+	outcomeNotRun  = "not-run"
+	outcomeUnknown = "unknown"
+)
+
+// answerBody is the body of the system's own answers.
+type answerBody struct {
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason"`
+	Message string `json:"message"`
+	Service string `json:"service,omitempty"`
+}
+
+var refusalStatus = map[outcome.Refusal]int{
+	outcome.RefusedNoService: fasthttp.StatusNotFound,
+	outcome.RefusedMalformed: fasthttp.StatusBadRequest,
+	outcome.RefusedTooLarge:  fasthttp.StatusRequestHeaderFieldsTooLarge,
+}
+
+func writeRefusal(ctx *fasthttp.RequestCtx, refusal core.Refuse) {
+	status, ok := refusalStatus[refusal.Reason]
+	if !ok {
+		status = fasthttp.StatusServiceUnavailable
+	}
+	if refusal.RetryAfter > 0 {
+		seconds := max(1, int(refusal.RetryAfter.Seconds()))
+		ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	writeAnswer(ctx, status, answerBody{
+		Outcome: outcomeNotRun,
+		Reason:  string(refusal.Reason),
+		Message: "the request was refused and did not run",
+		Service: refusal.Service,
+	})
+}
+
+func writeFailure(ctx *fasthttp.RequestCtx, failure core.Fail) {
+	status := fasthttp.StatusBadGateway
+	if failure.Reason == outcome.FailedTimeout {
+		status = fasthttp.StatusGatewayTimeout
+	}
+	if failure.GaveUp {
+		ctx.Response.Header.Set(backend.HeaderGaveUp, "1")
+	}
+	writeAnswer(ctx, status, answerBody{
+		Outcome: outcomeUnknown,
+		Reason:  string(failure.Reason),
+		Message: "the backend server may have run the request; no whole answer came",
+		Service: failure.Service,
+	})
+}
+
+func writeAnswer(ctx *fasthttp.RequestCtx, status int, body answerBody) {
+	ctx.Response.SetStatusCode(status)
+	ctx.Response.Header.SetContentType("application/json")
+	ctx.Response.Header.Set(backend.HeaderOutcome, body.Outcome)
+	ctx.Response.Header.Set(backend.HeaderReason, body.Reason)
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return
+	}
+	ctx.Response.SetBodyRaw(raw)
+}
--- /dev/null
+++ b/cmd/wisteriapond/main.go
@@ -0,0 +1,12 @@
+// Command wisteriapond runs and operates an entry host.
+package main
+
+import (
+	"os"
+
+	"wisteriapond/cli"
+)
+
+func main() {
+	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/document/manifest.go
@@ -0,0 +1,72 @@
+package document
+
+import (
+	"cmp"
+	"slices"
+
+	"wisteriapond/config"
+)
+
+// Defaults of the manifest.
+const (
+	defaultEntryHosts  = 17
+	defaultLinkRate    = 500_000_000 // bytes per second, 4 Gbit/s
+	defaultLongPercent = 50
+)
+
+type manifestFile struct {
+	Generation uint64                 `json:"generation"`
+	Services   map[string]config.Hash `json:"services"`
+	EntryHosts int                    `json:"entry_hosts"`
+	Measuring  measuringFile          `json:"measuring"`
+	Links      linksFile              `json:"links"`
+}
+
+type measuringFile struct {
+	RequestsPerMinute int  `json:"requests_per_minute"`
+	BytesPerMinute    Size `json:"bytes_per_minute"`
+}
+
+type linksFile struct {
+	BytesPerSecond Size `json:"bytes_per_second"`
+	LongPercent    int  `json:"long_percent"`
+}
+
+// Manifest reads a manifest. It fills in defaults and does not check the
+// values; config.CheckManifest does.
+func Manifest(file string, raw []byte) (config.Version, *config.Manifest, error) {
+	f := manifestFile{
+		EntryHosts: defaultEntryHosts,
+		Links:      linksFile{BytesPerSecond: defaultLinkRate, LongPercent: defaultLongPercent},
+	}
+	if err := Decode(file, raw, &f); err != nil {
+		return config.Version{}, nil, err
+	}
+	m := &config.Manifest{
+		Generation: f.Generation,
+		EntryHosts: f.EntryHosts,
+		Measuring: config.Measuring{
+			RequestsPerMinute: f.Measuring.RequestsPerMinute,
+			BytesPerMinute:    int64(f.Measuring.BytesPerMinute),
+		},
+		Links: config.Links{
+			BytesPerSecond: int64(f.Links.BytesPerSecond),
+			LongPercent:    f.Links.LongPercent,
+		},
+	}
+	for name, hash := range f.Services {
+		m.Services = append(m.Services, config.ServiceRef{Name: name, Hash: hash})
+	}
+	slices.SortFunc(m.Services, func(a, b config.ServiceRef) int { return cmp.Compare(a.Name, b.Name) })
+	return config.Version{Generation: m.Generation, Hash: HashOf(raw)}, m, nil
+}
+
+// sortedPairs makes the order of labels independent of map iteration.
+func sortedPairs(labels map[string]string) []config.LabelPair {
+	pairs := make([]config.LabelPair, 0, len(labels))
+	for key, value := range labels {
+		pairs = append(pairs, config.LabelPair{Key: key, Value: value})
+	}
+	slices.SortFunc(pairs, func(a, b config.LabelPair) int { return cmp.Compare(a.Key, b.Key) })
+	return pairs
+}
--- /dev/null
+++ b/document/service.go
@@ -0,0 +1,135 @@
+package document
+
+import (
+	"time"
+
+	"wisteriapond/config"
+)
+
+// Defaults of the service part.
+const (
+	DefaultTimeout      = 10 * time.Second
+	DefaultQueue        = 128
+	DefaultColdStart    = 5 * time.Second
+	defaultProbeTimeout = time.Second
+	defaultProbeAnswer  = 4 << 10 // bytes
+)
+
+type serviceFile struct {
+	Service        string         `json:"service"`
+	Match          []matchFile    `json:"match"`
+	RequestLabels  []labelFile    `json:"request_labels"`
+	Selectors      []selectorFile `json:"selectors"`
+	IdempotentWhen []string       `json:"idempotent_when"`
+	LongWhen       []string       `json:"long_when"`
+	Upstreams      []upstreamFile `json:"upstreams"`
+	Timeout        Duration       `json:"timeout"`
+	Queue          int            `json:"queue"`
+	ColdStart      Duration       `json:"cold_start"`
+	NotRun         notRunFile     `json:"not_run"`
+	Probe          probeFile      `json:"probe"`
+}
+
+type matchFile struct {
+	Host       string   `json:"host"`
+	PathPrefix string   `json:"path_prefix"`
+	Methods    []string `json:"methods"`
+}
+
+type labelFile struct {
+	Label      string    `json:"label"`
+	Value      string    `json:"value"`
+	FromHeader string    `json:"from_header"`
+	When       matchFile `json:"when"`
+}
+
+type selectorFile struct {
+	When  string `json:"when"`
+	Hosts string `json:"hosts"`
+}
+
+type upstreamFile struct {
+	Name          string            `json:"name"`
+	Host          string            `json:"host"`
+	Address       string            `json:"address"`
+	Region        string            `json:"region"`
+	FailureDomain string            `json:"failure_domain"`
+	Labels        map[string]string `json:"labels"`
+	Slots         int               `json:"slots"`
+	Connections   int               `json:"connections"`
+}
+
+type notRunFile struct {
+	Status int    `json:"status"`
+	Header string `json:"header"`
+	Value  string `json:"value"`
+}
+
+type probeFile struct {
+	Path        string   `json:"path"`
+	Timeout     Duration `json:"timeout"`
+	AnswerLimit Size     `json:"answer_limit"`
+}
+
+// Service reads a service part. It fills in defaults and does not check the
+// values; config.CheckService does.
+func Service(file string, raw []byte) (*config.Service, error) {
+	f := serviceFile{
+		Timeout:   Duration(DefaultTimeout),
+		Queue:     DefaultQueue,
+		ColdStart: Duration(DefaultColdStart),
+		Probe:     probeFile{Timeout: Duration(defaultProbeTimeout), AnswerLimit: defaultProbeAnswer},
+	}
+	if err := Decode(file, raw, &f); err != nil {
+		return nil, err
+	}
+	return f.service(), nil
+}
+
+func (f *serviceFile) service() *config.Service {
+	s := &config.Service{
+		Name:           f.Service,
+		IdempotentWhen: f.IdempotentWhen,
+		LongWhen:       f.LongWhen,
+		Timeout:        time.Duration(f.Timeout),
+		Queue:          f.Queue,
+		ColdStart:      time.Duration(f.ColdStart),
+		NotRun:         config.NotRunForm(f.NotRun),
+		Probe: config.Probe{
+			Path:        f.Probe.Path,
+			Timeout:     time.Duration(f.Probe.Timeout),
+			AnswerLimit: int64(f.Probe.AnswerLimit),
+		},
+	}
+	for _, m := range f.Match {
+		s.Match = append(s.Match, config.Match(m))
+	}
+	for _, l := range f.RequestLabels {
+		s.Labels = append(s.Labels, config.LabelRule{
+			Label:      l.Label,
+			Value:      l.Value,
+			FromHeader: l.FromHeader,
+			When:       config.Match(l.When),
+		})
+	}
+	for _, r := range f.Selectors {
+		s.Selectors = append(s.Selectors, config.SelectorRule(r))
+	}
+	for _, u := range f.Upstreams {
+		s.Upstreams = append(s.Upstreams, u.upstream())
+	}
+	return s
+}
+
+func (u *upstreamFile) upstream() config.Upstream {
+	return config.Upstream{
+		Name:          u.Name,
+		Host:          u.Host,
+		Address:       u.Address,
+		Region:        u.Region,
+		FailureDomain: u.FailureDomain,
+		Labels:        sortedPairs(u.Labels),
+		Slots:         u.Slots,
+		Connections:   u.Connections,
+	}
+}
--- /dev/null
+++ b/entryhost/effects.go
@@ -0,0 +1,186 @@
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+
+	"wisteriapond/core"
+	"wisteriapond/document"
+	"wisteriapond/platform"
+)
+
+const (
+	manifestKey = "manifest"
+	partPrefix  = "services/"
+	// retryPlatform is the wait after a failed call. It bounds the calls of a
+	// host while the platform is down.
+	retryPlatform = time.Second
+	hostListEvery = time.Second
+)
+
+// Handle carries out the effects that do not belong to one request.
+func (h *Host) Handle(effect core.Effect) {
+	switch e := effect.(type) {
+	case core.Count:
+		h.metrics.Add(e.Counter, e.Label, e.Add)
+	case core.Log:
+		h.writeLog(e)
+	case core.CloseIdle:
+		h.pool.CloseIdle(e.Address)
+	case core.WatchManifest:
+		h.watchManifest()
+	case core.ReadPart:
+		h.group.Go(func() error { h.readPart(e); return nil })
+	case core.ReadHostList:
+		h.group.Go(func() error { h.readHostList(); return nil })
+	case core.StopAccepting:
+		h.callerListener.Close()
+	case core.ReportStatus:
+		h.deliverStatus(e)
+	}
+}
+
+func (h *Host) writeLog(e core.Log) {
+	fields := make(log.Fields, len(e.Fields))
+	for _, field := range e.Fields {
+		fields[field.Key] = field.Value
+	}
+	entry := h.log.WithFields(fields)
+	switch e.Level {
+	case core.LogError:
+		entry.Error(e.Message)
+	case core.LogWarn:
+		entry.Warn(e.Message)
+	default:
+		entry.Info(e.Message)
+	}
+}
+
+func (h *Host) watchManifest() {
+	if h.watching {
+		return
+	}
+	h.watching = true
+	h.group.Go(func() error { h.followManifest(); return nil })
+}
+
+// followManifest keeps a watch open until the host ends.
+func (h *Host) followManifest() {
+	etag := ""
+	for h.ctx.Err() == nil {
+		value, err := h.nextManifest(etag)
+		switch {
+		case errors.Is(err, platform.ErrUnchanged):
+		case err != nil:
+			h.platformFailed(manifestKey, err)
+			h.sleep(retryPlatform)
+		default:
+			etag = value.ETag
+			h.manifestRead(value.Raw)
+		}
+	}
+}
+
+func (h *Host) nextManifest(etag string) (platform.Value, error) {
+	if etag == "" {
+		return h.platform.Read(h.ctx, manifestKey)
+	}
+	return h.platform.Watch(h.ctx, manifestKey, etag)
+}
+
+func (h *Host) manifestRead(raw []byte) {
+	version, manifest, err := document.Manifest(manifestKey, raw)
+	if err != nil {
+		h.loop.Send(core.DocumentRefused{Key: manifestKey, Problems: []string{err.Error()}})
+		return
+	}
+	h.loop.Send(core.ManifestRead{Version: version, Manifest: manifest, Raw: raw})
+}
+
+func (h *Host) readPart(e core.ReadPart) {
+	key := partPrefix + e.Service
+	for h.ctx.Err() == nil {
+		value, err := h.platform.Read(h.ctx, key)
+		if err != nil {
+			h.platformFailed(key, err)
+			h.sleep(retryPlatform)
+			continue
+		}
+		hash := document.HashOf(value.Raw)
+		service, err := document.Service(key, value.Raw)
+		if err != nil {
+			h.loop.Send(core.DocumentRefused{Key: key, Problems: []string{err.Error()}})
+			return
+		}
+		h.loop.Send(core.PartRead{Hash: hash, Service: service, Raw: value.Raw})
+		return
+	}
+}
+
+// readHostList polls the platform's list of hosts.
+func (h *Host) readHostList() {
+	for h.ctx.Err() == nil {
+		raw, err := h.platform.Hosts(h.ctx)
+		if err != nil {
+			h.platformFailed("hosts", err)
+		} else if hosts, err := document.HostList("hosts", raw); err != nil {
+			h.loop.Send(core.DocumentRefused{Key: "hosts", Problems: []string{err.Error()}})
+		} else {
+			h.loop.Send(core.HostListRead{Hosts: hosts})
+		}
+		h.sleep(hostListEvery)
+	}
+}
+
+func (h *Host) platformFailed(key string, err error) {
+	if h.ctx.Err() != nil {
+		return
+	}
+	h.loop.Send(core.PlatformFailed{Key: key, Reason: err.Error()})
+}
+
+func (h *Host) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-h.ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Status asks the control goroutine for a report.
+func (h *Host) Status(ctx context.Context) (core.Status, error) {
+	id := h.statusID.Add(1)
+	reply := make(chan core.Status, 1)
+	h.statusMu.Lock()
+	h.statuses[id] = reply
+	h.statusMu.Unlock()
+	h.loop.Send(core.StatusRequested{ID: id})
+	select {
+	case status := <-reply:
+		return status, nil
+	case <-ctx.Done():
+		h.statusMu.Lock()
+		delete(h.statuses, id)
+		h.statusMu.Unlock()
+		return core.Status{}, ctx.Err()
+	}
+}
+
+func (h *Host) deliverStatus(e core.ReportStatus) {
+	h.statusMu.Lock()
+	reply := h.statuses[e.ID]
+	delete(h.statuses, e.ID)
+	h.statusMu.Unlock()
+	if reply != nil {
+		reply <- e.Status
+	}
+}
+
+func isClosed(err error) bool {
+	return err == nil || errors.Is(err, net.ErrClosed)
+}
--- /dev/null
+++ b/entryhost/path_test.go
@@ -0,0 +1,99 @@
+package entryhost_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/entryhost"
+	"wisteriapond/settings"
+	"wisteriapond/standin"
+)
+
+// Guards against a path that answers with the wrong server's or an incomplete
+// body.
+var _ = Describe("the path from caller to backend server", func() {
+	var base string
+
+	BeforeEach(func() {
+		backend := httptest.NewServer(standin.NewBackend("backend-1", 3, 0))
+		DeferCleanup(backend.Close)
+		platform := standin.NewPlatform()
+		platform.PublishConfiguration(1, map[string][]byte{"catalogue": part(backend.Listener.Addr().String())}, nil)
+		platformServer := httptest.NewServer(platform)
+		DeferCleanup(platformServer.Close)
+		base = startHost(platformServer.URL)
+	})
+
+	It("answers a lookup and an order", func() {
+		body, response := get(base + "/catalogue/urn-7")
+		Expect(string(body)).To(Equal("backend-1 GET /catalogue/urn-7 0 bytes\n"))
+		Expect(response.Header.Get("Wisteriapond-Upstream")).To(Equal("backend-1"))
+
+		order, err := http.Post(base+"/catalogue/orders", "text/plain", strings.NewReader("urn"))
+		Expect(err).NotTo(HaveOccurred())
+		defer order.Body.Close()
+		answer, err := io.ReadAll(order.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(answer)).To(Equal("backend-1 POST /catalogue/orders 3 bytes\n"))
+	})
+
+	It("streams a download byte for byte", func() {
+		body, _ := get(base + "/files/proof")
+		Expect(body).To(HaveLen(standin.DownloadBytes))
+		for _, offset := range []int{0, 1, 65535, 65536, standin.DownloadBytes / 2, standin.DownloadBytes - 1} {
+			Expect(body[offset]).To(Equal(standin.DownloadByte(offset)))
+		}
+	})
+})
+
+func part(address string) []byte {
+	return fmt.Appendf(nil, `{
+		// One backend server.
+		"service": "catalogue",
+		"match": [{"path_prefix": "/"}],
+		"upstreams": [{
+			"name": "backend-1", "host": "backend-1", "address": %q,
+			"region": "mtl", "failure_domain": "mtl-a", "slots": 3, "connections": 220,
+		}],
+	}`, address)
+}
+
+func startHost(platform string) string {
+	host, err := entryhost.New(&settings.Settings{
+		Host:          "entry-1",
+		Region:        "mtl",
+		FailureDomain: "mtl-a",
+		Listen:        "127.0.0.1:0",
+		Admin:         "127.0.0.1:0",
+		Platform:      platform,
+	}, &log.Logger{Handler: discard.New()})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- host.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(ended).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
+	})
+	Eventually(host.Ready).WithTimeout(10 * time.Second).Should(BeTrue())
+	return "http://" + host.Address()
+}
+
+func get(url string) ([]byte, *http.Response) {
+	response, err := http.Get(url)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return body, response
+}
