config: give each problem its line and check the names of parts

Cause: a refusal named the field but not the line, a manifest could map a name to the part of another service, and a hash of 64 arbitrary characters passed. Change: Problem has a line and prints "document:line: field: reason"; documents are named by their file, such as services/orders.json, in every problem; NewTable refuses a manifest whose name no part has; a hash must be lower-case hexadecimal; the links field is named as in the document.

--- a/config/config.go
+++ b/config/config.go
@@ -3,7 +3,10 @@
 // package document reads the documents.
 package config
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Hash is the SHA-256 of a document's bytes, in hexadecimal.
 type Hash string
@@ -85,6 +88,9 @@
 	Host       string
 	PathPrefix string
 	Methods    []string
+	// Line is the line of the entry in its document, 0 when not known. It
+	// serves problems that only the comparison with other services shows.
+	Line int
 }
 
 // LabelRule puts a label on the requests that match When. The value is fixed
@@ -141,17 +147,23 @@
 }
 
 // Problem is one reason why a document is refused. Field is the path of the
-// field, such as "upstreams[2].slots".
+// field, such as "upstreams[2].slots". Line counts from 1; 0 means that the
+// line is not known.
 type Problem struct {
 	Document string
+	Line     int
 	Field    string
 	Reason   string
 }
 
-// Error returns the field and the reason.
+// Error returns the problem as "document:line: field: reason".
 func (p Problem) Error() string {
-	if p.Field == "" {
-		return p.Document + ": " + p.Reason
+	text := p.Document
+	if p.Line > 0 {
+		text += ":" + strconv.Itoa(p.Line)
 	}
-	return p.Document + ": " + p.Field + ": " + p.Reason
+	if p.Field != "" {
+		text += ": " + p.Field
+	}
+	return text + ": " + p.Reason
 }
--- a/config/table.go
+++ b/config/table.go
@@ -105,7 +105,8 @@
 }
 
 // NewTable joins compiled services into a table. The services may come in any
-// order. Two services that claim the same match are refused.
+// order. Two services that claim the same match are refused, and so is a part
+// that has another name than the manifest gives it.
 func NewTable(version Version, manifest *Manifest, services []*CompiledService) (*Table, []Problem) {
 	t := &Table{Version: version, Manifest: manifest}
 	t.services = slices.SortedFunc(slices.Values(services), func(a, b *CompiledService) int {
@@ -121,7 +122,26 @@
 	}
 	slices.SortStableFunc(t.routes, compareRoutes)
 	slices.Sort(t.headers)
-	return t, t.conflicts()
+	return t, append(t.misnamed(), t.conflicts()...)
+}
+
+func compareName(s *CompiledService, name string) int {
+	return cmp.Compare(s.Name, name)
+}
+
+// misnamed reports the names in the manifest that no part has.
+func (t *Table) misnamed() []Problem {
+	var problems []Problem
+	for _, ref := range t.Manifest.Services {
+		if _, found := slices.BinarySearchFunc(t.services, ref.Name, compareName); !found {
+			problems = append(problems, Problem{
+				Document: manifestFile,
+				Field:    "services." + ref.Name,
+				Reason:   "the part with this hash is of another service",
+			})
+		}
+	}
+	return problems
 }
 
 func (t *Table) addHeader(name string) {
@@ -156,7 +176,8 @@
 		owner, taken := owners[key]
 		if taken && owner != r.service.Name {
 			problems = append(problems, Problem{
-				Document: "services/" + r.service.Name,
+				Document: partFile(r.service.Name),
+				Line:     r.match.Line,
 				Field:    "match",
 				Reason:   "the same match is claimed by service " + owner,
 			})
--- a/config/validate.go
+++ b/config/validate.go
@@ -30,23 +30,23 @@
 
 // CheckManifest returns every reason why the manifest is refused.
 func CheckManifest(m *Manifest) []Problem {
-	c := checker{document: "manifest"}
+	c := checker{document: manifestFile}
 	c.require(m.Generation > 0, "generation", "must be at least 1")
 	c.between("entry_hosts", m.EntryHosts, 1, MaxEntryHosts)
 	c.require(len(m.Services) <= MaxServices, "services", "at most %d services", MaxServices)
 	c.between("links.long_percent", m.Links.LongPercent, 1, maxPercent)
-	c.require(m.Links.BytesPerSecond >= 0, "links.rate", "must not be negative")
+	c.require(m.Links.BytesPerSecond >= 0, "links.bytes_per_second", "must not be negative")
 	c.measuring(m)
 	for _, ref := range m.Services {
 		c.name("services."+ref.Name, ref.Name)
-		c.require(len(ref.Hash) == 64, "services."+ref.Name, "must be a SHA-256 in hexadecimal")
+		c.require(ref.Hash.valid(), "services."+ref.Name, "must be a SHA-256 in lower-case hexadecimal")
 	}
 	return c.problems
 }
 
 // CheckService returns every reason why the service part is refused.
 func CheckService(s *Service) []Problem {
-	c := checker{document: "services/" + s.Name}
+	c := checker{document: partFile(s.Name)}
 	c.name("service", s.Name)
 	c.require(len(s.Match) > 0, "match", "at least one entry is needed")
 	c.require(len(s.Match) <= maxMatchEntries, "match", "at most %d entries", maxMatchEntries)
@@ -66,6 +66,19 @@
 	return c.problems
 }
 
+// manifestFile names the manifest in problems.
+const manifestFile = "manifest.json"
+
+// partFile names the part of a service in problems.
+func partFile(service string) string { return "services/" + service + ".json" }
+
+// hashDigits is the length of a SHA-256 in hexadecimal.
+const hashDigits = 64
+
+func (h Hash) valid() bool {
+	return len(h) == hashDigits && strings.Trim(string(h), "0123456789abcdef") == ""
+}
+
 type checker struct {
 	document string
 	problems []Problem
