document: report all problems of a document with their lines

Cause: encoding/json stops at the first problem, knows no duplicate keys and tells no line for values that parse but are out of range. Change: a document is decoded from the syntax tree of hujson, which yields the line of each field path. Unknown fields, duplicate keys, wrong types and missing units are collected, then config's check of the values runs and its problems get their lines. entryhost sends them in DocumentRefused, so a running process and the check command print the same text. Nesting is bounded at 32 before the recursive parser runs. Each parser has a fuzz target.

--- a/document/document.go
+++ b/document/document.go
@@ -1,16 +1,13 @@
 // Package document reads JSON with comments into the typed documents of
-// packages config and settings. Problems carry file, line and reason.
+// packages config and settings. Problems carry file, line and reason, and a
+// document is refused with all of its problems at once.
 package document
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
-	"fmt"
-
-	"github.com/tailscale/hujson"
+	"strings"
 
 	"wisteriapond/config"
 )
@@ -18,58 +15,52 @@
 // MaxBytes is the largest document that the configuration service holds.
 const MaxBytes = 1 << 20
 
-// Error says why a document was refused. Line counts from 1; 0 means that the
-// line is not known.
-type Error struct {
-	File   string
-	Line   int
-	Reason string
-}
+// FileSuffix follows the key of a value in the name of its file.
+const FileSuffix = ".json"
 
-func (e *Error) Error() string {
-	if e.Line == 0 {
-		return fmt.Sprintf("%s: %s", e.File, e.Reason)
-	}
-	return fmt.Sprintf("%s:%d: %s", e.File, e.Line, e.Reason)
-}
+// ManifestKey is the key of the manifest in the configuration service.
+const ManifestKey = "manifest"
 
-// HashOf returns the hash by which a manifest names a part.
-func HashOf(raw []byte) config.Hash {
-	sum := sha256.Sum256(raw)
-	return config.Hash(hex.EncodeToString(sum[:]))
+// partPrefix precedes the name of a service in the key of its part.
+const partPrefix = "services/"
+
+// PartKey returns the key of a service part in the configuration service.
+func PartKey(service string) string { return partPrefix + service }
+
+// FileOf returns the file name of a key in a configuration directory. Problems
+// name it also when the value came from the configuration service, so that a
+// running process and the check command report the same text.
+func FileOf(key string) string { return key + FileSuffix }
+
+// Error holds every reason why a document was refused.
+type Error struct {
+	Problems []config.Problem
 }
 
-// Decode reads a document into target and refuses unknown fields.
-func Decode(file string, raw []byte, target any) error {
-	if len(raw) > MaxBytes {
-		return &Error{File: file, Reason: fmt.Sprintf("larger than %d bytes", MaxBytes)}
-	}
-	// Standardize keeps the offsets, so that lines can be told from them.
-	standard, err := hujson.Standardize(bytes.Clone(raw))
-	if err != nil {
-		return &Error{File: file, Reason: err.Error()}
-	}
-	decoder := json.NewDecoder(bytes.NewReader(standard))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(target); err != nil {
-		return &Error{File: file, Line: lineAt(raw, errorOffset(decoder, err)), Reason: err.Error()}
+// Error returns one problem per line.
+func (e *Error) Error() string { return strings.Join(e.Texts(), "\n") }
+
+// Texts returns each problem as "file:line: field: reason".
+func (e *Error) Texts() []string {
+	texts := make([]string, 0, len(e.Problems))
+	for _, problem := range e.Problems {
+		texts = append(texts, problem.Error())
 	}
-	return nil
+	return texts
 }
 
-func errorOffset(decoder *json.Decoder, err error) int64 {
-	var syntax *json.SyntaxError
-	if errors.As(err, &syntax) {
-		return syntax.Offset
+// TextsOf returns the problems of a refused document, or the text of any other
+// error.
+func TextsOf(err error) []string {
+	var refused *Error
+	if errors.As(err, &refused) {
+		return refused.Texts()
 	}
-	var wrongType *json.UnmarshalTypeError
-	if errors.As(err, &wrongType) {
-		return wrongType.Offset
-	}
-	return decoder.InputOffset()
+	return []string{err.Error()}
 }
 
-func lineAt(raw []byte, offset int64) int {
-	end := min(int(offset), len(raw))
-	return 1 + bytes.Count(raw[:end], []byte{'\n'})
+// HashOf returns the hash by which a manifest names a part.
+func HashOf(raw []byte) config.Hash {
+	sum := sha256.Sum256(raw)
+	return config.Hash(hex.EncodeToString(sum[:]))
 }
--- /dev/null
+++ b/document/document_test.go
@@ -0,0 +1,124 @@
+package document_test
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/document"
+)
+
+const goodPart = `{
+	// Orders run once.
+	"service": "orders",
+	"match": [{"path_prefix": "/orders/"}],
+	"timeout": "30s",
+	"upstreams": [
+		{"name": "press-1", "host": "press-1", "address": "10.0.0.1:80",
+		 "region": "mtl", "failure_domain": "mtl-a", "slots": 3, "connections": 220},
+	],
+}`
+
+// Guards against refusals that do not tell the operator where to look, and
+// against reports that stop at the first problem.
+var _ = DescribeTable("Service reports",
+	func(old, replacement string, want ...string) {
+		raw := strings.Replace(goodPart, old, replacement, 1)
+		Expect(raw).NotTo(Equal(goodPart))
+		_, err := document.Service("services/orders.json", []byte(raw))
+		Expect(document.TextsOf(err)).To(Equal(want))
+	},
+	Entry("an unknown field", `"slots"`, `"slot"`,
+		`services/orders.json:7: upstreams[0].slots: must be between 1 and 4096, got 0`,
+		`services/orders.json:8: upstreams[0].slot: unknown field`),
+	Entry("a missing unit", `"30s"`, `30`,
+		`services/orders.json:5: timeout: a duration needs quotes and a unit, such as "250ms", got 30`),
+	Entry("a missing unit in quotes", `"30s"`, `"30"`,
+		`services/orders.json:5: timeout: a duration needs a unit, such as "250ms", got "30"`),
+	Entry("a bad range", `"30s"`, `"2h"`,
+		`services/orders.json:5: timeout: must be between 1ms and 1h0m0s, got 2h0m0s`),
+	Entry("a duplicate key", `"timeout": "30s"`, `"timeout": "30s", "timeout": "20s"`,
+		`services/orders.json:5: timeout: the key is already used in line 5`),
+	Entry("a bad selector", `"timeout": "30s"`, `"selectors": [{"when": "method=POST", "hosts": "tier in old"}]`,
+		`services/orders.json:5: selectors[0].hosts: invalid selector: invalid key "tier in old" in "tier in old"`),
+	Entry("a wrong type", `"slots": 3`, `"slots": "3"`,
+		`services/orders.json:8: upstreams[0].slots: must be a whole number, got "3"`),
+	Entry("null", `"30s"`, `null`,
+		`services/orders.json:5: timeout: must be a quoted value with its unit, got null`),
+	Entry("a list in place of an object", `{"path_prefix": "/orders/"}`, `"/orders/"`,
+		`services/orders.json:4: match[0]: must be an object, got a string`),
+	Entry("broken syntax", `"match":`, `"match"`,
+		`services/orders.json:4: column 10: invalid character '[' after object name`),
+	Entry("several problems at once", `"slots": 3, "connections": 220`, `"slots": 0, "connections": -1`,
+		`services/orders.json:8: upstreams[0].slots: must be between 1 and 4096, got 0`,
+		`services/orders.json:8: upstreams[0].connections: must be between 1 and 65536, got -1`),
+)
+
+// Guards against defaults and comments being lost.
+var _ = It("Service reads comments, trailing commas and defaults", func() {
+	service, err := document.Service("services/orders.json", []byte(goodPart))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(service.Timeout).To(Equal(30 * time.Second))
+	Expect(service.Queue).To(Equal(document.DefaultQueue))
+	Expect(service.ColdStart).To(Equal(document.DefaultColdStart))
+	Expect(service.Match[0].Line).To(Equal(4))
+})
+
+// Guards against a document that exhausts the stack or the memory of a host.
+var _ = DescribeTable("Service refuses outright",
+	func(raw, want string) {
+		_, err := document.Service("part", []byte(raw))
+		Expect(err).To(MatchError(want))
+	},
+	Entry("an empty document", "", "part:1: column 1: parsing value: unexpected EOF"),
+	Entry("a list", "[]", "part:1: must be an object, got a list"),
+	Entry("deep nesting", strings.Repeat("[", 1000), "part: lists and objects are nested more than 32 deep"),
+	Entry("a large document", strings.Repeat(" ", document.MaxBytes+1), "part: larger than 1048576 bytes"),
+)
+
+var _ = DescribeTable("Manifest reports",
+	func(raw string, want ...string) {
+		_, _, err := document.Manifest("manifest.json", []byte(raw))
+		Expect(document.TextsOf(err)).To(Equal(want))
+	},
+	Entry("a missing generation", "{\n\"services\": {}}", "manifest.json:1: generation: must be at least 1"),
+	Entry("a hash of the wrong form", "{\"generation\": 1,\n\"services\": {\"orders\": \"12\"}}",
+		"manifest.json:2: services.orders: must be a SHA-256 in lower-case hexadecimal"),
+	Entry("a probe budget that cannot be shared", "{\"generation\": 1, \"entry_hosts\": 17,\n\"measuring\": {\"requests_per_minute\": 16}}",
+		"manifest.json:2: measuring.requests_per_minute: must be 0 or at least entry_hosts (17)"),
+)
+
+var _ = DescribeTable("HostList reports",
+	func(raw, want string) {
+		_, err := document.HostList("hosts", []byte(raw))
+		Expect(err).To(MatchError(want))
+	},
+	Entry("an unknown role", `{"hosts": [{"host": "a", "role": "press", "state": "live"}]}`,
+		`hosts:1: hosts[0].role: must be "backend" or "entry"`),
+	Entry("an unknown state", `{"hosts": [{"host": "a", "role": "entry", "state": "up"}]}`,
+		`hosts:1: hosts[0].state: must be "live" or "leaving"`),
+	Entry("a host named twice", "{\"hosts\": [{\"host\": \"a\", \"role\": \"entry\", \"state\": \"live\"},\n{\"host\": \"a\", \"role\": \"entry\", \"state\": \"live\"}]}",
+		`hosts:2: hosts[1].host: "a" is used twice`),
+)
+
+// Guards against sizes and durations read in the wrong unit.
+var _ = DescribeTable("ParseSize",
+	func(text string, want int64) {
+		size, err := document.ParseSize(text)
+		if want < 0 {
+			Expect(err).To(HaveOccurred())
+			return
+		}
+		Expect(err).NotTo(HaveOccurred())
+		Expect(size).To(Equal(want))
+	},
+	Entry(nil, "64KiB", int64(64<<10)),
+	Entry(nil, "2 MB", int64(2e6)),
+	Entry(nil, "0B", int64(0)),
+	Entry(nil, "64", int64(-1)),
+	Entry(nil, "-1B", int64(-1)),
+	Entry(nil, "9223372036854775807GiB", int64(-1)),
+	Entry(nil, "KiB", int64(-1)),
+)
--- /dev/null
+++ b/document/fuzz_test.go
@@ -0,0 +1,92 @@
+package document_test
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"wisteriapond/config"
+	"wisteriapond/document"
+)
+
+// The fuzz targets guard against input that makes a parser panic, report a
+// line outside the document, or accept what the check of values refuses.
+
+func FuzzService(f *testing.F) {
+	f.Add([]byte(goodPart))
+	f.Add([]byte(`{"service": "a", "timeout": 3, /* c */ "upstreams": [{"labels": {"a": "b"}}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		service, err := document.Service("part", raw)
+		if err != nil {
+			checkLines(t, raw, err)
+			return
+		}
+		if problems := config.CheckService(service); len(problems) > 0 {
+			t.Fatalf("accepted with %v", problems)
+		}
+	})
+}
+
+func FuzzManifest(f *testing.F) {
+	f.Add([]byte(`{"generation": 1, "services": {"a": "` + strings.Repeat("0", 64) + `"}, "measuring": {"bytes_per_minute": "1MB"}}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		version, manifest, err := document.Manifest("manifest", raw)
+		if err != nil {
+			checkLines(t, raw, err)
+			return
+		}
+		if version.Generation != manifest.Generation || len(config.CheckManifest(manifest)) > 0 {
+			t.Fatalf("accepted %+v", manifest)
+		}
+	})
+}
+
+func FuzzHostList(f *testing.F) {
+	f.Add([]byte(`{"hosts": [{"host": "a", "address": "10.0.0.1:80", "role": "backend", "epoch": 1, "state": "leaving"}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if _, err := document.HostList("hosts", raw); err != nil {
+			checkLines(t, raw, err)
+		}
+	})
+}
+
+func FuzzSize(f *testing.F) {
+	f.Add("64KiB")
+	f.Add("1 GB")
+	f.Fuzz(func(t *testing.T, text string) {
+		if size, err := document.ParseSize(text); err == nil && size < 0 {
+			t.Fatalf("%q is %d", text, size)
+		}
+	})
+}
+
+func FuzzDuration(f *testing.F) {
+	f.Add("250ms")
+	f.Add("1h2m3s")
+	f.Fuzz(func(t *testing.T, text string) {
+		parsed, err := document.ParseDuration(text)
+		if err != nil {
+			return
+		}
+		again, err := time.ParseDuration(parsed.String())
+		if err != nil || again != parsed {
+			t.Fatalf("%q is %v, then %v", text, parsed, again)
+		}
+	})
+}
+
+func checkLines(t *testing.T, raw []byte, err error) {
+	t.Helper()
+	var refused *document.Error
+	if !errors.As(err, &refused) || len(refused.Problems) == 0 {
+		t.Fatalf("refused without a problem: %v", err)
+	}
+	lines := 1 + bytes.Count(raw, []byte{'\n'})
+	for _, problem := range refused.Problems {
+		if problem.Line < 0 || problem.Line > lines {
+			t.Fatalf("line %d of %d: %v", problem.Line, lines, problem)
+		}
+	}
+}
--- a/document/hosts.go
+++ b/document/hosts.go
@@ -1,6 +1,13 @@
 package document
 
-import "wisteriapond/core"
+import (
+	"fmt"
+
+	"wisteriapond/core"
+)
+
+// maxHosts bounds the host list.
+const maxHosts = 65536
 
 type hostListFile struct {
 	Hosts []hostFile `json:"hosts"`
@@ -16,44 +23,54 @@
 	State         string `json:"state"`
 }
 
-// HostList reads the platform's list of live and leaving hosts.
+// HostList reads and checks the platform's list of live and leaving hosts.
 func HostList(file string, raw []byte) ([]core.HostEntry, error) {
 	var f hostListFile
-	if err := Decode(file, raw, &f); err != nil {
+	source, err := Decode(file, raw, &f)
+	if err != nil {
 		return nil, err
 	}
+	if len(f.Hosts) > maxHosts {
+		source.Report("hosts", fmt.Sprintf("at most %d hosts", maxHosts))
+		return nil, source.Err()
+	}
 	entries := make([]core.HostEntry, 0, len(f.Hosts))
-	for _, h := range f.Hosts {
-		entry, err := h.entry(file)
-		if err != nil {
-			return nil, err
+	named := make(map[string]bool, len(f.Hosts))
+	for i, h := range f.Hosts {
+		field := fmt.Sprintf("hosts[%d]", i)
+		if named[h.Host] {
+			source.Report(field+".host", fmt.Sprintf("%q is used twice", h.Host))
 		}
-		entries = append(entries, entry)
+		named[h.Host] = true
+		entries = append(entries, h.entry(source, field))
+	}
+	if err := source.Err(); err != nil {
+		return nil, err
 	}
 	return entries, nil
 }
 
-func (h *hostFile) entry(file string) (core.HostEntry, error) {
+func (h *hostFile) entry(source *Source, field string) core.HostEntry {
 	entry := core.HostEntry{
 		Host:          h.Host,
 		Address:       h.Address,
 		Region:        h.Region,
 		FailureDomain: h.FailureDomain,
 		Epoch:         h.Epoch,
+		Leaving:       h.State == "leaving",
+	}
+	if h.Host == "" {
+		source.Report(field+".host", "is needed")
 	}
 	switch h.Role {
 	case "backend":
 	case "entry":
 		entry.Role = core.EntryHost
 	default:
-		return entry, &Error{File: file, Reason: "host " + h.Host + ": role must be \"backend\" or \"entry\""}
+		source.Report(field+".role", "must be \"backend\" or \"entry\"")
 	}
-	switch h.State {
-	case "live":
-	case "leaving":
-		entry.Leaving = true
-	default:
-		return entry, &Error{File: file, Reason: "host " + h.Host + ": state must be \"live\" or \"leaving\""}
+	if h.State != "live" && h.State != "leaving" {
+		source.Report(field+".state", "must be \"live\" or \"leaving\"")
 	}
-	return entry, nil
+	return entry
 }
--- a/document/manifest.go
+++ b/document/manifest.go
@@ -32,16 +32,26 @@
 	LongPercent    int  `json:"long_percent"`
 }
 
-// Manifest reads a manifest. It fills in defaults and does not check the
-// values; config.CheckManifest does.
+// Manifest reads a manifest, fills in defaults and checks it with
+// config.CheckManifest.
 func Manifest(file string, raw []byte) (config.Version, *config.Manifest, error) {
 	f := manifestFile{
 		EntryHosts: defaultEntryHosts,
 		Links:      linksFile{BytesPerSecond: defaultLinkRate, LongPercent: defaultLongPercent},
 	}
-	if err := Decode(file, raw, &f); err != nil {
+	source, err := Decode(file, raw, &f)
+	if err != nil {
 		return config.Version{}, nil, err
 	}
+	m := f.manifest()
+	source.ReportAll(config.CheckManifest(m))
+	if err := source.Err(); err != nil {
+		return config.Version{}, nil, err
+	}
+	return config.Version{Generation: m.Generation, Hash: HashOf(raw)}, m, nil
+}
+
+func (f *manifestFile) manifest() *config.Manifest {
 	m := &config.Manifest{
 		Generation: f.Generation,
 		EntryHosts: f.EntryHosts,
@@ -58,7 +68,7 @@
 		m.Services = append(m.Services, config.ServiceRef{Name: name, Hash: hash})
 	}
 	slices.SortFunc(m.Services, func(a, b config.ServiceRef) int { return cmp.Compare(a.Name, b.Name) })
-	return config.Version{Generation: m.Generation, Hash: HashOf(raw)}, m, nil
+	return m
 }
 
 // sortedPairs makes the order of labels independent of map iteration.
--- a/document/service.go
+++ b/document/service.go
@@ -1,6 +1,7 @@
 package document
 
 import (
+	"fmt"
 	"time"
 
 	"wisteriapond/config"
@@ -71,8 +72,8 @@
 	AnswerLimit Size     `json:"answer_limit"`
 }
 
-// Service reads a service part. It fills in defaults and does not check the
-// values; config.CheckService does.
+// Service reads a service part, fills in defaults and checks it with
+// config.CheckService.
 func Service(file string, raw []byte) (*config.Service, error) {
 	f := serviceFile{
 		Timeout:   Duration(DefaultTimeout),
@@ -80,10 +81,19 @@
 		ColdStart: Duration(DefaultColdStart),
 		Probe:     probeFile{Timeout: Duration(defaultProbeTimeout), AnswerLimit: defaultProbeAnswer},
 	}
-	if err := Decode(file, raw, &f); err != nil {
+	source, err := Decode(file, raw, &f)
+	if err != nil {
 		return nil, err
 	}
-	return f.service(), nil
+	s := f.service()
+	for i := range s.Match {
+		s.Match[i].Line = source.Line(fmt.Sprintf("match[%d]", i))
+	}
+	source.ReportAll(config.CheckService(s))
+	if err := source.Err(); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
 func (f *serviceFile) service() *config.Service {
@@ -102,14 +112,14 @@
 		},
 	}
 	for _, m := range f.Match {
-		s.Match = append(s.Match, config.Match(m))
+		s.Match = append(s.Match, m.match())
 	}
 	for _, l := range f.RequestLabels {
 		s.Labels = append(s.Labels, config.LabelRule{
 			Label:      l.Label,
 			Value:      l.Value,
 			FromHeader: l.FromHeader,
-			When:       config.Match(l.When),
+			When:       l.When.match(),
 		})
 	}
 	for _, r := range f.Selectors {
@@ -121,6 +131,10 @@
 	return s
 }
 
+func (m *matchFile) match() config.Match {
+	return config.Match{Host: m.Host, PathPrefix: m.PathPrefix, Methods: m.Methods}
+}
+
 func (u *upstreamFile) upstream() config.Upstream {
 	return config.Upstream{
 		Name:          u.Name,
--- a/document/units.go
+++ b/document/units.go
@@ -14,21 +14,40 @@
 // UnmarshalJSON reads a quoted duration. A bare number has no unit and is
 // refused.
 func (d *Duration) UnmarshalJSON(raw []byte) error {
-	var text string
-	if err := json.Unmarshal(raw, &text); err != nil {
-		return fmt.Errorf("a duration needs quotes and a unit, such as \"250ms\", got %s", raw)
+	text, ok := unquote(raw)
+	if !ok {
+		return fmt.Errorf("a duration needs quotes and a unit, such as \"250ms\", got %s", shorten(string(raw)))
 	}
-	parsed, err := time.ParseDuration(text)
+	parsed, err := ParseDuration(text)
 	if err != nil {
-		return fmt.Errorf("invalid duration %q", text)
+		return err
 	}
 	*d = Duration(parsed)
 	return nil
 }
 
+// String returns the duration with its unit.
+func (d Duration) String() string { return time.Duration(d).String() }
+
+// ParseDuration reads a number with one of the units "ns", "us", "ms", "s",
+// "m" and "h", or several of them in a row.
+func ParseDuration(text string) (time.Duration, error) {
+	if _, err := strconv.ParseFloat(text, 64); err == nil && text != "0" {
+		return 0, fmt.Errorf("a duration needs a unit, such as \"250ms\", got %q", shorten(text))
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, fmt.Errorf("invalid duration %q", shorten(text))
+	}
+	return parsed, nil
+}
+
 // Size is a number of bytes with its unit in the file, such as "64KiB".
 type Size int64
 
+// maxSize keeps products with a unit far from the end of int64.
+const maxSize = 1 << 62
+
 var sizeUnits = []struct {
 	suffix string
 	bytes  int64
@@ -44,21 +63,37 @@
 
 // UnmarshalJSON reads a quoted size. A bare number has no unit and is refused.
 func (s *Size) UnmarshalJSON(raw []byte) error {
-	var text string
-	if err := json.Unmarshal(raw, &text); err != nil {
-		return fmt.Errorf("a size needs quotes and a unit, such as \"64KiB\", got %s", raw)
+	text, ok := unquote(raw)
+	if !ok {
+		return fmt.Errorf("a size needs quotes and a unit, such as \"64KiB\", got %s", shorten(string(raw)))
+	}
+	parsed, err := ParseSize(text)
+	if err != nil {
+		return err
 	}
+	*s = Size(parsed)
+	return nil
+}
+
+// ParseSize reads a whole number of at least 0 with one of the units "B",
+// "kB", "MB", "GB", "KiB", "MiB" and "GiB".
+func ParseSize(text string) (int64, error) {
 	for _, unit := range sizeUnits {
 		digits, ok := strings.CutSuffix(text, unit.suffix)
 		if !ok {
 			continue
 		}
 		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
-		if err != nil || n < 0 || n > (1<<62)/unit.bytes {
-			break
+		if err != nil || n < 0 || n > maxSize/unit.bytes {
+			return 0, fmt.Errorf("invalid size %q", shorten(text))
 		}
-		*s = Size(n * unit.bytes)
-		return nil
+		return n * unit.bytes, nil
 	}
-	return fmt.Errorf("invalid size %q", text)
+	return 0, fmt.Errorf("a size needs a unit, such as \"64KiB\", got %q", shorten(text))
+}
+
+func unquote(raw []byte) (string, bool) {
+	var text string
+	err := json.Unmarshal(raw, &text)
+	return text, err == nil
 }
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	manifestKey = "manifest"
-	partPrefix  = "services/"
 	// retryPlatform is the wait after a failed call. It bounds the calls of a
 	// host while the platform is down.
 	retryPlatform = time.Second
@@ -76,7 +74,7 @@
 		switch {
 		case errors.Is(err, platform.ErrUnchanged):
 		case err != nil:
-			h.platformFailed(manifestKey, err)
+			h.platformFailed(document.ManifestKey, err)
 			h.sleep(retryPlatform)
 		default:
 			etag = value.ETag
@@ -87,22 +85,22 @@
 
 func (h *Host) nextManifest(etag string) (platform.Value, error) {
 	if etag == "" {
-		return h.platform.Read(h.ctx, manifestKey)
+		return h.platform.Read(h.ctx, document.ManifestKey)
 	}
-	return h.platform.Watch(h.ctx, manifestKey, etag)
+	return h.platform.Watch(h.ctx, document.ManifestKey, etag)
 }
 
 func (h *Host) manifestRead(raw []byte) {
-	version, manifest, err := document.Manifest(manifestKey, raw)
+	version, manifest, err := document.Manifest(document.FileOf(document.ManifestKey), raw)
 	if err != nil {
-		h.loop.Send(core.DocumentRefused{Key: manifestKey, Problems: []string{err.Error()}})
+		h.loop.Send(core.DocumentRefused{Key: document.ManifestKey, Problems: document.TextsOf(err)})
 		return
 	}
 	h.loop.Send(core.ManifestRead{Version: version, Manifest: manifest, Raw: raw})
 }
 
 func (h *Host) readPart(e core.ReadPart) {
-	key := partPrefix + e.Service
+	key := document.PartKey(e.Service)
 	for h.ctx.Err() == nil {
 		value, err := h.platform.Read(h.ctx, key)
 		if err != nil {
@@ -111,9 +109,9 @@
 			continue
 		}
 		hash := document.HashOf(value.Raw)
-		service, err := document.Service(key, value.Raw)
+		service, err := document.Service(document.FileOf(key), value.Raw)
 		if err != nil {
-			h.loop.Send(core.DocumentRefused{Key: key, Problems: []string{err.Error()}})
+			h.loop.Send(core.DocumentRefused{Key: key, Problems: document.TextsOf(err)})
 			return
 		}
 		h.loop.Send(core.PartRead{Hash: hash, Service: service, Raw: value.Raw})
@@ -128,7 +126,7 @@
 		if err != nil {
 			h.platformFailed("hosts", err)
 		} else if hosts, err := document.HostList("hosts", raw); err != nil {
-			h.loop.Send(core.DocumentRefused{Key: "hosts", Problems: []string{err.Error()}})
+			h.loop.Send(core.DocumentRefused{Key: "hosts", Problems: document.TextsOf(err)})
 		} else {
 			h.loop.Send(core.HostListRead{Hosts: hosts})
 		}
