settings: report all problems with file and line

Cause: settings were checked in map order and stopped at the first problem. Change: the checks run in a fixed order through the document's source and return a document.Error. The admin listener has a fixed default address on loopback, and profiling is a setting that is off by default.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,13 +8,28 @@
 	"os"
 	"time"
 
+	"wisteriapond/config"
 	"wisteriapond/document"
+	"wisteriapond/label"
 )
 
-// DefaultAcceptFor is the time for which a stopping process goes on accepting.
-const DefaultAcceptFor = 10 * time.Second
+// Defaults of the settings.
+const (
+	// DefaultAdmin is on loopback: the admin listener has no authentication.
+	DefaultAdmin = "127.0.0.1:9190"
+	// DefaultAcceptFor is the time for which a stopping process goes on
+	// accepting.
+	DefaultAcceptFor = 10 * time.Second
+)
+
+// Bounds of the settings.
+const (
+	maxAcceptFor   = time.Hour
+	maxStopTimeout = 7 * 24 * time.Hour
+)
 
-// Settings are read once, from a file in JSON with comments.
+// Settings are read once, from a file in JSON with comments. docs/settings.md
+// lists every field.
 type Settings struct {
 	// Host is the name of this entry host.
 	Host string `json:"host"`
@@ -23,68 +38,104 @@
 	FailureDomain string `json:"failure_domain"`
 	// Listen is the address for callers.
 	Listen string `json:"listen"`
-	// Admin is the address for operators. Default "127.0.0.1:0".
+	// Admin is the address for operators. Default DefaultAdmin.
 	Admin string `json:"admin"`
 	// Platform is the base URL of the platform's services.
 	Platform string `json:"platform"`
 	// AcceptFor is the time for which the listener stays open after SIGTERM.
-	// Default "10s".
+	// Default DefaultAcceptFor.
 	AcceptFor document.Duration `json:"accept_for"`
 	// StopTimeout bounds the wait for requests in flight after SIGTERM.
 	// Default "0s": no bound.
 	StopTimeout document.Duration `json:"stop_timeout"`
+	// Profiling serves /debug/pprof on the admin listener. Default false.
+	Profiling bool `json:"profiling"`
 }
 
-// Error says why settings were refused.
-type Error struct {
-	File string
-	Err  error
+// Defaults returns the settings of an empty file.
+func Defaults() *Settings {
+	return &Settings{
+		Admin:     DefaultAdmin,
+		AcceptFor: document.Duration(DefaultAcceptFor),
+	}
 }
 
-func (e *Error) Error() string { return fmt.Sprintf("settings %s: %v", e.File, e.Err) }
-
-func (e *Error) Unwrap() error { return e.Err }
-
-// Load reads and checks a settings file.
+// Load reads and checks a settings file. Refused settings are a
+// *document.Error.
 func Load(file string) (*Settings, error) {
 	raw, err := os.ReadFile(file)
 	if err != nil {
-		return nil, &Error{File: file, Err: err}
+		return nil, &document.Error{Problems: []config.Problem{{Document: file, Reason: err.Error()}}}
 	}
-	s, err := Parse(file, raw)
-	if err != nil {
-		return nil, &Error{File: file, Err: err}
-	}
-	return s, nil
+	return Parse(file, raw)
 }
 
 // Parse reads and checks settings.
 func Parse(file string, raw []byte) (*Settings, error) {
-	s := &Settings{
-		Admin:     "127.0.0.1:0",
-		AcceptFor: document.Duration(DefaultAcceptFor),
+	s := Defaults()
+	source, err := document.Decode(file, raw, s)
+	if err != nil {
+		return nil, err
 	}
-	if err := document.Decode(file, raw, s); err != nil {
+	s.check(source)
+	if err := source.Err(); err != nil {
 		return nil, err
 	}
-	return s, s.check()
+	return s, nil
+}
+
+func (s *Settings) check(source *document.Source) {
+	checkName(source, "host", s.Host)
+	checkName(source, "region", s.Region)
+	checkName(source, "failure_domain", s.FailureDomain)
+	checkAddress(source, "listen", s.Listen)
+	checkAddress(source, "admin", s.Admin)
+	checkURL(source, "platform", s.Platform)
+	checkDuration(source, "accept_for", s.AcceptFor, maxAcceptFor)
+	checkDuration(source, "stop_timeout", s.StopTimeout, maxStopTimeout)
+}
+
+func checkName(source *document.Source, field, name string) {
+	if name == "" {
+		source.Report(field, "is needed")
+	} else if !label.ValidKey(name) {
+		source.Report(field, fmt.Sprintf("invalid name %q", name))
+	}
+}
+
+func checkAddress(source *document.Source, field, address string) {
+	if address == "" {
+		source.Report(field, "is needed")
+		return
+	}
+	if _, err := net.ResolveTCPAddr("tcp", literalAddress(address)); err != nil {
+		source.Report(field, fmt.Sprintf("must be ADDRESS:PORT with an IP address, got %q", address))
+	}
 }
 
-func (s *Settings) check() error {
-	for name, value := range map[string]string{
-		"host": s.Host, "region": s.Region, "failure_domain": s.FailureDomain, "platform": s.Platform,
-	} {
-		if value == "" {
-			return fmt.Errorf("%s: is needed", name)
-		}
+// literalAddress returns the address when its host part is an IP address or
+// empty. Names are left out, since a check must not ask a name server.
+func literalAddress(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil || (host != "" && net.ParseIP(host) == nil) {
+		return "invalid"
 	}
-	for name, address := range map[string]string{"listen": s.Listen, "admin": s.Admin} {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			return fmt.Errorf("%s: %w", name, err)
-		}
+	return address
+}
+
+func checkURL(source *document.Source, field, text string) {
+	if text == "" {
+		source.Report(field, "is needed")
+		return
 	}
-	if _, err := url.ParseRequestURI(s.Platform); err != nil {
-		return fmt.Errorf("platform: %w", err)
+	parsed, err := url.Parse(text)
+	if err != nil || (parsed.Scheme != "http" && parsed.Scheme != "https") || parsed.Host == "" {
+		source.Report(field, fmt.Sprintf("must be a URL such as \"http://10.0.0.1:8500\", got %q", text))
+	}
+}
+
+func checkDuration(source *document.Source, field string, value document.Duration, high time.Duration) {
+	if value < 0 || time.Duration(value) > high {
+		source.Report(field, fmt.Sprintf("must be between 0s and %v, got %v", high, value))
 	}
-	return nil
 }
