--- a/cli/cli.go
+++ b/cli/cli.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	jsonlog "github.com/apex/log/handlers/json"
 
+	"wisteriapond/document"
 	"wisteriapond/entryhost"
 	"wisteriapond/settings"
 )
@@ -59,7 +60,7 @@
 }
 
 func exitStatus(err error) int {
-	if _, ok := err.(*settings.Error); ok {
+	if _, ok := err.(*document.Error); ok {
 		return exitRefused
 	}
 	return 1
