standin: add faults of the platform and of backend servers

Cause: tests and the demo need a platform that is down, late, stale or whose host list lags, and backend servers that drain, start cold, shed, fail fast, truncate, mislead or lose the answer.

--- a/standin/backend.go
+++ b/standin/backend.go
@@ -1,10 +1,12 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,8 +19,41 @@
 	NotRunValue  = "1"
 )
 
-// DownloadBytes is the size of the long answer at /files/.
-const DownloadBytes = 64 << 20
+// ProbePath is the endpoint that reports ready and load without taking a slot.
+const ProbePath = "/probe"
+
+const (
+	downloadPrefix = "/files/"
+	// DownloadBytes is the size of the long answer at /files/.
+	DownloadBytes = 64 << 20
+	downloadChunk = 64 << 10
+	// truncatedLength is the length that a truncated answer announces.
+	truncatedLength = 1000
+)
+
+// Behaviour is what a stand-in does other than run requests well.
+type Behaviour struct {
+	// ExtraDelay is added to the time that a short request takes.
+	ExtraDelay time.Duration `json:"extra_delay"`
+	// Draining refuses new requests as not run and says that the server is
+	// leaving. Requests in flight run to their end.
+	Draining bool `json:"draining"`
+	// Shedding refuses every request as not run.
+	Shedding bool `json:"shedding"`
+	// FailFast answers every request at once with status 500.
+	FailFast bool `json:"fail_fast"`
+	// Truncate closes the connection in the middle of each answer.
+	Truncate bool `json:"truncate"`
+	// ReadAndClose reads and runs each request and closes the connection
+	// without an answer.
+	ReadAndClose bool `json:"read_and_close"`
+	// MisleadingLoad reports a load of 0 whatever runs.
+	MisleadingLoad bool `json:"misleading_load"`
+	// ColdFor is the time after Restart during which requests take longer:
+	// ColdDelay at first, falling evenly to nothing.
+	ColdFor   time.Duration `json:"cold_for"`
+	ColdDelay time.Duration `json:"cold_delay"`
+}
 
 // Backend stands in for a backend server with a fixed number of slots. It
 // refuses requests beyond its slots as not run. It is an http.Handler.
@@ -30,38 +65,62 @@
 
 	running atomic.Int64
 	peak    atomic.Int64
-	mu      sync.Mutex
-	runs    map[string]int
+	probes  atomic.Int64
+	// mu guards the fields below.
+	mu        sync.Mutex
+	runs      map[string]int
+	behaviour Behaviour
+	started   time.Time
 }
 
 // NewBackend returns a backend server.
 func NewBackend(name string, slots int, delay time.Duration) *Backend {
-	return &Backend{Name: name, Slots: slots, Delay: delay, runs: make(map[string]int)}
+	return &Backend{Name: name, Slots: slots, Delay: delay, runs: make(map[string]int), started: time.Now()}
 }
 
 // ServeHTTP runs a request: paths under /files/ answer with DownloadBytes
 // bytes, all others with a line that names the server.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	running := b.running.Add(1)
-	defer b.running.Add(-1)
-	if running > int64(b.Slots) {
-		w.Header().Set(NotRunHeader, NotRunValue)
-		http.Error(w, "all slots are taken", NotRunStatus)
+	behaviour := b.Behaviour()
+	if r.URL.Path == ProbePath {
+		b.serveProbe(w, behaviour)
 		return
 	}
-	b.notePeak(running)
-	b.noteRun(r.Header.Get("X-Request"))
-	w.Header().Set("Wisteriapond-Load", strconv.FormatInt(running, 10))
-	if len(r.URL.Path) >= 7 && r.URL.Path[:7] == "/files/" {
-		b.serveDownload(w)
-		return
-	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
+	running := b.running.Add(1)
+	defer b.running.Add(-1)
+	b.noteLoad(w, running, behaviour)
+	switch {
+	case behaviour.Draining:
+		w.Header().Set("Wisteriapond-Draining", "1")
+		refuse(w, "draining")
+	case behaviour.Shedding:
+		refuse(w, "shedding load")
+	case running > int64(b.Slots):
+		refuse(w, "all slots are taken")
+	default:
+		b.run(w, r, running, behaviour)
 	}
-	time.Sleep(b.Delay)
-	fmt.Fprintf(w, "%s %s %s %d bytes\n", b.Name, r.Method, r.URL.Path, len(body))
+}
+
+// Behaviour returns what the server does at present.
+func (b *Backend) Behaviour() Behaviour {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.behaviour
+}
+
+// Change changes what the server does.
+func (b *Backend) Change(change func(*Behaviour)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change(&b.behaviour)
+}
+
+// Restart begins a cold start.
+func (b *Backend) Restart() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.started = time.Now()
 }
 
 // Runs returns how often the request with the given X-Request header ran.
@@ -71,14 +130,90 @@
 	return b.runs[request]
 }
 
+// Running returns the number of requests that run now.
+func (b *Backend) Running() int { return int(b.running.Load()) }
+
 // Peak returns the largest number of requests that ran at once.
 func (b *Backend) Peak() int { return int(b.peak.Load()) }
 
+// Probes returns the number of calls to the probe endpoint.
+func (b *Backend) Probes() int { return int(b.probes.Load()) }
+
 // DownloadByte returns the byte of the long answer at an offset.
 func DownloadByte(offset int) byte {
 	return byte(offset * 31 >> 3)
 }
 
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set(NotRunHeader, NotRunValue)
+	http.Error(w, reason, NotRunStatus)
+}
+
+func (b *Backend) run(w http.ResponseWriter, r *http.Request, running int64, behaviour Behaviour) {
+	b.notePeak(running)
+	b.noteRun(r.Header.Get("X-Request"))
+	if behaviour.FailFast {
+		http.Error(w, "fails fast", http.StatusInternalServerError)
+		return
+	}
+	if strings.HasPrefix(r.URL.Path, downloadPrefix) {
+		b.serveDownload(w, behaviour)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil || !b.work(r, behaviour) {
+		return
+	}
+	if behaviour.ReadAndClose {
+		panic(http.ErrAbortHandler)
+	}
+	if behaviour.Truncate {
+		w.Header().Set("Content-Length", strconv.Itoa(truncatedLength))
+	}
+	fmt.Fprintf(w, "%s %s %s %d bytes\n", b.Name, r.Method, r.URL.Path, len(body))
+	if behaviour.Truncate {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// work takes the time of a short request. It ends early when the connection
+// closes or the granted time is over, and reports whether it came to its end.
+func (b *Backend) work(r *http.Request, behaviour Behaviour) bool {
+	ctx := r.Context()
+	if ms, err := strconv.Atoi(r.Header.Get("Wisteriapond-Timeout")); err == nil && ms > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+		defer cancel()
+	}
+	return wait(ctx, b.Delay+behaviour.ExtraDelay+b.coldDelay(behaviour))
+}
+
+func (b *Backend) coldDelay(behaviour Behaviour) time.Duration {
+	b.mu.Lock()
+	left := behaviour.ColdFor - time.Since(b.started)
+	b.mu.Unlock()
+	if left <= 0 {
+		return 0
+	}
+	return time.Duration(float64(behaviour.ColdDelay) * float64(left) / float64(behaviour.ColdFor))
+}
+
+func (b *Backend) serveProbe(w http.ResponseWriter, behaviour Behaviour) {
+	b.probes.Add(1)
+	b.noteLoad(w, b.running.Load(), behaviour)
+	if behaviour.Draining {
+		w.Header().Set("Wisteriapond-Draining", "1")
+	}
+	writeJSON(w, map[string]any{"server": b.Name, "ready": !behaviour.Draining, "slots": b.Slots})
+}
+
+func (b *Backend) noteLoad(w http.ResponseWriter, running int64, behaviour Behaviour) {
+	if behaviour.MisleadingLoad {
+		running = 0
+	}
+	w.Header().Set("Wisteriapond-Load", strconv.FormatInt(running, 10))
+}
+
 func (b *Backend) notePeak(running int64) {
 	for {
 		peak := b.peak.Load()
@@ -97,10 +232,13 @@
 	b.runs[request]++
 }
 
-func (b *Backend) serveDownload(w http.ResponseWriter) {
+func (b *Backend) serveDownload(w http.ResponseWriter, behaviour Behaviour) {
 	w.Header().Set("Content-Length", strconv.Itoa(DownloadBytes))
-	chunk := make([]byte, 64<<10)
+	chunk := make([]byte, downloadChunk)
 	for sent := 0; sent < DownloadBytes; sent += len(chunk) {
+		if behaviour.Truncate && sent >= DownloadBytes/2 {
+			panic(http.ErrAbortHandler)
+		}
 		for i := range chunk {
 			chunk[i] = DownloadByte(sent + i)
 		}
@@ -109,3 +247,18 @@
 		}
 	}
 }
+
+// wait waits for d and reports whether ctx was still alive at its end.
+func wait(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/standin/deployment.go
@@ -0,0 +1,170 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+
+	"wisteriapond/document"
+)
+
+// Part is a service part as it is published.
+type Part struct {
+	Service        string         `json:"service"`
+	Match          []MatchLine    `json:"match"`
+	RequestLabels  []LabelLine    `json:"request_labels,omitempty"`
+	Selectors      []SelectorLine `json:"selectors,omitempty"`
+	IdempotentWhen []string       `json:"idempotent_when,omitempty"`
+	LongWhen       []string       `json:"long_when,omitempty"`
+	Timeout        string         `json:"timeout,omitempty"`
+	ColdStart      string         `json:"cold_start,omitempty"`
+	NotRun         NotRunLine     `json:"not_run"`
+	Upstreams      []UpstreamLine `json:"upstreams"`
+}
+
+// MatchLine is one entry of "match".
+type MatchLine struct {
+	PathPrefix string   `json:"path_prefix,omitempty"`
+	Methods    []string `json:"methods,omitempty"`
+}
+
+// LabelLine is one entry of "request_labels".
+type LabelLine struct {
+	Label      string `json:"label"`
+	Value      string `json:"value,omitempty"`
+	FromHeader string `json:"from_header,omitempty"`
+}
+
+// SelectorLine is one entry of "selectors".
+type SelectorLine struct {
+	When  string `json:"when"`
+	Hosts string `json:"hosts"`
+}
+
+// NotRunLine is the not-run form of the stand-ins.
+type NotRunLine struct {
+	Status int    `json:"status"`
+	Header string `json:"header"`
+	Value  string `json:"value"`
+}
+
+// UpstreamLine is one entry of "upstreams".
+type UpstreamLine struct {
+	Name          string            `json:"name"`
+	Host          string            `json:"host"`
+	Address       string            `json:"address"`
+	Region        string            `json:"region"`
+	FailureDomain string            `json:"failure_domain"`
+	Labels        map[string]string `json:"labels,omitempty"`
+	Slots         int               `json:"slots"`
+	Connections   int               `json:"connections"`
+}
+
+// StandInNotRun returns the form in which the stand-ins refuse requests.
+func StandInNotRun() NotRunLine {
+	return NotRunLine{Status: NotRunStatus, Header: NotRunHeader, Value: NotRunValue}
+}
+
+// Deployment publishes a changing configuration on a platform.
+type Deployment struct {
+	platform *Platform
+
+	mu         sync.Mutex
+	generation uint64
+	parts      map[string][]byte
+}
+
+// NewDeployment returns a deployment without services.
+func NewDeployment(platform *Platform) *Deployment {
+	return &Deployment{platform: platform, parts: make(map[string][]byte)}
+}
+
+// Generation returns the generation that was published last.
+func (d *Deployment) Generation() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.generation
+}
+
+// Part returns the document of a service as published last, or nil.
+func (d *Deployment) Part(service string) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.parts[service]
+}
+
+// Publish publishes the given parts together as the next generation and
+// returns it. Services that are not given stay as they are.
+func (d *Deployment) Publish(parts ...Part) (uint64, error) {
+	raw := make(map[string][]byte, len(parts))
+	for _, part := range parts {
+		text, err := json.MarshalIndent(part, "", "  ")
+		if err != nil {
+			return 0, fmt.Errorf("part of service %s: %w", part.Service, err)
+		}
+		raw[part.Service] = text
+	}
+	return d.PublishRaw(raw), nil
+}
+
+// PublishRaw publishes documents unchecked, good or bad, as the next
+// generation and returns it.
+func (d *Deployment) PublishRaw(parts map[string][]byte) uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for service, raw := range parts {
+		d.parts[service] = raw
+	}
+	d.generation++
+	d.platform.PublishConfiguration(d.generation, d.parts, nil)
+	return d.generation
+}
+
+// RemoveHost publishes the configuration without the upstreams on a host. It
+// returns the names of the services that lost one.
+func (d *Deployment) RemoveHost(host string) ([]string, error) {
+	changed := make(map[string][]byte)
+	for service, part := range d.typedParts() {
+		kept := slices.DeleteFunc(slices.Clone(part.Upstreams), func(u UpstreamLine) bool { return u.Host == host })
+		if len(kept) == len(part.Upstreams) {
+			continue
+		}
+		part.Upstreams = kept
+		raw, err := json.MarshalIndent(part, "", "  ")
+		if err != nil {
+			return nil, fmt.Errorf("part of service %s: %w", service, err)
+		}
+		changed[service] = raw
+	}
+	if len(changed) == 0 {
+		return nil, nil
+	}
+	d.PublishRaw(changed)
+	return sortedNames(changed), nil
+}
+
+// typedParts returns the parts that can be read. A bad one that is published
+// at the moment is left out.
+func (d *Deployment) typedParts() map[string]Part {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	parts := make(map[string]Part, len(d.parts))
+	for service, raw := range d.parts {
+		var part Part
+		if _, err := document.Service(service, raw); err != nil || json.Unmarshal(raw, &part) != nil {
+			continue
+		}
+		parts[service] = part
+	}
+	return parts
+}
+
+func sortedNames[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -5,7 +5,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,16 +25,26 @@
 	State         string `json:"state"`
 }
 
+// hostList is a host list and the time from which on it is true.
+type hostList struct {
+	since time.Time
+	hosts []HostLine
+}
+
 // Platform stands in for the configuration service and the list of hosts. It
-// is an http.Handler.
+// is an http.Handler. It can be down, answer late, serve an older
+// configuration and serve a host list that lags.
 type Platform struct {
 	mux *http.ServeMux
 
 	mu      sync.Mutex
 	values  map[string][]byte
-	hosts   []HostLine
+	stale   map[string][]byte
+	lists   []hostList
+	hostLag time.Duration
 	changed chan struct{}
 	down    bool
+	delay   time.Duration
 	calls   int
 }
 
@@ -41,6 +53,7 @@
 	p := &Platform{
 		mux:     http.NewServeMux(),
 		values:  make(map[string][]byte),
+		lists:   []hostList{{}},
 		changed: make(chan struct{}),
 	}
 	p.mux.HandleFunc("GET /v1/values/{key...}", p.serveValue)
@@ -52,8 +65,11 @@
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	p.calls++
-	down := p.down
+	down, delay := p.down, p.delay
 	p.mu.Unlock()
+	if !wait(r.Context(), delay) {
+		return
+	}
 	if down {
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
@@ -66,8 +82,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.values[key] = raw
-	close(p.changed)
-	p.changed = make(chan struct{})
+	p.wakeWatches()
 }
 
 // PublishConfiguration stores the service parts, by name, and a manifest that
@@ -75,41 +90,61 @@
 func (p *Platform) PublishConfiguration(generation uint64, parts map[string][]byte, more map[string]any) {
 	hashes := make(map[string]string, len(parts))
 	for name, raw := range parts {
-		p.Publish("services/"+name, raw)
+		p.Publish(document.PartKey(name), raw)
 		hashes[name] = string(document.HashOf(raw))
 	}
 	manifest := map[string]any{"generation": generation, "services": hashes}
-	for key, value := range more {
-		manifest[key] = value
-	}
+	maps.Copy(manifest, more)
 	raw, err := json.Marshal(manifest)
 	if err != nil {
 		panic(fmt.Sprintf("manifest of plain values: %v", err))
 	}
-	p.Publish("manifest", raw)
+	p.Publish(document.ManifestKey, raw)
+}
+
+// Value returns the published value of a key, or nil.
+func (p *Platform) Value(key string) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.values[key]
 }
 
 // SetHosts replaces the list of hosts.
 func (p *Platform) SetHosts(hosts []HostLine) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.hosts = hosts
+	p.lists = append(p.lists, hostList{since: time.Now(), hosts: hosts})
 }
 
-// Declare sets the state of one host and raises its epoch.
-func (p *Platform) Declare(host, state string) bool {
+// Hosts returns the true list of hosts, without the lag.
+func (p *Platform) Hosts() []HostLine {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i := range p.hosts {
-		if p.hosts[i].Host == host {
-			p.hosts[i].State = state
-			p.hosts[i].Epoch++
+	return slices.Clone(p.lists[len(p.lists)-1].hosts)
+}
+
+// Declare sets the state of one host and raises its epoch. It reports whether
+// the host is known.
+func (p *Platform) Declare(host, state string) bool {
+	hosts := p.Hosts()
+	for i := range hosts {
+		if hosts[i].Host == host {
+			hosts[i].State = state
+			hosts[i].Epoch++
+			p.SetHosts(hosts)
 			return true
 		}
 	}
 	return false
 }
 
+// SetHostLag makes the host list lag behind the truth.
+func (p *Platform) SetHostLag(lag time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hostLag = lag
+}
+
 // SetDown makes every call fail, or ends that.
 func (p *Platform) SetDown(down bool) {
 	p.mu.Lock()
@@ -117,6 +152,25 @@
 	p.down = down
 }
 
+// SetDelay delays every answer.
+func (p *Platform) SetDelay(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = delay
+}
+
+// SetStale freezes the values that calls see, or shows the published ones
+// again.
+func (p *Platform) SetStale(stale bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale = nil
+	if stale {
+		p.stale = maps.Clone(p.values)
+	}
+	p.wakeWatches()
+}
+
 // Calls returns the number of calls so far.
 func (p *Platform) Calls() int {
 	p.mu.Lock()
@@ -124,10 +178,18 @@
 	return p.calls
 }
 
+func (p *Platform) wakeWatches() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 func (p *Platform) value(key string) (raw []byte, etag string, changed <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	raw = p.values[key]
+	if p.stale != nil {
+		raw = p.stale[key]
+	}
 	return raw, `"` + string(document.HashOf(raw)) + `"`, p.changed
 }
 
@@ -158,7 +220,25 @@
 }
 
 func (p *Platform) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, map[string]any{"hosts": p.laggingHosts(time.Now())})
+}
+
+// laggingHosts returns the list that was true before the lag, and forgets the
+// ones that no call can see any more.
+func (p *Platform) laggingHosts(now time.Time) []HostLine {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	json.NewEncoder(w).Encode(map[string]any{"hosts": p.hosts})
+	visible := 0
+	for i, list := range p.lists {
+		if !list.since.After(now.Add(-p.hostLag)) {
+			visible = i
+		}
+	}
+	p.lists = p.lists[visible:]
+	return p.lists[0].hosts
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(value)
 }
