--- /dev/null
+++ b/document/kind.go
@@ -0,0 +1,60 @@
+package document
+
+import (
+	"github.com/tailscale/hujson"
+)
+
+// Kind tells the documents apart.
+type Kind int
+
+// The kinds of documents.
+const (
+	ManifestKind Kind = iota + 1
+	PartKind
+	HostListKind
+	SettingsKind
+)
+
+// kindFields are fields that only one kind of document has, in the order in
+// which they are looked for.
+var kindFields = []struct {
+	field string
+	kind  Kind
+}{
+	{"generation", ManifestKind},
+	{"service", PartKind},
+	{"hosts", HostListKind},
+	{"platform", SettingsKind},
+	{"listen", SettingsKind},
+}
+
+const noKind = "is no manifest (generation), service part (service), host list (hosts) or settings (listen, platform)"
+
+// KindOf tells the kind of a document by its content.
+func KindOf(file string, raw []byte) (Kind, error) {
+	s := &Source{file: file, lines: newLineIndex(raw)}
+	root, err := parseTree(raw)
+	if err != nil {
+		line, reason := s.lines.syntaxError(err)
+		s.add(line, "", reason)
+		return 0, s.Err()
+	}
+	if object, ok := root.Value.(*hujson.Object); ok {
+		for _, candidate := range kindFields {
+			if hasMember(object, candidate.field) {
+				return candidate.kind, nil
+			}
+		}
+	}
+	s.add(0, "", noKind)
+	return 0, s.Err()
+}
+
+func hasMember(object *hujson.Object, name string) bool {
+	for _, member := range object.Members {
+		if member.Name.Value.(hujson.Literal).String() == name {
+			return true
+		}
+	}
+	return false
+}
