admin, metrics: explain routes, profile on request, measure latency

Cause: operators could not see why an upstream is excluded, nor how long requests and control steps take. Change: ExplainRequested and ReportExplanation carry the question through the reducer; the admin server has /explain, and /debug/pprof behind the setting profiling.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -6,8 +6,11 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"net/http/pprof"
+	"strings"
 	"time"
 
+	"wisteriapond/config"
 	"wisteriapond/core"
 	"wisteriapond/metrics"
 )
@@ -15,15 +18,25 @@
 const (
 	headerTimeout = 5 * time.Second
 	statusTimeout = 5 * time.Second
+	// maxHeaderQuestions bounds the headers of one question to /explain.
+	maxHeaderQuestions = 64
 )
 
 // Source is what the admin server reports on.
 type Source interface {
 	Ready() bool
 	Status(ctx context.Context) (core.Status, error)
+	Explain(ctx context.Context, request config.Request) (config.Explanation, error)
 }
 
-// Server serves /metrics, /livez, /readyz and /status.
+// Options switch parts of the server on.
+type Options struct {
+	// Profiling serves /debug/pprof. Default false.
+	Profiling bool
+}
+
+// Server serves /metrics, /livez, /readyz, /status and /explain, and
+// /debug/pprof when it is switched on.
 type Server struct {
 	source  Source
 	metrics *metrics.Set
@@ -31,17 +44,29 @@
 }
 
 // NewServer returns an admin server.
-func NewServer(source Source, set *metrics.Set) *Server {
+func NewServer(source Source, set *metrics.Set, options Options) *Server {
 	s := &Server{source: source, metrics: set}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", s.serveMetrics)
 	mux.HandleFunc("GET /livez", s.serveLive)
 	mux.HandleFunc("GET /readyz", s.serveReady)
 	mux.HandleFunc("GET /status", s.serveStatus)
+	mux.HandleFunc("GET /explain", s.serveExplain)
+	if options.Profiling {
+		addProfiling(mux)
+	}
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	return s
 }
 
+func addProfiling(mux *http.ServeMux) {
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+}
+
 // Serve accepts connections until Close.
 func (s *Server) Serve(listener net.Listener) error {
 	if err := s.http.Serve(listener); err != http.ErrServerClosed {
@@ -53,11 +78,16 @@
 // Close ends the server.
 func (s *Server) Close() error { return s.http.Close() }
 
+// Handler returns the handler of all calls.
+func (s *Server) Handler() http.Handler { return s.http.Handler }
+
 func (s *Server) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 	s.metrics.Write(w)
 }
 
+// serveLive answers as long as the process runs. It does not ask the control
+// goroutine: a busy host must not be killed by its platform.
 func (s *Server) serveLive(w http.ResponseWriter, _ *http.Request) {
 	w.Write([]byte("ok\n"))
 }
@@ -74,10 +104,43 @@
 	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
 	defer cancel()
 	status, err := s.source.Status(ctx)
+	respond(w, status, err)
+}
+
+// serveExplain tells where a request would go. The query gives method, host,
+// path and any number of "header=Name: value".
+func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), statusTimeout)
+	defer cancel()
+	query := r.URL.Query()
+	request := config.Request{Method: query.Get("method"), Host: query.Get("host"), Path: query.Get("path")}
+	headers := query["header"]
+	if len(headers) > maxHeaderQuestions {
+		http.Error(w, "too many headers", http.StatusBadRequest)
+		return
+	}
+	for _, line := range headers {
+		name, value, ok := strings.Cut(line, ":")
+		if !ok {
+			http.Error(w, "header must be \"Name: value\"", http.StatusBadRequest)
+			return
+		}
+		request.Headers = append(request.Headers, config.Header{
+			Name:  strings.ToLower(strings.TrimSpace(name)),
+			Value: strings.TrimSpace(value),
+		})
+	}
+	explanation, err := s.source.Explain(ctx, request)
+	respond(w, explanation, err)
+}
+
+func respond(w http.ResponseWriter, value any, err error) {
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(status)
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	encoder.Encode(value)
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -30,6 +30,8 @@
 	loop *runtime.Loop
 	pool *backend.Pool
 	http *fasthttp.Server
+	// Observe, when set, is told the latency of each request.
+	Observe func(service, outcome string, took time.Duration)
 }
 
 // NewServer returns a server that submits requests to the loop.
@@ -60,8 +62,10 @@
 	if view.Closing {
 		ctx.SetConnectionClose()
 	}
+	begin := s.loop.Now()
 	arrival := arrivalOf(ctx, view)
 	ticket := s.loop.Submit(arrival)
+	defer func() { s.observe(ticket, begin) }()
 	if ticket == nil {
 		writeRefusal(ctx, core.Refuse{Reason: outcome.RefusedOverloaded})
 		return
--- a/core/state.go
+++ b/core/state.go
@@ -73,6 +73,8 @@
 	case ProbeFinished:
 	case StatusRequested:
 		s.out.add(ReportStatus{ID: e.ID, Status: s.status()})
+	case ExplainRequested:
+		s.explain(e)
 	}
 	s.out = nil
 }
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -1,7 +1,6 @@
 package entryhost
 
 import (
-	"context"
 	"errors"
 	"net"
 	"time"
@@ -38,10 +37,15 @@
 	case core.StopAccepting:
 		h.callerListener.Close()
 	case core.ReportStatus:
-		h.deliverStatus(e)
+		h.statuses.answer(e.ID, e.Status)
+	case core.ReportExplanation:
+		h.explanations.answer(e.ID, e.Explanation)
 	}
 }
 
+// ObserveStep records the time of one step.
+func (h *Host) ObserveStep(took time.Duration) { h.metrics.ObserveStep(took) }
+
 func (h *Host) writeLog(e core.Log) {
 	fields := make(log.Fields, len(e.Fields))
 	for _, field := range e.Fields {
@@ -150,35 +154,6 @@
 	}
 }
 
-// Status asks the control goroutine for a report.
-func (h *Host) Status(ctx context.Context) (core.Status, error) {
-	id := h.statusID.Add(1)
-	reply := make(chan core.Status, 1)
-	h.statusMu.Lock()
-	h.statuses[id] = reply
-	h.statusMu.Unlock()
-	h.loop.Send(core.StatusRequested{ID: id})
-	select {
-	case status := <-reply:
-		return status, nil
-	case <-ctx.Done():
-		h.statusMu.Lock()
-		delete(h.statuses, id)
-		h.statusMu.Unlock()
-		return core.Status{}, ctx.Err()
-	}
-}
-
-func (h *Host) deliverStatus(e core.ReportStatus) {
-	h.statusMu.Lock()
-	reply := h.statuses[e.ID]
-	delete(h.statuses, e.ID)
-	h.statusMu.Unlock()
-	if reply != nil {
-		reply <- e.Status
-	}
-}
-
 func isClosed(err error) bool {
 	return err == nil || errors.Is(err, net.ErrClosed)
 }
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -6,8 +6,6 @@
 	"context"
 	"fmt"
 	"net"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -16,6 +14,7 @@
 	"wisteriapond/admin"
 	"wisteriapond/backend"
 	"wisteriapond/caller"
+	"wisteriapond/config"
 	"wisteriapond/core"
 	"wisteriapond/metrics"
 	"wisteriapond/platform"
@@ -41,9 +40,8 @@
 	group    *errgroup.Group
 	watching bool
 
-	statusMu sync.Mutex
-	statuses map[uint64]chan core.Status
-	statusID atomic.Uint64
+	statuses     questions[core.Status]
+	explanations questions[config.Explanation]
 }
 
 // New opens the listeners of a host. Run serves them.
@@ -54,11 +52,11 @@
 		pool:     backend.NewPool(),
 		metrics:  metrics.New(),
 		platform: platform.NewClient(s.Platform),
-		statuses: make(map[uint64]chan core.Status),
 	}
 	h.loop = runtime.NewLoop(h)
 	h.caller = caller.NewServer(h.loop, h.pool)
-	h.admin = admin.NewServer(h, h.metrics)
+	h.caller.Observe = h.metrics.ObserveRequest
+	h.admin = admin.NewServer(h, h.metrics, admin.Options{Profiling: s.Profiling})
 	var err error
 	if h.callerListener, err = net.Listen("tcp", s.Listen); err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -20,6 +20,12 @@
 	Handle(effect core.Effect)
 }
 
+// StepObserver is a Handler that also wants to know how long each step took,
+// effects included. It runs on the control goroutine and must not block.
+type StepObserver interface {
+	ObserveStep(took time.Duration)
+}
+
 // Loop owns the control state. Run is the control goroutine.
 type Loop struct {
 	mailbox *mailbox
@@ -27,6 +33,7 @@
 	effects core.Effects
 	tickets map[core.RequestID]*Ticket
 	handler Handler
+	observe StepObserver
 	origin  time.Time
 	nextID  atomic.Uint64
 	view    atomic.Pointer[core.View]
@@ -47,6 +54,7 @@
 		timer:   time.NewTimer(core.TickInterval),
 		done:    make(chan struct{}),
 	}
+	l.observe, _ = handler.(StepObserver)
 	l.view.Store(&core.View{})
 	return l
 }
@@ -112,7 +120,8 @@
 	if i.ticket != nil {
 		l.tickets[i.ticket.ID] = i.ticket
 	}
-	l.state.Step(l.Now(), i.event, &l.effects)
+	begin := l.Now()
+	l.state.Step(begin, i.event, &l.effects)
 	for _, effect := range l.effects.All() {
 		l.carryOut(effect)
 	}
@@ -120,6 +129,9 @@
 	if delivered, ok := i.event.(core.AnswerDelivered); ok {
 		delete(l.tickets, delivered.Attempt.Request)
 	}
+	if l.observe != nil {
+		l.observe.ObserveStep(l.Now().Sub(begin))
+	}
 }
 
 func (l *Loop) carryOut(effect core.Effect) {
@@ -160,6 +172,7 @@
 
 func (l *Loop) command(id core.RequestID, effect core.Effect) {
 	if ticket := l.tickets[id]; ticket != nil {
+		ticket.note(effect)
 		ticket.Commands <- effect
 	}
 }
--- a/runtime/ticket.go
+++ b/runtime/ticket.go
@@ -12,6 +12,10 @@
 	// Commands carries StartAttempt, PassAnswer, Refuse and Fail effects. At
 	// most one command is outstanding, so the control goroutine never blocks.
 	Commands chan core.Effect
+	// Service and Last are set before a command is sent: the service of the
+	// request, empty while it has none, and the command.
+	Service string
+	Last    core.Effect
 
 	mu       sync.Mutex
 	cancel   func()
@@ -19,6 +23,20 @@
 	canceled int
 }
 
+// note is called by the control goroutine. The channel of commands orders it
+// before the reads of the traffic goroutine.
+func (t *Ticket) note(effect core.Effect) {
+	t.Last = effect
+	switch e := effect.(type) {
+	case core.StartAttempt:
+		t.Service = e.Service
+	case core.Refuse:
+		t.Service = e.Service
+	case core.Fail:
+		t.Service = e.Service
+	}
+}
+
 // OnCancel sets what ends the attempt with the given number. When that attempt
 // was already cancelled, cancel runs at once.
 func (t *Ticket) OnCancel(number int, cancel func()) {
