standin: keep the last good part beside a bad one

Cause: after a bad part was published, every later generation carried it and was refused too. Change: a deployment publishes a bad part once; the next generation has the last good part.

--- a/standin/deployment.go
+++ b/standin/deployment.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
@@ -66,13 +67,16 @@
 	return NotRunLine{Status: NotRunStatus, Header: NotRunHeader, Value: NotRunValue}
 }
 
-// Deployment publishes a changing configuration on a platform.
+// Deployment publishes a changing configuration on a platform. A bad document
+// is in the generation that it was published with, and the next one has the
+// last good document again.
 type Deployment struct {
 	platform *Platform
 
 	mu         sync.Mutex
 	generation uint64
-	parts      map[string][]byte
+	// parts holds the last good part of each service.
+	parts map[string][]byte
 }
 
 // NewDeployment returns a deployment without services.
@@ -87,7 +91,7 @@
 	return d.generation
 }
 
-// Part returns the document of a service as published last, or nil.
+// Part returns the last good part of a service, or nil.
 func (d *Deployment) Part(service string) []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -113,19 +117,27 @@
 func (d *Deployment) PublishRaw(parts map[string][]byte) uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	published := maps.Clone(d.parts)
 	for service, raw := range parts {
-		d.parts[service] = raw
+		published[service] = raw
+		if _, err := document.Service(service, raw); err == nil {
+			d.parts[service] = raw
+		}
 	}
 	d.generation++
-	d.platform.PublishConfiguration(d.generation, d.parts, nil)
+	d.platform.PublishConfiguration(d.generation, published, nil)
 	return d.generation
 }
 
 // RemoveHost publishes the configuration without the upstreams on a host. It
 // returns the names of the services that lost one.
 func (d *Deployment) RemoveHost(host string) ([]string, error) {
+	parts, err := d.typedParts()
+	if err != nil {
+		return nil, err
+	}
 	changed := make(map[string][]byte)
-	for service, part := range d.typedParts() {
+	for service, part := range parts {
 		kept := slices.DeleteFunc(slices.Clone(part.Upstreams), func(u UpstreamLine) bool { return u.Host == host })
 		if len(kept) == len(part.Upstreams) {
 			continue
@@ -144,20 +156,18 @@
 	return sortedNames(changed), nil
 }
 
-// typedParts returns the parts that can be read. A bad one that is published
-// at the moment is left out.
-func (d *Deployment) typedParts() map[string]Part {
+func (d *Deployment) typedParts() (map[string]Part, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	parts := make(map[string]Part, len(d.parts))
 	for service, raw := range d.parts {
 		var part Part
-		if _, err := document.Service(service, raw); err != nil || json.Unmarshal(raw, &part) != nil {
-			continue
+		if _, err := document.Decode(service, raw, &part); err != nil {
+			return nil, err
 		}
 		parts[service] = part
 	}
-	return parts
+	return parts, nil
 }
 
 func sortedNames[V any](m map[string]V) []string {
