cli: add check, explain, status, load and completions

Cause: operators had serve, demo and version only. Change: one file per command, help texts with examples, exit status 2 for refused arguments and documents. The demo has three services in two regions, three entry hosts and the control endpoint of the stand-in platform. kongplete gives completions for bash, zsh and fish.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -1,54 +1,55 @@
-// Package cli has the commands of the wisteriapond binary.
+// Package cli has the commands of the wisteriapond binary, one file each.
 package cli
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
-	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/apex/log"
 	jsonlog "github.com/apex/log/handlers/json"
+	"github.com/willabides/kongplete"
 
 	"wisteriapond/document"
-	"wisteriapond/entryhost"
-	"wisteriapond/settings"
 )
 
-// Version is the version of the binary.
-const Version = "0.1.0"
-
-// exitRefused is the exit status for refused settings and configurations.
-const exitRefused = 2
+// Exit statuses.
+const (
+	exitFailed = 1
+	// exitRefused is for refused arguments, settings and configurations.
+	exitRefused = 2
+)
 
 type commands struct {
 	Serve   serveCommand   `cmd:"" help:"Run an entry host."`
+	Check   checkCommand   `cmd:"" help:"Check settings and published configurations."`
+	Explain explainCommand `cmd:"" help:"Tell where a request goes and why not elsewhere."`
+	Status  statusCommand  `cmd:"" help:"Show the state of a running entry host."`
 	Demo    demoCommand    `cmd:"" help:"Run everything on loopback in one process."`
+	Load    loadCommand    `cmd:"" help:"Send a bounded load and show latencies."`
 	Version versionCommand `cmd:"" help:"Print the version."`
+
+	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Install completions for the user's shell."`
 }
 
 // Run parses the command line, runs the command and returns the exit status.
 func Run(args []string, stdout, stderr io.Writer) int {
-	var c commands
-	parser, err := kong.New(&c,
-		kong.Name("wisteriapond"),
-		kong.Description("A load balancer for servers whose load shifts in milliseconds."),
-		kong.Writers(stdout, stderr),
-		kong.BindTo(stdout, (*io.Writer)(nil)),
-		kong.UsageOnError(),
-	)
+	parser, err := newParser(stdout, stderr)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
-		return 1
+		return exitFailed
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	// Complete ends the process when the shell asks for completions.
+	kongplete.Complete(parser)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	parsed, err := parser.Parse(args)
 	if err != nil {
-		fmt.Fprintln(stderr, err)
+		parser.Errorf("%s", err)
 		return exitRefused
 	}
 	parsed.BindTo(ctx, (*context.Context)(nil))
@@ -59,39 +60,37 @@
 	return 0
 }
 
-func exitStatus(err error) int {
-	if _, ok := err.(*document.Error); ok {
-		return exitRefused
-	}
-	return 1
+func newParser(stdout, stderr io.Writer) (*kong.Kong, error) {
+	return kong.New(&commands{},
+		kong.Name("wisteriapond"),
+		kong.Description("A load balancer for servers whose load shifts in milliseconds."),
+		kong.Writers(stdout, stderr),
+		kong.BindTo(output{stdout}, (*io.Writer)(nil)),
+		kong.Bind(logOutput{stderr}),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true}),
+	)
 }
 
-func newLogger(w io.Writer) *log.Logger {
-	return &log.Logger{Handler: jsonlog.New(w), Level: log.InfoLevel}
-}
+// output keeps kong from binding the writer under its own type.
+type output struct{ io.Writer }
 
-type versionCommand struct{}
+// logOutput is the writer of log lines.
+type logOutput struct{ io.Writer }
 
-// Run prints the version.
-func (*versionCommand) Run(stdout io.Writer) error {
-	_, err := fmt.Fprintln(stdout, "wisteriapond", Version)
-	return err
-}
+// usageError is a refusal of arguments that the parser cannot see.
+type usageError struct{ reason string }
 
-type serveCommand struct {
-	Settings string `required:"" type:"path" help:"File with the settings of this process."`
-}
+func (e *usageError) Error() string { return e.reason }
 
-// Run serves until SIGTERM or an interrupt, then drains.
-func (c *serveCommand) Run(ctx context.Context) error {
-	s, err := settings.Load(c.Settings)
-	if err != nil {
-		return err
-	}
-	host, err := entryhost.New(s, newLogger(os.Stderr))
-	if err != nil {
-		return err
+func exitStatus(err error) int {
+	var refused *document.Error
+	var usage *usageError
+	if errors.As(err, &refused) || errors.As(err, &usage) {
+		return exitRefused
 	}
-	context.AfterFunc(ctx, host.Stop)
-	return host.Run(context.WithoutCancel(ctx))
+	return exitFailed
+}
+
+func newLogger(w io.Writer) *log.Logger {
+	return &log.Logger{Handler: jsonlog.New(w), Level: log.InfoLevel}
 }
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -2,77 +2,165 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"os"
+	"strconv"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
+	"wisteriapond/document"
 	"wisteriapond/entryhost"
 	"wisteriapond/settings"
 	"wisteriapond/standin"
 )
 
 const (
-	demoBackends   = 4
-	demoSlots      = 3
-	demoEntryHosts = 3
-	demoDelay      = 5 * time.Millisecond
+	loopback = "127.0.0.1"
+	// Offsets from the base port of the demo.
+	demoAdminOffset    = 10
+	demoPlatformOffset = 20
+	demoHeaderTimeout  = 5 * time.Second
+	demoReadyTimeout   = 10 * time.Second
+	demoReadyInterval  = 20 * time.Millisecond
+	// demoAcceptFor is short: no balancer stands before the demo.
+	demoAcceptFor = 2 * time.Second
 )
 
-type demoCommand struct{}
+type demoCommand struct {
+	BasePort int `default:"18080" help:"Port of the first entry host; the others follow from it. 0 lets the system choose all ports."`
+}
 
-// Run starts the stand-ins and three entry hosts on loopback until an
-// interrupt.
-func (c *demoCommand) Run(ctx context.Context, stdout io.Writer) error {
-	d := &demo{platform: standin.NewPlatform()}
-	d.group, d.ctx = errgroup.WithContext(ctx)
-	if err := d.start(); err != nil {
+// Help is shown by "demo --help".
+func (*demoCommand) Help() string {
+	return `Starts a stand-in platform, twelve stand-in backend servers in two regions for
+the services catalogue, orders and proofs, and three entry hosts, all on
+loopback, and prints calls to try. The README walks through them. Log lines go
+to standard error. An interrupt ends the demo with a planned stop.
+
+Example:
+  wisteriapond demo 2>demo.log`
+}
+
+// Run starts the demo and waits for an interrupt.
+func (c *demoCommand) Run(ctx context.Context, stdout io.Writer, logs logOutput) error {
+	d, err := startDemo(ctx, c.BasePort, logs)
+	if err != nil {
 		return err
 	}
-	fmt.Fprintf(stdout, "entry hosts:\n")
-	for _, host := range d.hosts {
-		fmt.Fprintf(stdout, "  %s  (operators: http://%s/status)\n", host.Address(), host.AdminAddress())
+	if err := d.awaitReady(); err != nil {
+		return errors.Join(err, d.stop())
 	}
-	fmt.Fprintf(stdout, "try:\n  curl -i http://%s/catalogue/urn-7\n", d.hosts[0].Address())
+	d.describe(stdout)
 	return d.group.Wait()
 }
 
+// demo is a whole deployment in one process.
 type demo struct {
 	ctx      context.Context
+	cancel   context.CancelFunc
 	group    *errgroup.Group
-	platform *standin.Platform
-	url      string
-	hosts    []*entryhost.Host
+	basePort int
+	logs     io.Writer
+
+	platform   *standin.Platform
+	deployment *standin.Deployment
+	backends   map[string]*standin.Backend
+	hosts      []*entryhost.Host
+	// url is the base of the platform's calls and of the control endpoint.
+	url string
 }
 
-func (d *demo) start() error {
-	address, err := d.serve(d.platform)
-	if err != nil {
-		return err
+func startDemo(ctx context.Context, basePort int, logs io.Writer) (*demo, error) {
+	platform := standin.NewPlatform()
+	d := &demo{
+		basePort:   basePort,
+		logs:       logs,
+		platform:   platform,
+		deployment: standin.NewDeployment(platform),
+		backends:   make(map[string]*standin.Backend),
 	}
-	d.url = "http://" + address
-	if err := d.startBackends(); err != nil {
-		return err
+	ctx, d.cancel = context.WithCancel(ctx)
+	d.group, d.ctx = errgroup.WithContext(ctx)
+	for _, step := range []func() error{d.startBackends, d.startPlatform, d.startEntryHosts} {
+		if err := step(); err != nil {
+			return nil, errors.Join(err, d.stop())
+		}
 	}
-	for i := range demoEntryHosts {
-		if err := d.startEntryHost(fmt.Sprintf("entry-%d", i+1)); err != nil {
-			return err
+	return d, nil
+}
+
+// stop ends the demo and waits for its end.
+func (d *demo) stop() error {
+	d.cancel()
+	return d.group.Wait()
+}
+
+// startBackends starts a backend server for each upstream, declares its host
+// and publishes the configuration.
+func (d *demo) startBackends() error {
+	parts := demoParts()
+	var hosts []standin.HostLine
+	for p := range parts {
+		for u := range parts[p].Upstreams {
+			upstream := &parts[p].Upstreams[u]
+			backend := standin.NewBackend(upstream.Host, upstream.Slots, demoDelay)
+			address, err := d.serve(backend, 0)
+			if err != nil {
+				return err
+			}
+			upstream.Address = address
+			d.backends[upstream.Host] = backend
+			hosts = append(hosts, demoHostLine(upstream))
 		}
 	}
+	d.platform.SetHosts(hosts)
+	_, err := d.deployment.Publish(parts...)
+	return err
+}
+
+// startPlatform serves the platform and its control endpoint.
+func (d *demo) startPlatform() error {
+	control := standin.NewControl(d.platform, d.deployment, d.backends)
+	control.Handle("POST /entries/{host}/stop", d.serveStopEntry)
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", d.platform)
+	mux.Handle("/control/", http.StripPrefix("/control", control))
+	address, err := d.serve(mux, d.port(demoPlatformOffset))
+	d.url = "http://" + address
+	return err
+}
+
+func (d *demo) startEntryHosts() error {
+	for i, place := range demoEntryPlaces {
+		host, err := entryhost.New(&settings.Settings{
+			Host:          fmt.Sprintf("entry-%d", i+1),
+			Region:        place.region,
+			FailureDomain: place.failureDomain,
+			Listen:        d.address(i),
+			Admin:         d.address(demoAdminOffset + i),
+			Platform:      d.url,
+			AcceptFor:     document.Duration(demoAcceptFor),
+		}, newLogger(d.logs))
+		if err != nil {
+			return fmt.Errorf("%w (--base-port chooses other ports)", err)
+		}
+		d.hosts = append(d.hosts, host)
+		context.AfterFunc(d.ctx, host.Stop)
+		d.group.Go(func() error { return host.Run(context.WithoutCancel(d.ctx)) })
+	}
 	return nil
 }
 
-func (d *demo) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func (d *demo) serve(handler http.Handler, port int) (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(loopback, strconv.Itoa(port)))
 	if err != nil {
-		return "", err
+		return "", fmt.Errorf("%w (--base-port chooses other ports)", err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: demoHeaderTimeout}
 	d.group.Go(func() error {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
 			return err
@@ -83,51 +171,63 @@
 	return listener.Addr().String(), nil
 }
 
-func (d *demo) startBackends() error {
-	var upstreams []map[string]any
-	var hosts []standin.HostLine
-	for i := range demoBackends {
-		name := fmt.Sprintf("backend-%d", i+1)
-		address, err := d.serve(standin.NewBackend(name, demoSlots, demoDelay))
-		if err != nil {
-			return err
+func (d *demo) port(offset int) int {
+	if d.basePort == 0 {
+		return 0
+	}
+	return d.basePort + offset
+}
+
+func (d *demo) address(offset int) string {
+	return net.JoinHostPort(loopback, strconv.Itoa(d.port(offset)))
+}
+
+func (d *demo) serveStopEntry(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("host")
+	for i, host := range d.hosts {
+		if name == fmt.Sprintf("entry-%d", i+1) {
+			host.Stop()
+			fmt.Fprintf(w, "%s begins a planned stop\n", name)
+			return
 		}
-		upstreams = append(upstreams, map[string]any{
-			"name": name, "host": name, "address": address, "region": "mtl", "failure_domain": "mtl-a",
-			"slots": demoSlots, "connections": 220,
-		})
-		hosts = append(hosts, standin.HostLine{
-			Host: name, Address: address, Region: "mtl", FailureDomain: "mtl-a", Role: "backend", Epoch: 1, State: "live",
-		})
 	}
-	part, err := json.Marshal(map[string]any{
-		"service":   "catalogue",
-		"match":     []map[string]any{{"path_prefix": "/"}},
-		"upstreams": upstreams,
-		"not_run":   map[string]any{"status": standin.NotRunStatus, "header": standin.NotRunHeader, "value": standin.NotRunValue},
-	})
-	if err != nil {
-		return err
+	http.Error(w, "unknown entry host "+name, http.StatusNotFound)
+}
+
+// awaitReady waits until every entry host takes requests.
+func (d *demo) awaitReady() error {
+	deadline := time.NewTimer(demoReadyTimeout)
+	defer deadline.Stop()
+	ticker := time.NewTicker(demoReadyInterval)
+	defer ticker.Stop()
+	for !d.ready() {
+		select {
+		case <-ticker.C:
+		case <-d.ctx.Done():
+			return context.Cause(d.ctx)
+		case <-deadline.C:
+			return errors.New("the entry hosts are not ready; the log tells why")
+		}
 	}
-	d.platform.SetHosts(hosts)
-	d.platform.PublishConfiguration(1, map[string][]byte{"catalogue": part}, nil)
 	return nil
 }
 
-func (d *demo) startEntryHost(name string) error {
-	host, err := entryhost.New(&settings.Settings{
-		Host:          name,
-		Region:        "mtl",
-		FailureDomain: "mtl-a",
-		Listen:        "127.0.0.1:0",
-		Admin:         "127.0.0.1:0",
-		Platform:      d.url,
-	}, newLogger(os.Stderr))
-	if err != nil {
-		return err
+func (d *demo) ready() bool {
+	for _, host := range d.hosts {
+		if !host.Ready() {
+			return false
+		}
 	}
-	d.hosts = append(d.hosts, host)
-	context.AfterFunc(d.ctx, host.Stop)
-	d.group.Go(func() error { return host.Run(context.WithoutCancel(d.ctx)) })
-	return nil
+	return true
+}
+
+func (d *demo) describe(w io.Writer) {
+	fmt.Fprintln(w, "entry hosts:")
+	for i, host := range d.hosts {
+		place := demoEntryPlaces[i]
+		fmt.Fprintf(w, "  entry-%d in %s  http://%s  (operators: http://%s)\n",
+			i+1, place.failureDomain, host.Address(), host.AdminAddress())
+	}
+	fmt.Fprintf(w, "platform:\n  %s  (control: %s/control)\n\n", d.url, d.url)
+	fmt.Fprintf(w, demoCalls, d.hosts[0].Address(), d.hosts[0].AdminAddress(), d.url)
 }
--- /dev/null
+++ b/cli/demo_deployment.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"wisteriapond/standin"
+)
+
+// Sizes of the demo.
+const (
+	demoSlots       = 3
+	demoConnections = 220
+	demoDelay       = 5 * time.Millisecond
+)
+
+type demoPlace struct {
+	region        string
+	failureDomain string
+}
+
+var demoPlaces = []demoPlace{{"mtl", "mtl-a"}, {"mtl", "mtl-b"}, {"qc", "qc-a"}, {"qc", "qc-b"}}
+
+var demoEntryPlaces = []demoPlace{{"mtl", "mtl-a"}, {"mtl", "mtl-b"}, {"qc", "qc-a"}}
+
+// demoCalls shows calls to try, given the addresses of the first entry host,
+// of its admin listener, and of the platform.
+const demoCalls = `try (each answer names the backend server in the header Wisteriapond-Upstream):
+  # look something up; the night team may use only hosts labelled tier=new
+  curl -si http://%[1]s/catalogue/urn-7
+  curl -si -H 'X-Team: night' http://%[1]s/catalogue/urn-7
+  # place an order: it runs at most once, and never on a host labelled read_only
+  curl -si -d 'urn 7' http://%[1]s/orders/
+  wisteriapond explain --admin %[2]s --method POST /orders/
+  # download a proof slowly, in another terminal
+  curl -s --limit-rate 4M -o /dev/null http://%[1]s/files/proof
+  # declare a host as leaving, and take it back
+  curl -X POST %[3]s/control/hosts/catalogue-mtl-1/leaving
+  curl -X POST %[3]s/control/hosts/catalogue-mtl-1/live
+  # publish the configuration without a host
+  curl -X POST %[3]s/control/hosts/catalogue-qc-1/remove
+  # publish a bad configuration: it is refused everywhere and changes nothing
+  curl -X POST %[3]s/control/services/orders/bad
+  # let a backend server be slow, drain, shed, fail-fast, truncate or well
+  curl -X POST %[3]s/control/backends/catalogue-mtl-2/slow
+  # take the configuration service down, let it be stale, or bring it up
+  curl -X POST %[3]s/control/platform/down
+  # stop an entry host: it ends when its last download has ended
+  curl -X POST %[3]s/control/entries/entry-2/stop
+  # look at a host
+  wisteriapond status %[2]s
+`
+
+// demoParts returns the services without the addresses of their upstreams.
+func demoParts() []standin.Part {
+	return []standin.Part{
+		{
+			Service:       "catalogue",
+			Match:         []standin.MatchLine{{PathPrefix: "/catalogue/"}},
+			RequestLabels: []standin.LabelLine{{Label: "team", FromHeader: "X-Team"}},
+			Selectors:     []standin.SelectorLine{{When: "team=night", Hosts: "tier=new"}},
+			NotRun:        standin.StandInNotRun(),
+			Upstreams:     demoUpstreams("catalogue", "tier", "old", "new"),
+		},
+		{
+			Service:   "orders",
+			Match:     []standin.MatchLine{{PathPrefix: "/orders/"}},
+			Selectors: []standin.SelectorLine{{When: "method notin (GET,HEAD)", Hosts: "!read_only"}},
+			Timeout:   "30s",
+			NotRun:    standin.StandInNotRun(),
+			Upstreams: demoUpstreams("orders", "read_only", "", "yes"),
+		},
+		{
+			Service:   "proofs",
+			Match:     []standin.MatchLine{{PathPrefix: "/files/"}},
+			LongWhen:  []string{"method=GET"},
+			Timeout:   "30m",
+			NotRun:    standin.StandInNotRun(),
+			Upstreams: demoUpstreams("proofs", "", "", ""),
+		},
+	}
+}
+
+// demoUpstreams returns one upstream per failure domain. The first and the
+// second of a region carry the label with the given values; empty means none.
+func demoUpstreams(service, key, first, second string) []standin.UpstreamLine {
+	upstreams := make([]standin.UpstreamLine, 0, len(demoPlaces))
+	for i, place := range demoPlaces {
+		name := fmt.Sprintf("%s-%s-%d", service, place.region, i%2+1)
+		upstream := standin.UpstreamLine{
+			Name:          name,
+			Host:          name,
+			Region:        place.region,
+			FailureDomain: place.failureDomain,
+			Slots:         demoSlots,
+			Connections:   demoConnections,
+		}
+		if value := []string{first, second}[i%2]; value != "" {
+			upstream.Labels = map[string]string{key: value}
+		}
+		upstreams = append(upstreams, upstream)
+	}
+	return upstreams
+}
+
+func demoHostLine(u *standin.UpstreamLine) standin.HostLine {
+	return standin.HostLine{
+		Host:          u.Host,
+		Address:       u.Address,
+		Region:        u.Region,
+		FailureDomain: u.FailureDomain,
+		Role:          "backend",
+		Epoch:         1,
+		State:         "live",
+	}
+}
--- /dev/null
+++ b/cli/serve.go
@@ -0,0 +1,36 @@
+package cli
+
+import (
+	"context"
+
+	"wisteriapond/entryhost"
+	"wisteriapond/settings"
+)
+
+type serveCommand struct {
+	Settings string `required:"" type:"path" placeholder:"FILE" help:"File with the settings of this process."`
+}
+
+// Help is shown by "serve --help".
+func (*serveCommand) Help() string {
+	return `SIGTERM or an interrupt starts a planned stop: the host says that it is not
+ready, goes on accepting for the time accept_for, lets every request in flight
+end, and exits.
+
+Example:
+  wisteriapond serve --settings examples/boisclair/settings.json`
+}
+
+// Run serves until SIGTERM or an interrupt, then drains.
+func (c *serveCommand) Run(ctx context.Context, logs logOutput) error {
+	s, err := settings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	host, err := entryhost.New(s, newLogger(logs))
+	if err != nil {
+		return err
+	}
+	context.AfterFunc(ctx, host.Stop)
+	return host.Run(context.WithoutCancel(ctx))
+}
