--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,98 @@
+package settings_test
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/document"
+	"wisteriapond/settings"
+)
+
+const good = `{
+	"host": "entry-1",
+	"region": "mtl",
+	"failure_domain": "mtl-a",
+	"listen": "127.0.0.1:8080",
+	"platform": "http://127.0.0.1:8500",
+}`
+
+// Guards against a process that starts with settings other than written, and
+// against refusals that name no line.
+var _ = DescribeTable("Parse reports",
+	func(old, replacement string, want ...string) {
+		raw := strings.Replace(good, old, replacement, 1)
+		Expect(raw).NotTo(Equal(good))
+		_, err := settings.Parse("s.json", []byte(raw))
+		Expect(document.TextsOf(err)).To(Equal(want))
+	},
+	Entry("a missing field", `"host": "entry-1",`, ``, "s.json:1: host: is needed"),
+	Entry("an unknown field", `"host"`, `"hots": "a", "host"`, "s.json:2: hots: unknown field"),
+	Entry("a name that resolves elsewhere", `"127.0.0.1:8080"`, `"example.net:80"`,
+		`s.json:5: listen: must be ADDRESS:PORT with an IP address, got "example.net:80"`),
+	Entry("a port out of range", `:8080`, `:80800`,
+		`s.json:5: listen: must be ADDRESS:PORT with an IP address, got "127.0.0.1:80800"`),
+	Entry("a URL without a scheme", `http://`, ``,
+		`s.json:6: platform: must be a URL such as "http://10.0.0.1:8500", got "127.0.0.1:8500"`),
+	Entry("a duration without a unit and one out of range", `"platform"`, `"accept_for": 10, "stop_timeout": "-1s", "platform"`,
+		`s.json:6: accept_for: a duration needs quotes and a unit, such as "250ms", got 10`,
+		`s.json:6: stop_timeout: must be between 0s and 168h0m0s, got -1s`),
+)
+
+// Guards against a page that differs from the code.
+var _ = It("lists every field with its default in docs/settings.md, and no other", func() {
+	page, err := os.ReadFile("../docs/settings.md")
+	Expect(err).NotTo(HaveOccurred())
+	got := make(map[string]string)
+	for _, match := range regexp.MustCompile("(?m)^\\| `([a-z_.]+)` \\| [^|]+ \\| ([^|]*) \\|").FindAllStringSubmatch(string(page), -1) {
+		got[match[1]] = strings.TrimSpace(match[2])
+	}
+	want := make(map[string]string)
+	addDefaults(want, "", reflect.ValueOf(settings.Defaults()).Elem())
+	Expect(got).To(Equal(want))
+})
+
+func addDefaults(defaults map[string]string, prefix string, v reflect.Value) {
+	for i := range v.NumField() {
+		name := prefix + v.Type().Field(i).Tag.Get("json")
+		field := v.Field(i)
+		if field.Kind() == reflect.Struct {
+			addDefaults(defaults, name+".", field)
+			continue
+		}
+		defaults[name] = defaultText(field)
+	}
+}
+
+func defaultText(field reflect.Value) string {
+	switch value := field.Interface().(type) {
+	case string:
+		if value == "" {
+			return ""
+		}
+		return fmt.Sprintf("`%q`", value)
+	case document.Duration, document.Size:
+		return fmt.Sprintf("`\"%v\"`", value)
+	}
+	if field.Kind() == reflect.Slice {
+		return "`[]`"
+	}
+	return fmt.Sprintf("`%v`", field.Interface())
+}
+
+// Guards against settings that make the parser panic or are accepted unread.
+func FuzzSettings(f *testing.F) {
+	f.Add([]byte(good))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s, err := settings.Parse("s.json", raw)
+		if err == nil && (s.Host == "" || s.Listen == "" || s.Platform == "" || s.AcceptFor < 0) {
+			t.Fatalf("accepted %+v", s)
+		}
+	})
+}
