standin: test the faults that tests rely on

Cause: a stand-in that does not fail as told lets other tests pass for no reason. Change: each behaviour of the backend server and of the platform is tested.

--- /dev/null
+++ b/standin/standin_test.go
@@ -0,0 +1,153 @@
+package standin_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/standin"
+)
+
+const limit = 10 * time.Second
+
+// Guards against tests that pass because the stand-in does not do what they
+// ask of it.
+var _ = Describe("Backend", func() {
+	var backend *standin.Backend
+	var base string
+
+	BeforeEach(func() {
+		backend = standin.NewBackend("press-1", 1, 0)
+		server := httptest.NewServer(backend)
+		DeferCleanup(server.Close)
+		base = server.URL
+	})
+
+	DescribeTable("behaves as told",
+		func(change func(*standin.Behaviour), status int, header string) {
+			backend.Change(change)
+			response, err := http.Get(base + "/a")
+			if status == 0 {
+				if err == nil {
+					_, err = io.ReadAll(response.Body)
+				}
+				Expect(err).To(HaveOccurred())
+				return
+			}
+			Expect(err).NotTo(HaveOccurred())
+			response.Body.Close()
+			Expect(response.StatusCode).To(Equal(status))
+			Expect(response.Header).To(HaveKey(header))
+		},
+		Entry("well", func(*standin.Behaviour) {}, 200, "Wisteriapond-Load"),
+		Entry("shedding", func(b *standin.Behaviour) { b.Shedding = true }, standin.NotRunStatus, standin.NotRunHeader),
+		Entry("draining", func(b *standin.Behaviour) { b.Draining = true }, standin.NotRunStatus, "Wisteriapond-Draining"),
+		Entry("failing fast", func(b *standin.Behaviour) { b.FailFast = true }, 500, "Wisteriapond-Load"),
+		Entry("truncating", func(b *standin.Behaviour) { b.Truncate = true }, 0, ""),
+		Entry("closing after the read", func(b *standin.Behaviour) { b.ReadAndClose = true }, 0, ""),
+	)
+
+	It("sheds beyond its slots, and counts runs but not refusals", func() {
+		backend.Change(func(b *standin.Behaviour) { b.ExtraDelay = time.Hour })
+		ctx := GinkgoT().Context()
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, base, nil)
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("X-Request", "1")
+		go http.DefaultClient.Do(request)
+		Eventually(func() int { return backend.Runs("1") }).WithTimeout(limit).Should(Equal(1))
+		second := request.Clone(ctx)
+		second.Header.Set("X-Request", "2")
+		response, err := http.DefaultClient.Do(second)
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Expect(response.Header.Get(standin.NotRunHeader)).To(Equal(standin.NotRunValue))
+		Expect(backend.Runs("2")).To(Equal(0))
+		Expect(backend.Peak()).To(Equal(1))
+	})
+
+	It("ends the work when the caller hangs up", func() {
+		backend.Change(func(b *standin.Behaviour) { b.ExtraDelay = time.Hour })
+		client := &http.Client{Timeout: 50 * time.Millisecond}
+		_, err := client.Get(base)
+		Expect(err).To(HaveOccurred())
+		Eventually(backend.Running).WithTimeout(limit).Should(Equal(0))
+	})
+
+	It("reports a load of 0 when told to mislead", func() {
+		backend.Change(func(b *standin.Behaviour) { b.MisleadingLoad = true })
+		response, err := http.Get(base + "/a")
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Expect(response.Header.Get("Wisteriapond-Load")).To(Equal("0"))
+	})
+})
+
+var _ = Describe("Platform", func() {
+	var platform *standin.Platform
+	var base string
+
+	BeforeEach(func() {
+		platform = standin.NewPlatform()
+		server := httptest.NewServer(platform)
+		DeferCleanup(server.Close)
+		base = server.URL
+		platform.Publish("manifest", []byte("old"))
+	})
+
+	It("serves the older value while it is stale", func() {
+		platform.SetStale(true)
+		platform.Publish("manifest", []byte("new"))
+		Expect(read(base + "/v1/values/manifest")).To(Equal("old"))
+		platform.SetStale(false)
+		Expect(read(base + "/v1/values/manifest")).To(Equal("new"))
+	})
+
+	It("fails while it is down", func() {
+		platform.SetDown(true)
+		Expect(read(base + "/v1/values/manifest")).To(Equal("down\n"))
+	})
+
+	It("serves the host list of an earlier time", func() {
+		platform.SetHosts([]standin.HostLine{{Host: "press-1", State: "live"}})
+		Expect(read(base + "/v1/hosts")).To(ContainSubstring(`"live"`))
+		platform.SetHostLag(time.Hour)
+		Expect(platform.Declare("press-1", "leaving")).To(BeTrue())
+		Expect(read(base + "/v1/hosts")).To(ContainSubstring(`"live"`))
+		platform.SetHostLag(0)
+		Expect(read(base + "/v1/hosts")).To(ContainSubstring(`"leaving"`))
+	})
+})
+
+// Guards against a bad part that keeps every later generation from being
+// accepted.
+var _ = It("Deployment publishes a bad part once", func() {
+	platform := standin.NewPlatform()
+	deployment := standin.NewDeployment(platform)
+	_, err := deployment.Publish(standin.Part{
+		Service: "orders", Match: []standin.MatchLine{{PathPrefix: "/"}}, NotRun: standin.StandInNotRun(),
+		Upstreams: []standin.UpstreamLine{{
+			Name: "a", Host: "a", Address: "127.0.0.1:1", Region: "mtl", FailureDomain: "mtl-a", Slots: 3, Connections: 220,
+		}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	deployment.PublishRaw(map[string][]byte{"orders": []byte("{")})
+	Expect(string(platform.Value("services/orders"))).To(Equal("{"))
+	services, err := deployment.RemoveHost("a")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(services).To(Equal([]string{"orders"}))
+	Expect(string(platform.Value("services/orders"))).To(ContainSubstring(`"upstreams": []`))
+	Expect(deployment.Generation()).To(Equal(uint64(3)))
+})
+
+func read(url string) string {
+	response, err := http.Get(url)
+	Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return string(raw)
+}
