standin: serve an empty host list as a list

Cause: the list of a new platform was null, which a host list must not be: the running process refused it every second. Change: the first list is empty. The test of check against a running process in package cli found it.

--- a/standin/platform.go
+++ b/standin/platform.go
@@ -53,7 +53,7 @@
 	p := &Platform{
 		mux:     http.NewServeMux(),
 		values:  make(map[string][]byte),
-		lists:   []hostList{{}},
+		lists:   []hostList{{hosts: []HostLine{}}},
 		changed: make(chan struct{}),
 	}
 	p.mux.HandleFunc("GET /v1/values/{key...}", p.serveValue)
