--- /dev/null
+++ b/cli/check_test.go
@@ -0,0 +1,211 @@
+package cli_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
+	"wisteriapond/document"
+	"wisteriapond/entryhost"
+	"wisteriapond/settings"
+	"wisteriapond/standin"
+)
+
+const limit = 20 * time.Second
+
+const goodPart = `{
+	"service": %q,
+	"match": [{"path_prefix": %q}],
+	"upstreams": [
+		{"name": "a", "host": "a", "address": "127.0.0.1:1", "region": "mtl", "failure_domain": "mtl-a",
+		 "slots": 3, "connections": 220},
+	],
+}`
+
+// Guards against published examples that a process would refuse, and against
+// sizes other than those of section 1.6 of the design page.
+var _ = DescribeTable("the example deployments",
+	func(name string, want map[string]int, slots, connections int) {
+		status, out, problems := run("check", "../examples/"+name, "../examples/"+name+"/settings.json")
+		Expect(problems).To(BeEmpty())
+		Expect(status).To(Equal(0), out)
+		table, err := document.Directory(os.DirFS("../examples/" + name))
+		Expect(err).NotTo(HaveOccurred())
+		sizes := make(map[string]int)
+		for _, service := range table.Services() {
+			sizes[service.Name] = len(service.Upstreams)
+			regions, domains := make(map[string]bool), make(map[string]bool)
+			for _, u := range service.Upstreams {
+				regions[u.Region], domains[u.FailureDomain] = true, true
+				Expect([]int{u.Slots, u.Connections}).To(Equal([]int{slots, connections}))
+			}
+			Expect([]int{len(regions), len(domains)}).To(Equal([]int{3, 6}))
+		}
+		Expect(sizes).To(Equal(want))
+	},
+	Entry(nil, "boisclair", map[string]int{"catalogue": 14, "orders": 12, "proofs": 12}, 3, 220),
+	Entry(nil, "cedarline", map[string]int{"provenance": 23, "consignment": 12, "archives": 12}, 4, 260),
+)
+
+// Guards against orders that reach a host that must not take them.
+var _ = It("excludes read-only hosts from orders in the examples", func() {
+	status, out, _ := run("explain", "--config", "../examples/boisclair", "--method", "post", "--json", "/orders/")
+	Expect(status).To(Equal(0))
+	var e config.Explanation
+	Expect(json.Unmarshal([]byte(out), &e)).To(Succeed())
+	Expect(e.Service).To(Equal("orders"))
+	for _, u := range e.Upstreams {
+		_, readOnly := u.Labels.Get("read_only")
+		Expect(u.Eligible).To(Equal(!readOnly), u.Name)
+		if readOnly {
+			Expect([]string{u.Selector, u.Term}).To(Equal([]string{"!read_only", "!read_only"}))
+		}
+	}
+	_, text, _ := run("explain", "--config", "../examples/boisclair", "--method", "POST", "/orders/")
+	Expect(text).To(MatchRegexp(`orders-mtl-b-02 .* false +selector "!read_only", term "!read_only"`))
+})
+
+// Guards against a check that accepts what a process refuses, or says it
+// otherwise.
+var _ = Describe("check and a running process", func() {
+	DescribeTable("report the same text",
+		func(parts map[string]string, want ...string) {
+			dir := writeDeployment(parts)
+			status, _, stderr := run("check", dir)
+			Expect(status).To(Equal(2))
+			Expect(strings.Split(strings.TrimSpace(stderr), "\n")).To(Equal(want))
+			Expect(refusalsOfProcess(parts, len(want))).To(ConsistOf(want))
+		},
+		Entry("for values out of range",
+			map[string]string{"orders": strings.Replace(fmt.Sprintf(goodPart, "orders", "/orders/"), `"slots": 3, "connections": 220`, `"slots": 0, "conections": 2`, 1)},
+			"services/orders.json:5: upstreams[0].connections: must be between 1 and 65536, got 0",
+			"services/orders.json:6: upstreams[0].conections: unknown field",
+			"services/orders.json:6: upstreams[0].slots: must be between 1 and 4096, got 0"),
+		Entry("for a route that two services claim",
+			map[string]string{"orders": fmt.Sprintf(goodPart, "orders", "/"), "proofs": fmt.Sprintf(goodPart, "proofs", "/")},
+			"services/proofs.json:3: match: the same match is claimed by service orders"),
+		Entry("for a part of another service",
+			map[string]string{"orders": fmt.Sprintf(goodPart, "proofs", "/")},
+			"manifest.json: services.orders: the part with this hash is of another service"),
+	)
+})
+
+// Guards against a directory that is accepted although its parts differ from
+// its manifest.
+var _ = It("check compares the manifest with the files beside it", func() {
+	dir := writeDeployment(map[string]string{"orders": fmt.Sprintf(goodPart, "orders", "/orders/"), "proofs": fmt.Sprintf(goodPart, "proofs", "/proofs/")})
+	changed := fmt.Sprintf(goodPart, "orders", "/order/")
+	Expect(os.WriteFile(filepath.Join(dir, "services", "orders.json"), []byte(changed), 0o600)).To(Succeed())
+	Expect(os.Remove(filepath.Join(dir, "services", "proofs.json"))).To(Succeed())
+	Expect(os.WriteFile(filepath.Join(dir, "services", "extra.json"), fmt.Appendf(nil, goodPart, "extra", "/extra/"), 0o600)).To(Succeed())
+	status, _, stderr := run("check", dir)
+	Expect(status).To(Equal(2))
+	Expect(stderr).To(And(
+		ContainSubstring("services.orders: the hash of services/orders.json is "+string(document.HashOf([]byte(changed)))),
+		ContainSubstring("services.proofs: there is no file services/proofs.json"),
+		ContainSubstring("services/extra.json: the manifest does not name this service"),
+	))
+})
+
+// Guards against files that are checked as something else than they are.
+var _ = It("check tells documents apart and reports them together", func() {
+	dir := GinkgoT().TempDir()
+	write := func(name, text string) string {
+		file := filepath.Join(dir, name)
+		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+		return file
+	}
+	part := write("a", fmt.Sprintf(goodPart, "orders", "/orders/"))
+	hosts := write("b", `{"hosts": []}`)
+	manifest := write("c", `{"generation": 0}`)
+	other := write("d", `{"colour": "red"}`)
+	status, stdout, stderr := run("check", part, hosts, manifest, other, filepath.Join(dir, "missing"))
+	Expect(status).To(Equal(2))
+	Expect(stdout).To(And(ContainSubstring("ok: service part orders"), ContainSubstring("ok: host list, 0 hosts")))
+	Expect(stderr).To(And(
+		ContainSubstring(manifest+":1: generation: must be at least 1"),
+		ContainSubstring(other+": is no manifest"),
+		ContainSubstring("missing: no such file"),
+	))
+})
+
+// writeDeployment writes what the stand-in platform would serve.
+func writeDeployment(parts map[string]string) string {
+	dir := GinkgoT().TempDir()
+	platform := publish(parts)
+	Expect(os.Mkdir(filepath.Join(dir, "services"), 0o700)).To(Succeed())
+	keys := []string{document.ManifestKey}
+	for name := range parts {
+		keys = append(keys, document.PartKey(name))
+	}
+	for _, key := range keys {
+		file := filepath.Join(dir, document.FileOf(key))
+		Expect(os.WriteFile(file, platform.Value(key), 0o600)).To(Succeed())
+	}
+	return dir
+}
+
+func publish(parts map[string]string) *standin.Platform {
+	platform := standin.NewPlatform()
+	raw := make(map[string][]byte, len(parts))
+	for name, text := range parts {
+		raw[name] = []byte(text)
+	}
+	platform.PublishConfiguration(1, raw, nil)
+	return platform
+}
+
+// refusalRecorder keeps the problems of refused configurations.
+type refusalRecorder struct {
+	mu       sync.Mutex
+	problems []string
+}
+
+func (r *refusalRecorder) HandleLog(entry *log.Entry) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if problem, ok := entry.Fields["problem"].(string); ok {
+		r.problems = append(r.problems, problem)
+	}
+	return nil
+}
+
+func (r *refusalRecorder) recorded() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.problems)
+}
+
+// refusalsOfProcess runs an entry host on the parts until it has logged the
+// given number of problems.
+func refusalsOfProcess(parts map[string]string, number int) []string {
+	server := httptest.NewServer(publish(parts))
+	defer server.Close()
+	recorder := &refusalRecorder{}
+	host, err := entryhost.New(&settings.Settings{
+		Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a",
+		Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Platform: server.URL,
+	}, &log.Logger{Handler: recorder, Level: log.InfoLevel})
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- host.Run(ctx) }()
+	defer func() {
+		cancel()
+		Eventually(ended).WithTimeout(limit).Should(Receive(BeNil()))
+	}()
+	Eventually(recorder.recorded).WithTimeout(limit).Should(HaveLen(number))
+	return recorder.recorded()
+}
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,27 @@
+package cli_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/cli"
+)
+
+// Guards against scripts that take a refusal for a success or a crash.
+var _ = DescribeTable("exit statuses",
+	func(want int, message string, args ...string) {
+		status, stdout, stderr := run(args...)
+		Expect(status).To(Equal(want))
+		Expect(stdout + stderr).To(ContainSubstring(message))
+	},
+	Entry("the version", 0, cli.Version, "version"),
+	Entry("an unknown command", 2, "unexpected argument", "sevre"),
+	Entry("a missing flag", 2, "--settings", "serve"),
+	Entry("refused settings", 2, "no such file", "serve", "--settings", "missing.json"),
+	Entry("a refused configuration", 2, "no such file", "explain", "--config", "../docs", "/"),
+	Entry("a header without a value", 2, "must be NAME:VALUE", "explain", "--config", "../examples/boisclair", "-H", "X-Team", "/"),
+	Entry("a target outside loopback", 2, "--allow-remote", "load", "http://192.0.2.1/"),
+	Entry("a target by a name that may resolve anywhere", 2, "--allow-remote", "load", "http://example.net/"),
+	Entry("an unbounded load", 2, "requests: must be between", "load", "--requests", "2000000", "http://127.0.0.1:1/"),
+	Entry("a host that does not answer", 1, "connection refused", "status", "127.0.0.1:1"),
+)
--- /dev/null
+++ b/cli/demo_internal_test.go
@@ -0,0 +1,165 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
+)
+
+const demoLimit = 20 * time.Second
+
+// recorder is a buffer for concurrent use.
+type recorder struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (r *recorder) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.buffer.Write(p)
+}
+
+func (r *recorder) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.buffer.String()
+}
+
+// Guards against a walk through the README that shows something else than the
+// README says.
+var _ = Describe("the demo", Ordered, func() {
+	var d *demo
+	logs := &recorder{}
+
+	BeforeAll(func() {
+		var err error
+		d, err = startDemo(context.Background(), 0, logs)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { Expect(d.stop()).To(Succeed()) })
+		Expect(d.awaitReady()).To(Succeed())
+	})
+
+	get := func(path string, headers ...string) *http.Response {
+		request, err := http.NewRequest(http.MethodGet, "http://"+d.hosts[0].Address()+path, nil)
+		Expect(err).NotTo(HaveOccurred())
+		for i := 0; i+1 < len(headers); i += 2 {
+			request.Header.Set(headers[i], headers[i+1])
+		}
+		response, err := http.DefaultClient.Do(request)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		return response
+	}
+	control := func(path string) {
+		response, err := http.Post(d.url+"/control/"+path, "", nil)
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Expect(response.StatusCode).To(Equal(http.StatusOK), path)
+	}
+	// answering returns the upstreams that answer a number of lookups.
+	answering := func(headers ...string) []string {
+		seen := make(map[string]bool)
+		for range 20 {
+			seen[get("/catalogue/urn-7", headers...).Header.Get("Wisteriapond-Upstream")] = true
+		}
+		var names []string
+		for name := range seen {
+			names = append(names, name)
+		}
+		return names
+	}
+
+	// eligible returns the upstreams to which a lookup may go at present.
+	eligible := func() []string {
+		request := config.Request{Method: http.MethodGet, Path: "/catalogue/urn-7"}
+		explanation, err := d.hosts[0].Explain(context.Background(), request)
+		Expect(err).NotTo(HaveOccurred())
+		var names []string
+		for _, u := range explanation.Upstreams {
+			if u.Eligible {
+				names = append(names, u.Name)
+			}
+		}
+		return names
+	}
+
+	It("routes by labels", func() {
+		Expect(get("/catalogue/urn-7").StatusCode).To(Equal(http.StatusOK))
+		for _, name := range answering("X-Team", "night") {
+			Expect(name).To(HaveSuffix("-2"))
+		}
+		response, err := http.Post("http://"+d.hosts[0].Address()+"/orders/", "text/plain", strings.NewReader("urn 7"))
+		Expect(err).NotTo(HaveOccurred())
+		response.Body.Close()
+		Expect(response.Header.Get("Wisteriapond-Upstream")).To(HaveSuffix("-1"))
+	})
+
+	It("sends nothing to a leaving host, and work again when it is back", func() {
+		control("hosts/catalogue-mtl-1/leaving")
+		control("hosts/catalogue-mtl-2/leaving")
+		Eventually(eligible).WithTimeout(demoLimit).Should(ConsistOf("catalogue-qc-1", "catalogue-qc-2"))
+		Expect(answering()).To(HaveEach(HavePrefix("catalogue-qc-")))
+		control("hosts/catalogue-mtl-1/live")
+		control("hosts/catalogue-qc-1/leaving")
+		control("hosts/catalogue-qc-2/leaving")
+		Eventually(eligible).WithTimeout(demoLimit).Should(ConsistOf("catalogue-mtl-1"))
+		Expect(answering()).To(ConsistOf("catalogue-mtl-1"))
+		control("hosts/catalogue-qc-1/live")
+		Eventually(eligible).WithTimeout(demoLimit).Should(ConsistOf("catalogue-mtl-1", "catalogue-qc-1"))
+	})
+
+	It("refuses a bad configuration everywhere and accepts the next one", func() {
+		control("services/orders/bad")
+		Eventually(logs.String).WithTimeout(demoLimit).Should(
+			ContainSubstring("services/orders.json:5: timeout: a duration needs quotes and a unit"))
+		Expect(get("/orders/").StatusCode).To(Equal(http.StatusOK))
+		control("hosts/catalogue-mtl-1/remove")
+		Eventually(eligible).WithTimeout(demoLimit).Should(ConsistOf("catalogue-qc-1"))
+		Expect(answering()).To(ConsistOf("catalogue-qc-1"))
+		Expect(get("/orders/").StatusCode).To(Equal(http.StatusOK))
+	})
+
+	It("explains and shows a running host", func() {
+		admin := d.hosts[0].AdminAddress()
+		var out, problems bytes.Buffer
+		Expect(Run([]string{"explain", "--admin", admin, "-H", "X-Team: night", "/catalogue/urn-7"}, &out, &problems)).To(Equal(0), problems.String())
+		Expect(out.String()).To(And(
+			ContainSubstring("team=night"),
+			MatchRegexp(`catalogue-qc-1 .* false +selector "tier=new", term "tier=new"`),
+			MatchRegexp(`catalogue-qc-2 .* false +leaving`),
+		))
+		out.Reset()
+		Expect(Run([]string{"status", admin}, &out, &problems)).To(Equal(0), problems.String())
+		Expect(out.String()).To(And(ContainSubstring("generation:  3"), MatchRegexp(`catalogue-qc-2 .* leaving`)))
+		out.Reset()
+		Expect(Run([]string{"load", "--requests", "20", "--rate", "200", "lookup=http://" + d.hosts[0].Address() + "/catalogue/a"}, &out, &problems)).To(Equal(0))
+		Expect(out.String()).To(MatchRegexp(`lookup +20 +20 +0 +0 +0 +0`))
+	})
+
+	It("lets a download end before an entry host stops", func() {
+		response, err := http.Get("http://" + d.hosts[2].Address() + "/files/proof")
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		control("entries/entry-3/stop")
+		Eventually(d.hosts[2].Ready).WithTimeout(demoLimit).Should(BeFalse())
+		read, err := io.Copy(io.Discard, response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(read).To(Equal(response.ContentLength))
+		Eventually(func() error {
+			_, err := http.Get("http://" + d.hosts[2].AdminAddress() + "/livez")
+			return err
+		}).WithTimeout(demoLimit).Should(HaveOccurred())
+	})
+})
--- /dev/null
+++ b/cli/suite_test.go
@@ -0,0 +1,23 @@
+package cli_test
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/cli"
+)
+
+func TestCLI(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "cli")
+}
+
+// run returns the exit status and both outputs of a command.
+func run(args ...string) (status int, stdout, stderr string) {
+	var out, err bytes.Buffer
+	status = cli.Run(args, &out, &err)
+	return status, out.String(), err.String()
+}
