--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,64 @@
+package admin_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/admin"
+	"wisteriapond/config"
+	"wisteriapond/core"
+	"wisteriapond/metrics"
+)
+
+// source answers as a host does. stuck stands for a control goroutine that
+// does not answer.
+type source struct {
+	ready bool
+	stuck bool
+}
+
+func (s source) Ready() bool { return s.ready }
+
+func (s source) Status(context.Context) (core.Status, error) {
+	if s.stuck {
+		return core.Status{}, errors.New("no answer")
+	}
+	return core.Status{Host: "entry-1"}, nil
+}
+
+func (s source) Explain(_ context.Context, r config.Request) (config.Explanation, error) {
+	headers := make([]string, 0, len(r.Headers))
+	for _, header := range r.Headers {
+		headers = append(headers, header.Name+"="+header.Value)
+	}
+	return config.Explanation{Service: strings.Join(append(headers, r.Method, r.Host, r.Path), " ")}, nil
+}
+
+// Guards against a platform that kills a busy host, callers that reach a host
+// that is not ready, and profiles that anyone can take.
+var _ = DescribeTable("the admin server",
+	func(s source, options admin.Options, path string, status int, body string) {
+		server := admin.NewServer(s, metrics.New(), options)
+		recorder := httptest.NewRecorder()
+		server.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, path, nil))
+		Expect(recorder.Code).To(Equal(status))
+		Expect(recorder.Body.String()).To(ContainSubstring(body))
+	},
+	Entry("lives while the control goroutine does not answer", source{stuck: true}, admin.Options{}, "/livez", 200, "ok"),
+	Entry("is ready", source{ready: true}, admin.Options{}, "/readyz", 200, "ok"),
+	Entry("is not ready", source{}, admin.Options{}, "/readyz", 503, "not ready"),
+	Entry("shows the status", source{}, admin.Options{}, "/status", 200, `"Host": "entry-1"`),
+	Entry("says when no status comes", source{stuck: true}, admin.Options{}, "/status", 503, "no answer"),
+	Entry("shows metrics", source{}, admin.Options{}, "/metrics", 200, "wisteriapond_refusals_total"),
+	Entry("explains a request", source{}, admin.Options{}, "/explain?method=GET&host=h&path=/a&header=X-Team:+night", 200, "x-team=night GET h /a"),
+	Entry("refuses a bad header", source{}, admin.Options{}, "/explain?header=X-Team", 400, "Name: value"),
+	Entry("refuses many headers", source{}, admin.Options{}, "/explain?"+strings.Repeat("header=a:b&", 65), 400, "too many"),
+	Entry("has no profiles by default", source{}, admin.Options{}, "/debug/pprof/", 404, ""),
+	Entry("has profiles on request", source{}, admin.Options{Profiling: true}, "/debug/pprof/", 200, "goroutine"),
+)
