--- a/document/manifest.go
+++ b/document/manifest.go
@@ -35,10 +35,7 @@
 // Manifest reads a manifest, fills in defaults and checks it with
 // config.CheckManifest.
 func Manifest(file string, raw []byte) (config.Version, *config.Manifest, error) {
-	f := manifestFile{
-		EntryHosts: defaultEntryHosts,
-		Links:      linksFile{BytesPerSecond: defaultLinkRate, LongPercent: defaultLongPercent},
-	}
+	f := manifestDefaults()
 	source, err := Decode(file, raw, &f)
 	if err != nil {
 		return config.Version{}, nil, err
@@ -51,6 +48,14 @@
 	return config.Version{Generation: m.Generation, Hash: HashOf(raw)}, m, nil
 }
 
+// manifestDefaults returns the manifest of an empty document.
+func manifestDefaults() manifestFile {
+	return manifestFile{
+		EntryHosts: defaultEntryHosts,
+		Links:      linksFile{BytesPerSecond: defaultLinkRate, LongPercent: defaultLongPercent},
+	}
+}
+
 func (f *manifestFile) manifest() *config.Manifest {
 	m := &config.Manifest{
 		Generation: f.Generation,
--- a/document/service.go
+++ b/document/service.go
@@ -75,12 +75,7 @@
 // Service reads a service part, fills in defaults and checks it with
 // config.CheckService.
 func Service(file string, raw []byte) (*config.Service, error) {
-	f := serviceFile{
-		Timeout:   Duration(DefaultTimeout),
-		Queue:     DefaultQueue,
-		ColdStart: Duration(DefaultColdStart),
-		Probe:     probeFile{Timeout: Duration(defaultProbeTimeout), AnswerLimit: defaultProbeAnswer},
-	}
+	f := serviceDefaults()
 	source, err := Decode(file, raw, &f)
 	if err != nil {
 		return nil, err
@@ -96,6 +91,16 @@
 	return s, nil
 }
 
+// serviceDefaults returns the service part of an empty document.
+func serviceDefaults() serviceFile {
+	return serviceFile{
+		Timeout:   Duration(DefaultTimeout),
+		Queue:     DefaultQueue,
+		ColdStart: Duration(DefaultColdStart),
+		Probe:     probeFile{Timeout: Duration(defaultProbeTimeout), AnswerLimit: defaultProbeAnswer},
+	}
+}
+
 func (f *serviceFile) service() *config.Service {
 	s := &config.Service{
 		Name:           f.Service,
