--- a/load/results.go
+++ b/load/results.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -111,8 +112,8 @@
 	return s
 }
 
-// WriteText writes the results as a table of outcomes and a chart of
-// percentiles for each label.
+// WriteText writes the results as a table of outcomes, and for each label a
+// chart of percentiles and the upstreams that answered.
 func (r *Results) WriteText(w io.Writer) error {
 	summaries := r.Summaries()
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
@@ -130,6 +131,9 @@
 		for _, p := range s.Percentiles {
 			fmt.Fprintf(w, "  p%-5v %10.3f ms  %s\n", p.Percent, p.Milliseconds, bar(p.Milliseconds, highest))
 		}
+		for _, upstream := range slices.Sorted(maps.Keys(s.Upstreams)) {
+			fmt.Fprintf(w, "  answered by %s: %d\n", upstream, s.Upstreams[upstream])
+		}
 	}
 	return nil
 }
