codec: encode plain structs as compact CBOR

The pure packages carry no codec tags, and both the messages between entry hosts and the event log need an encoding that follows their structs.

A field added to an event or a message needs no change here.

--- /dev/null
+++ b/codec/wire.go
@@ -0,0 +1,108 @@
+package codec
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+)
+
+// wireType returns the type in which values of typ are encoded: every struct
+// is replaced by one with the same fields and numbered keys. The way holds the
+// types that enclose typ.
+func wireType(typ reflect.Type, way []reflect.Type) reflect.Type {
+	if slices.Contains(way, typ) {
+		panic(fmt.Sprintf("codec: type %s contains itself", typ))
+	}
+	way = append(slices.Clip(way), typ)
+	switch typ.Kind() {
+	case reflect.Struct:
+		return wireStruct(typ, way)
+	case reflect.Pointer:
+		return reflect.PointerTo(wireType(typ.Elem(), way))
+	case reflect.Slice:
+		return reflect.SliceOf(wireType(typ.Elem(), way))
+	case reflect.Array:
+		return reflect.ArrayOf(typ.Len(), wireType(typ.Elem(), way))
+	case reflect.Bool, reflect.String,
+		reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64,
+		reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64,
+		reflect.Float32, reflect.Float64:
+		return typ
+	}
+	panic(fmt.Sprintf("codec: values of %s cannot be carried", typ))
+}
+
+func wireStruct(typ reflect.Type, way []reflect.Type) reflect.Type {
+	fields := make([]reflect.StructField, 0, typ.NumField())
+	for i := range typ.NumField() {
+		field := typ.Field(i)
+		if !field.IsExported() {
+			panic(fmt.Sprintf("codec: field %s.%s is not exported", typ, field.Name))
+		}
+		fields = append(fields, reflect.StructField{
+			Name: field.Name,
+			Type: wireType(field.Type, way),
+			Tag:  reflect.StructTag(fmt.Sprintf(`cbor:"%d,keyasint,omitempty,omitzero"`, i+1)),
+		})
+	}
+	return reflect.StructOf(fields)
+}
+
+// copyValue copies between a type and its wire type, in either direction.
+func copyValue(to, from reflect.Value) {
+	if to.Type() == from.Type() {
+		to.Set(from)
+		return
+	}
+	switch from.Kind() {
+	case reflect.Struct:
+		for i := range from.NumField() {
+			copyValue(to.Field(i), from.Field(i))
+		}
+	case reflect.Pointer:
+		if !from.IsNil() {
+			to.Set(reflect.New(to.Type().Elem()))
+			copyValue(to.Elem(), from.Elem())
+		}
+	case reflect.Slice:
+		if !from.IsNil() {
+			to.Set(reflect.MakeSlice(to.Type(), from.Len(), from.Len()))
+			copyElements(to, from)
+		}
+	case reflect.Array:
+		copyElements(to, from)
+	}
+}
+
+func copyElements(to, from reflect.Value) {
+	for i := range from.Len() {
+		copyValue(to.Index(i), from.Index(i))
+	}
+}
+
+// Fields lists the struct fields within a type with their numbers, such as
+// "core.HostEntry 2 Address string", each struct once.
+func Fields(typ reflect.Type) []string {
+	var lines []string
+	seen := make(map[reflect.Type]bool)
+	listFields(typ, seen, &lines)
+	slices.Sort(lines)
+	return lines
+}
+
+func listFields(typ reflect.Type, seen map[reflect.Type]bool, lines *[]string) {
+	switch typ.Kind() {
+	case reflect.Pointer, reflect.Slice, reflect.Array:
+		listFields(typ.Elem(), seen, lines)
+	case reflect.Struct:
+		if seen[typ] {
+			return
+		}
+		seen[typ] = true
+		for i := range typ.NumField() {
+			field := typ.Field(i)
+			*lines = append(*lines, fmt.Sprintf("%s %d %s %s", typ, i+1, field.Name, field.Type))
+			listFields(field.Type, seen, lines)
+		}
+	}
+}
