keys: make, load and reload the keys of entry hosts

Entry hosts must prove their names to each other, and the keys must change without a restart.

Two CAs may be trusted at once.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -26,6 +26,7 @@
 type commands struct {
 	Serve   serveCommand   `cmd:"" help:"Run an entry host."`
 	Demo    demoCommand    `cmd:"" help:"Run everything on loopback in one process."`
+	Keys    keysCommand    `cmd:"" help:"Make and show the keys of entry hosts."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 }
 
--- /dev/null
+++ b/cli/keys.go
@@ -0,0 +1,102 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"wisteriapond/keys"
+)
+
+type keysCommand struct {
+	CA   keysCACommand   `cmd:"" name:"ca" help:"Make the certificate authority of a deployment."`
+	Host keysHostCommand `cmd:"" help:"Make the key of a host."`
+	Show keysShowCommand `cmd:"" help:"Print certificates with their expiry."`
+}
+
+type keysCACommand struct {
+	Directory string        `arg:"" type:"existingdir" help:"Directory for ca.pem and ca.key."`
+	Name      string        `default:"wisteriapond" help:"Name of the deployment."`
+	Validity  time.Duration `default:"87600h" help:"Time until the CA expires."`
+}
+
+// Run makes a CA.
+func (c *keysCACommand) Run(stdout io.Writer) error {
+	if err := checkValidity(c.Validity); err != nil {
+		return err
+	}
+	ca, err := keys.NewCA(c.Name, time.Now(), c.Validity)
+	if err != nil {
+		return err
+	}
+	if err := keys.WriteCA(c.Directory, ca); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(stdout, "wrote %s and %s\n", keys.CACertificateFile, keys.CAKeyFile)
+	return err
+}
+
+type keysHostCommand struct {
+	Directory string        `arg:"" type:"existingdir" help:"Directory for HOST.pem and HOST.key."`
+	CA        string        `required:"" name:"ca" type:"existingdir" help:"Directory with ca.pem and ca.key."`
+	Host      string        `required:"" help:"Name of the host, as in its settings."`
+	Address   []net.IP      `required:"" help:"IP address at which peers reach the host. May be repeated."`
+	Validity  time.Duration `default:"8760h" help:"Time until the certificate expires."`
+}
+
+// Run makes the key of a host.
+func (c *keysHostCommand) Run(stdout io.Writer) error {
+	if err := checkValidity(c.Validity); err != nil {
+		return err
+	}
+	ca, err := keys.ReadCA(c.CA)
+	if err != nil {
+		return err
+	}
+	pair, err := keys.NewHost(ca, c.Host, c.Address, time.Now(), c.Validity)
+	if err != nil {
+		return err
+	}
+	if err := keys.WriteHost(c.Directory, c.Host, pair); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(stdout, "wrote %s.pem and %s.key\n", c.Host, c.Host)
+	return err
+}
+
+func checkValidity(validity time.Duration) error {
+	if validity <= 0 {
+		return fmt.Errorf("--validity must be positive")
+	}
+	return nil
+}
+
+type keysShowCommand struct {
+	Files []string `arg:"" type:"existingfile" help:"Certificate files in PEM."`
+}
+
+// Run prints the certificates. It fails when one of them is not valid now.
+func (c *keysShowCommand) Run(stdout io.Writer) error {
+	now := time.Now()
+	invalid := 0
+	for _, file := range c.Files {
+		certificates, err := keys.ReadCertificates(file)
+		if err != nil {
+			return err
+		}
+		for _, certificate := range certificates {
+			description := keys.DescriptionOf(certificate, now)
+			if !description.Valid {
+				invalid++
+			}
+			if _, err := fmt.Fprintf(stdout, "%s\n%s", file, description); err != nil {
+				return err
+			}
+		}
+	}
+	if invalid > 0 {
+		return fmt.Errorf("certificates that are not valid now: %d", invalid)
+	}
+	return nil
+}
--- /dev/null
+++ b/keys/bundle.go
@@ -0,0 +1,184 @@
+package keys
+
+import (
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// maxCAs is the number of CAs that may be trusted at once. A rotation needs
+// two.
+const maxCAs = 2
+
+// Files names the files of a host's key. CA may hold two certificates, so that
+// both are trusted while a deployment goes over to a new CA.
+type Files struct {
+	CA          string
+	Certificate string
+	Key         string
+}
+
+// Bundle is the loaded key of a host. It is immutable.
+type Bundle struct {
+	// Host is the name that the certificate proves.
+	Host string
+	// Certificate is the host's own, with its key.
+	Certificate tls.Certificate
+	// NotAfter is the first expiry among the host's certificate and the CA
+	// that signed it.
+	NotAfter time.Time
+	// Digest is a secret that depends on the key alone, for values that must
+	// survive a restart.
+	Digest [sha256.Size]byte
+
+	authorities []*x509.Certificate
+	pool        *x509.CertPool
+	sources     [3][]byte
+}
+
+// Load reads and checks the key of a host. It does not check that the key is
+// valid now; Check does.
+func Load(files Files) (*Bundle, error) {
+	b := &Bundle{}
+	for i, file := range []string{files.CA, files.Certificate, files.Key} {
+		raw, err := readFile(file)
+		if err != nil {
+			return nil, err
+		}
+		b.sources[i] = raw
+	}
+	if err := b.parseAuthorities(files.CA); err != nil {
+		return nil, err
+	}
+	if err := b.parseCertificate(files); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
+
+func (b *Bundle) parseAuthorities(file string) error {
+	authorities, err := parseCertificates(file, b.sources[0])
+	if err != nil {
+		return err
+	}
+	if len(authorities) > maxCAs {
+		return &Error{File: file, Err: fmt.Errorf("more than %d certificates", maxCAs)}
+	}
+	b.pool = x509.NewCertPool()
+	for _, authority := range authorities {
+		if !authority.IsCA {
+			return &Error{File: file, Err: fmt.Errorf("%s is not a CA", authority.Subject)}
+		}
+		b.pool.AddCert(authority)
+	}
+	b.authorities = authorities
+	return nil
+}
+
+func (b *Bundle) parseCertificate(files Files) error {
+	certificates, err := parseCertificates(files.Certificate, b.sources[1])
+	if err != nil {
+		return err
+	}
+	leaf := certificates[0]
+	key, err := parseKey(files.Key, b.sources[2])
+	if err != nil {
+		return err
+	}
+	if !key.PublicKey.Equal(leaf.PublicKey) {
+		return &Error{File: files.Key, Err: errMismatch}
+	}
+	if b.Host, err = hostOf(leaf); err != nil {
+		return &Error{File: files.Certificate, Err: err}
+	}
+	b.Certificate = tls.Certificate{Certificate: [][]byte{leaf.Raw}, PrivateKey: key, Leaf: leaf}
+	if b.Digest, err = digestOf(key); err != nil {
+		return &Error{File: files.Key, Err: err}
+	}
+	return b.findIssuer(files.Certificate)
+}
+
+// findIssuer refuses a certificate that no trusted CA has signed: every peer
+// with the same CA file would refuse it too.
+func (b *Bundle) findIssuer(file string) error {
+	leaf := b.Certificate.Leaf
+	for _, authority := range b.authorities {
+		if leaf.CheckSignatureFrom(authority) != nil {
+			continue
+		}
+		b.NotAfter = leaf.NotAfter
+		if authority.NotAfter.Before(b.NotAfter) {
+			b.NotAfter = authority.NotAfter
+		}
+		return nil
+	}
+	return &Error{File: file, Err: errors.New("the certificate is not signed by a trusted CA")}
+}
+
+func digestOf(key *ecdsa.PrivateKey) ([sha256.Size]byte, error) {
+	raw, err := key.Bytes()
+	return sha256.Sum256(append([]byte("wisteriapond digest of a host key\x00"), raw...)), err
+}
+
+// Check returns an error when the key is not valid at the given time.
+func (b *Bundle) Check(now time.Time) error {
+	_, err := b.verify(b.Certificate.Leaf, now, x509.ExtKeyUsageClientAuth)
+	return err
+}
+
+// VerifyPeer returns the host name that a peer's certificate proves. The
+// address is the one that was dialed, nil for a peer that dialed this host.
+func (b *Bundle) VerifyPeer(certificates []*x509.Certificate, dialed net.IP, now time.Time) (string, error) {
+	if len(certificates) == 0 {
+		return "", errors.New("the peer has no certificate")
+	}
+	usage := x509.ExtKeyUsageClientAuth
+	if dialed != nil {
+		usage = x509.ExtKeyUsageServerAuth
+	}
+	host, err := b.verify(certificates[0], now, usage)
+	if err != nil {
+		return "", err
+	}
+	if dialed == nil {
+		return host, nil
+	}
+	if err := certificates[0].VerifyHostname(dialed.String()); err != nil {
+		return "", fmt.Errorf("the certificate of host %s does not hold for this address: %w", host, err)
+	}
+	return host, nil
+}
+
+func (b *Bundle) verify(leaf *x509.Certificate, now time.Time, usage x509.ExtKeyUsage) (string, error) {
+	_, err := leaf.Verify(x509.VerifyOptions{
+		Roots:       b.pool,
+		CurrentTime: now,
+		KeyUsages:   []x509.ExtKeyUsage{usage},
+	})
+	if err != nil {
+		return "", err
+	}
+	return hostOf(leaf)
+}
+
+func hostOf(leaf *x509.Certificate) (string, error) {
+	if len(leaf.DNSNames) != 1 || leaf.DNSNames[0] == "" {
+		return "", errors.New("the certificate must hold one host name")
+	}
+	return leaf.DNSNames[0], nil
+}
+
+func (b *Bundle) sameFiles(other *Bundle) bool {
+	for i := range b.sources {
+		if !bytes.Equal(b.sources[i], other.sources[i]) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/keys/describe.go
@@ -0,0 +1,76 @@
+package keys
+
+import (
+	"crypto/sha256"
+	"crypto/x509"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Description is what operators need to know of a certificate.
+type Description struct {
+	Subject     string
+	Issuer      string
+	CA          bool
+	Hosts       []string
+	Addresses   []string
+	NotBefore   time.Time
+	NotAfter    time.Time
+	Fingerprint string
+	Valid       bool
+	Remaining   time.Duration
+}
+
+// DescriptionOf returns the description of a certificate at the given time.
+func DescriptionOf(certificate *x509.Certificate, now time.Time) Description {
+	sum := sha256.Sum256(certificate.Raw)
+	d := Description{
+		Subject:     certificate.Subject.CommonName,
+		Issuer:      certificate.Issuer.CommonName,
+		CA:          certificate.IsCA,
+		Hosts:       certificate.DNSNames,
+		NotBefore:   certificate.NotBefore,
+		NotAfter:    certificate.NotAfter,
+		Fingerprint: hex.EncodeToString(sum[:]),
+		Valid:       !now.Before(certificate.NotBefore) && !now.After(certificate.NotAfter),
+		Remaining:   certificate.NotAfter.Sub(now),
+	}
+	for _, address := range certificate.IPAddresses {
+		d.Addresses = append(d.Addresses, address.String())
+	}
+	return d
+}
+
+// String returns the description as indented lines.
+func (d Description) String() string {
+	var b strings.Builder
+	kind := "host"
+	if d.CA {
+		kind = "CA"
+	}
+	fmt.Fprintf(&b, "  %-12s %s\n", kind, d.Subject)
+	fmt.Fprintf(&b, "  %-12s %s\n", "signed by", d.Issuer)
+	if !d.CA {
+		fmt.Fprintf(&b, "  %-12s %s\n", "names", strings.Join(d.Hosts, ", "))
+		fmt.Fprintf(&b, "  %-12s %s\n", "addresses", strings.Join(d.Addresses, ", "))
+	}
+	fmt.Fprintf(&b, "  %-12s %s\n", "valid from", d.NotBefore.UTC().Format(time.RFC3339))
+	fmt.Fprintf(&b, "  %-12s %s (%s)\n", "expires", d.NotAfter.UTC().Format(time.RFC3339), d.remaining())
+	fmt.Fprintf(&b, "  %-12s %s\n", "sha256", d.Fingerprint)
+	return b.String()
+}
+
+func (d Description) remaining() string {
+	const day = 24 * time.Hour
+	switch {
+	case d.Remaining < 0:
+		return "EXPIRED"
+	case !d.Valid:
+		return "not valid yet"
+	case d.Remaining < day:
+		return fmt.Sprintf("%d hours left", d.Remaining/time.Hour)
+	}
+	return fmt.Sprintf("%d days left", d.Remaining/day)
+}
