settings: add the settings of peers and of the event recording

A process needs to know its own address for peers, the addresses of some peers and its key files; without them it runs alone. Half-set peers are refused, since the process would silently run alone.

--- /dev/null
+++ b/settings/peers_test.go
@@ -0,0 +1,44 @@
+package settings_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/document"
+	"wisteriapond/settings"
+)
+
+func parse(more string) (*settings.Settings, error) {
+	return settings.Parse("test", []byte(`{
+		"host": "entry-1", "region": "mtl", "failure_domain": "mtl-a",
+		"listen": "127.0.0.1:0", "platform": "http://127.0.0.1:1", `+more+`}`))
+}
+
+const files = `"keys": {"ca": "ca.pem", "certificate": "host.pem", "key": "host.key"},`
+
+var _ = Describe("settings for peers", func() {
+	// Guards against a process that means to have peers and silently has none.
+	DescribeTable("are checked", func(more, problem string) {
+		_, err := parse(more)
+		if problem == "" {
+			Expect(err).NotTo(HaveOccurred())
+			return
+		}
+		Expect(err).To(MatchError(ContainSubstring(problem)))
+	},
+		Entry("none: alone", ``, ""),
+		Entry("whole", files+`"peer_listen": "127.0.0.1:0", "peers": ["127.0.0.2:7000", "[::1]:7000"],`, ""),
+		Entry("peers without an own address", files+`"peers": ["127.0.0.2:7000"],`, "peer_listen: is needed"),
+		Entry("no keys", `"peer_listen": "127.0.0.1:0",`, "is needed with peer_listen"),
+		Entry("an address that others cannot use", files+`"peer_listen": "0.0.0.0:7000",`, "IP address of one host"),
+		Entry("a name", files+`"peer_listen": "127.0.0.1:0", "peers": ["entry-2:7000"],`, "peers[0]"),
+		Entry("no port", files+`"peer_listen": "127.0.0.1",`, "missing port"),
+	)
+
+	// Guards against a recording without a bound.
+	It("bound a recording by default", func() {
+		s, err := parse(`"record": {"file": "events"},`)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Record.MaxSize).To(Equal(document.Size(settings.DefaultRecordSize)))
+	})
+})
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,14 @@
 	// StopTimeout bounds the wait for requests in flight after SIGTERM.
 	// Default "0s": no bound.
 	StopTimeout document.Duration `json:"stop_timeout"`
+	// PeerListen is the UDP address for other entry hosts. Default "": the
+	// process runs alone.
+	PeerListen string `json:"peer_listen"`
+	// Peers are the addresses of other entry hosts to contact first.
+	Peers []string `json:"peers"`
+	Keys  Keys     `json:"keys"`
+	// Record turns on the recording of events.
+	Record Record `json:"record"`
 }
 
 // Error says why settings were refused.
@@ -63,6 +71,7 @@
 	s := &Settings{
 		Admin:     "127.0.0.1:0",
 		AcceptFor: document.Duration(DefaultAcceptFor),
+		Record:    Record{MaxSize: DefaultRecordSize},
 	}
 	if err := document.Decode(file, raw, s); err != nil {
 		return nil, err
@@ -86,5 +95,5 @@
 	if _, err := url.ParseRequestURI(s.Platform); err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
-	return nil
+	return s.checkPeers()
 }
