--- a/cli/cli.go
+++ b/cli/cli.go
@@ -31,6 +31,7 @@
 	Status  statusCommand  `cmd:"" help:"Show the state of a running entry host."`
 	Demo    demoCommand    `cmd:"" help:"Run everything on loopback in one process."`
 	Load    loadCommand    `cmd:"" help:"Send a bounded load and show latencies."`
+	Keys    keysCommand    `cmd:"" help:"Make and show the keys of entry hosts."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Install completions for the user's shell."`
--- a/document/units.go
+++ b/document/units.go
@@ -97,3 +97,16 @@
 	err := json.Unmarshal(raw, &text)
 	return text, err == nil
 }
+
+// String returns the size with the largest binary unit that divides it.
+func (s Size) String() string {
+	for _, unit := range []struct {
+		suffix string
+		bytes  Size
+	}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}} {
+		if s != 0 && s%unit.bytes == 0 {
+			return strconv.FormatInt(int64(s/unit.bytes), 10) + unit.suffix
+		}
+	}
+	return strconv.FormatInt(int64(s), 10) + "B"
+}
