core: add the connection share, the probe's limit and consumed bodies

Cause: the traffic side needs facts and limits that the effects did not carry. A streamed request body that was read cannot be sent again, whatever the class of the attempt, and an upstream's connections are shared among the entry hosts.

Change: StartAttempt and StartProbe carry Connections, the share of this host. Facts.BodyTaken stops a retry. CauseConnectionLimit and CauseInternal tell faults of this host from those of the backend server.

--- a/core/effect.go
+++ b/core/effect.go
@@ -45,6 +45,9 @@
 	// by the backend server while the request is under way, which leaves the
 	// outcome unknown.
 	Fresh bool
+	// Connections is the largest number of connections that this host may have
+	// to the address; 0 means no limit.
+	Connections int
 	// HoldBytes is the size up to which an answer is held whole.
 	HoldBytes int64
 	// Rate paces a long answer, in bytes per second; 0 means no pacing.
@@ -121,6 +124,9 @@
 	Address     string
 	StartBefore Instant
 	Probe       config.Probe
+	// Connections is the largest number of connections that this host may have
+	// to the address; 0 means no limit.
+	Connections int
 }
 
 // PublishView hands traffic goroutines the immutable facts they need before a
--- a/core/request.go
+++ b/core/request.go
@@ -142,11 +142,18 @@
 		Deadline:    r.deadline,
 		Depth:       r.depth + 1,
 		Fresh:       !r.idempotent,
+		Connections: s.connectionShare(u),
 		HoldBytes:   HoldBytes,
 		NotRun:      r.service.config.NotRun,
 	})
 }
 
+// connectionShare returns this host's part of the connections that an upstream
+// accepts from all entry hosts together.
+func (s *State) connectionShare(u *upstream) int {
+	return max(1, u.config.Connections/max(1, s.table.Manifest.EntryHosts))
+}
+
 func (r *request) attempt() AttemptID {
 	return AttemptID{Request: r.id, Number: r.attempts}
 }
@@ -198,7 +205,7 @@
 		s.forget(r)
 		return
 	}
-	if r.mayRetry(class) {
+	if r.mayRetry(class) && !e.Facts.BodyTaken {
 		s.count(CounterRetries, e.Facts.Cause.String())
 		s.dispatch(r)
 		return
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -44,9 +44,15 @@
 	CauseMalformed
 	CauseCanceled
 	CauseRequestBody
+	// CauseConnectionLimit means that this host already has all the
+	// connections that it may open to the address. It says nothing about the
+	// backend server.
+	CauseConnectionLimit
+	// CauseInternal means a fault of this process.
+	CauseInternal
 )
 
-var causeNames = [...]string{"none", "dial", "expired", "reset", "timeout", "truncated", "malformed", "canceled", "request_body"}
+var causeNames = [...]string{"none", "dial", "expired", "reset", "timeout", "truncated", "malformed", "canceled", "request_body", "connection_limit", "internal"}
 
 // String returns the name used in logs and metrics.
 func (c Cause) String() string {
@@ -77,6 +83,9 @@
 	// Load is the load that the backend server reports, in requests running;
 	// -1 when it reports none.
 	Load int
+	// BodyTaken is set when a part of a streamed request body was read. The
+	// request cannot be sent again, whatever the class of the attempt.
+	BodyTaken bool
 	// Bytes is the size of the answer's body as far as it was read.
 	Bytes int64
 }
@@ -133,11 +142,12 @@
 	FailedMalformed Failure = "malformed"
 	FailedCanceled  Failure = "canceled"
 	FailedBody      Failure = "request_body"
+	FailedInternal  Failure = "internal"
 )
 
 // Failures lists every failure reason.
 func Failures() []Failure {
-	return []Failure{FailedReset, FailedTimeout, FailedTruncated, FailedMalformed, FailedCanceled, FailedBody}
+	return []Failure{FailedReset, FailedTimeout, FailedTruncated, FailedMalformed, FailedCanceled, FailedBody, FailedInternal}
 }
 
 // FailureOf returns the failure reason of an attempt whose class is Unknown.
@@ -153,6 +163,8 @@
 		return FailedCanceled
 	case CauseRequestBody:
 		return FailedBody
+	case CauseInternal:
+		return FailedInternal
 	}
 	return FailedReset
 }
