caller, backend, runtime: carry out requests with exact facts

Cause: answers of unknown length were always streamed, a panic or a hang-up left the reducer without the end of an attempt, tickets of held answers were never released, bodies that broke off were sent on as error texts, and nothing bounded connections.

Change: runtime keeps every asked-for instant, applies a due Tick before any other event and releases all tickets at its end. backend has one Exchange per attempt with its own error types, uploads streamed bodies while it waits for the answer, paces transfers, bounds connections per address and looks at idle ones without reading from them. caller checks framing and its own headers before anything is submitted, and watches the connection for a hang-up with one outstanding read. Probes and the end of a planned stop are wired into the entry host.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -5,11 +5,7 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net"
-	"os"
-	"strconv"
-	"strings"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,250 +14,237 @@
 	"wisteriapond/outcome"
 )
 
-// Headers between entry hosts, callers and backend servers.
-const (
-	HeaderTimeout  = "Wisteriapond-Timeout"
-	HeaderDepth    = "Wisteriapond-Depth"
-	HeaderOutcome  = "Wisteriapond-Outcome"
-	HeaderReason   = "Wisteriapond-Reason"
-	HeaderUpstream = "Wisteriapond-Upstream"
-	HeaderGaveUp   = "Wisteriapond-Gave-Up"
-	HeaderLoad     = "Wisteriapond-Load"
-	HeaderDraining = "Wisteriapond-Draining"
-)
-
 // Clock turns instants into times for socket deadlines.
 type Clock interface {
 	Now() core.Instant
 	Deadline(at core.Instant) time.Time
 }
 
-// Exchange is one attempt.
+// Exchange is one attempt. It is a runtime.Attempt.
 type Exchange struct {
-	// Response holds the answer. When Streaming is set, its body is still to
-	// be read through Body.
-	Response  fasthttp.Response
-	Facts     outcome.Facts
+	Facts outcome.Facts
+	// Streaming is set when the answer is too long to be held. Its body is
+	// still to be read through Body.
 	Streaming bool
 
-	pool *Pool
-	conn *connection
-	hold int64
+	pool     *Pool
+	command  *core.StartAttempt
+	request  *Request
+	response fasthttp.Response
+	// begin holds the first bytes of a streamed answer of unknown length, or
+	// the whole body of a held one.
+	begin    []byte
+	upload   *upload
+	reusable bool
+	pacer    pacer
+
+	mu       sync.Mutex
+	conn     *connection
+	stopDial context.CancelFunc
+	canceled bool
+}
+
+// Start carries out one attempt. attach is called once, before anything that
+// can wait. Start returns when the whole answer is held, when the head of a
+// longer answer is in (Streaming), or when the attempt failed.
+func (p *Pool) Start(clock Clock, command core.StartAttempt, request *Request, attach func(*Exchange)) *Exchange {
+	x := &Exchange{pool: p, command: &command, request: request}
+	x.Facts.Load = -1
+	x.pacer.init(command.Rate)
+	attach(x)
+	x.runSafely(clock)
+	return x
 }
 
-// Canceler lets another goroutine end an attempt.
-type Canceler interface {
-	OnCancel(number int, cancel func())
+// runSafely turns a panic into a failed attempt, so that the reducer always
+// learns the end of the attempt.
+func (x *Exchange) runSafely(clock Clock) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			x.fail(errInternal)
+		}
+	}()
+	if err := x.run(clock); err != nil {
+		x.fail(err)
+	}
 }
 
-// Do carries out one attempt. It returns when the whole answer is held, when
-// the head of a longer answer is in (Streaming), or when the attempt failed.
-func (p *Pool) Do(ctx context.Context, clock Clock, command core.StartAttempt, request *fasthttp.Request, canceler Canceler) *Exchange {
-	x := &Exchange{pool: p, hold: command.HoldBytes}
-	x.Facts.Load = -1
-	ctx, cancel := context.WithDeadline(ctx, clock.Deadline(command.Deadline))
-	defer cancel()
-	canceler.OnCancel(command.Attempt.Number, cancel)
-	conn, err := p.get(ctx, command.Address, command.Fresh)
-	if err != nil {
-		x.fail(ctx, err, outcome.CauseDial)
-		return x
+func (x *Exchange) run(clock Clock) error {
+	if err := x.checkStart(clock); err != nil {
+		return err
 	}
-	x.conn = conn
-	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := x.send(clock, command, request); err != nil {
-		x.fail(ctx, err, outcome.CauseReset)
-		return x
+	if err := x.connect(clock); err != nil {
+		return err
 	}
-	if err := x.receive(command, request); err != nil {
-		x.fail(ctx, err, outcome.CauseReset)
-		return x
+	sent := x.send(clock)
+	if !x.Facts.Wrote {
+		return sent
+	}
+	// A backend server may have answered before it closed the connection
+	// under the request.
+	if err := x.receive(); err != nil {
+		return errors.Join(x.brokenUpload(), sent, err)
 	}
 	if x.Streaming {
-		canceler.OnCancel(command.Attempt.Number, func() { conn.SetDeadline(time.Unix(1, 0)) })
-		return x
+		return x.endDeadline()
 	}
 	x.finish()
-	return x
+	return nil
 }
 
-func (x *Exchange) send(clock Clock, command core.StartAttempt, request *fasthttp.Request) error {
+// checkStart refuses commands that come too late, or whose body is gone.
+func (x *Exchange) checkStart(clock Clock) error {
 	now := clock.Now()
-	if now > command.StartBefore || now >= command.Deadline {
+	if now > x.command.StartBefore || now >= x.command.Deadline {
 		return errExpired
 	}
-	remaining := command.Deadline.Sub(now).Milliseconds()
-	request.Header.Set(HeaderTimeout, strconv.FormatInt(max(1, remaining), 10))
-	request.Header.Set(HeaderDepth, strconv.Itoa(command.Depth))
-	x.Facts.Wrote = true
-	if err := request.Write(x.conn.writer); err != nil {
-		return err
+	if x.request.taken {
+		return &BodyError{Err: errConsumed}
 	}
-	return x.conn.writer.Flush()
+	return nil
 }
 
-func (x *Exchange) receive(command core.StartAttempt, request *fasthttp.Request) error {
-	r := &x.Response
-	r.StreamBody = true
-	r.SkipBody = request.Header.IsHead()
-	if err := r.ReadLimitBody(x.conn.reader, 0); err != nil {
-		return err
-	}
-	x.readFacts(command)
-	if r.SkipBody {
-		return nil
-	}
-	if length := r.Header.ContentLength(); length < 0 || int64(length) > x.hold {
-		x.Streaming = true
-		return nil
+func (x *Exchange) connect(clock Clock) error {
+	deadline := clock.Deadline(x.command.Deadline)
+	if !x.command.Fresh {
+		if conn := x.pool.reuse(x.command.Address); conn != nil {
+			return x.use(conn, deadline)
+		}
 	}
-	return x.holdBody()
-}
-
-// holdBody reads the whole body into memory. A body shorter than its
-// Content-Length is an error, so that it never looks whole.
-func (x *Exchange) holdBody() error {
-	r := &x.Response
-	stream := r.BodyStream()
-	if stream == nil {
-		return nil
+	ctx, stop := context.WithDeadline(context.Background(), deadline)
+	defer stop()
+	if !x.setStopDial(stop) {
+		return errCanceled
 	}
-	body, err := io.ReadAll(stream)
+	conn, err := x.pool.open(ctx, x.command.Address, x.command.Connections)
 	if err != nil {
-		return errors.Join(errTruncated, err)
-	}
-	if length := r.Header.ContentLength(); length >= 0 && len(body) != length {
-		return errTruncated
-	}
-	x.Facts.Bytes = int64(len(body))
-	if err := r.CloseBodyStream(); err != nil {
 		return err
 	}
-	r.SetBodyRaw(body)
-	return nil
+	return x.use(conn, deadline)
 }
 
-func (x *Exchange) readFacts(command core.StartAttempt) {
-	h := &x.Response.Header
-	f := &x.Facts
-	f.Status = h.StatusCode()
-	if form := command.NotRun; form.Header != "" {
-		f.NotRunHeader = string(h.Peek(form.Header)) == form.Value
-	}
-	f.GaveUp = len(h.Peek(HeaderGaveUp)) > 0
-	f.Draining = len(h.Peek(HeaderDraining)) > 0
-	if load, err := strconv.Atoi(string(h.Peek(HeaderLoad))); err == nil && load >= 0 {
-		f.Load = load
-	}
-	if seconds, err := strconv.Atoi(string(h.Peek("Retry-After"))); err == nil && seconds > 0 {
-		f.RetryAfter = time.Duration(min(seconds, 3600)) * time.Second
+func (x *Exchange) setStopDial(stop context.CancelFunc) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.stopDial = stop
+	return !x.canceled
+}
+
+// use takes a connection for this attempt.
+func (x *Exchange) use(conn *connection, deadline time.Time) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.stopDial = nil
+	x.conn = conn
+	if x.canceled {
+		return errCanceled
 	}
+	return conn.SetDeadline(deadline)
 }
 
-// finish returns the connection to the pool when it can be used again.
-func (x *Exchange) finish() {
-	if x.conn == nil {
-		return
+// send writes the request. The time is checked again right before the first
+// byte: opening the connection, or a pause of the process, may have taken
+// longer than the command is good for.
+func (x *Exchange) send(clock Clock) error {
+	head := x.request.head(x.command, x.command.Deadline.Sub(clock.Now()))
+	if err := x.checkStart(clock); err != nil {
+		return err
 	}
-	if x.Response.ConnectionClose() || x.conn.SetDeadline(time.Time{}) != nil {
-		x.conn.Close()
-	} else {
-		x.pool.put(x.conn)
+	x.Facts.Wrote = true
+	if x.request.Stream != nil {
+		x.startUpload(head)
+		return nil
 	}
-	x.conn = nil
+	return x.request.write(x.conn.Conn, head)
 }
 
-func (x *Exchange) fail(ctx context.Context, err error, fallback outcome.Cause) {
-	x.Facts.Cause = causeOf(ctx, err, fallback)
-	x.Abort()
+// endDeadline lifts the deadline of the attempt: it bounds the wait for an
+// answer, not the transfer of a long one.
+func (x *Exchange) endDeadline() error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.canceled {
+		return errCanceled
+	}
+	return x.conn.SetDeadline(time.Time{})
 }
 
-// Abort closes the connection of an exchange that did not end cleanly.
-func (x *Exchange) Abort() {
-	if x.conn != nil {
-		x.conn.Close()
-		x.conn = nil
+// extendRead gives a streamed answer time for its next bytes.
+func (x *Exchange) extendRead(d time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if !x.canceled && x.conn != nil {
+		x.conn.SetReadDeadline(time.Now().Add(d))
 	}
 }
 
-func causeOf(ctx context.Context, err error, fallback outcome.Cause) outcome.Cause {
-	switch {
-	case errors.Is(err, errExpired):
-		return outcome.CauseExpired
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return outcome.CauseTimeout
-	case errors.Is(ctx.Err(), context.Canceled):
-		return outcome.CauseCanceled
-	case errors.Is(err, errTruncated), errors.Is(err, io.ErrUnexpectedEOF):
-		return outcome.CauseTruncated
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return outcome.CauseTimeout
+// Cancel ends the attempt. The goroutine that runs it closes the connection.
+func (x *Exchange) Cancel() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.canceled {
+		return
 	}
-	var network *net.OpError
-	if errors.As(err, &network) || errors.Is(err, io.EOF) || strings.Contains(err.Error(), "reset") {
-		return fallback
+	x.canceled = true
+	x.pacer.cancel()
+	if x.stopDial != nil {
+		x.stopDial()
 	}
-	if fallback == outcome.CauseReset {
-		return outcome.CauseMalformed
+	if x.conn != nil {
+		x.conn.SetDeadline(past)
 	}
-	return fallback
 }
 
-// Body returns the rest of a streaming answer. done is called once, with the
-// final facts and whether the body came whole.
-func (x *Exchange) Body(done func(facts outcome.Facts, whole bool)) io.ReadCloser {
-	return &body{exchange: x, stream: x.Response.BodyStream(), length: int64(x.Response.Header.ContentLength()), done: done}
-}
+// Attempt returns the name of the attempt.
+func (x *Exchange) Attempt() core.AttemptID { return x.command.Attempt }
+
+// SetRate changes the pacing of a streamed answer.
+func (x *Exchange) SetRate(bytesPerSecond int64) { x.pacer.setRate(bytesPerSecond) }
 
-type body struct {
-	exchange *Exchange
-	stream   io.Reader
-	length   int64
-	read     int64
-	ended    bool
-	done     func(outcome.Facts, bool)
+func (x *Exchange) isCanceled() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.canceled
 }
 
-func (b *body) Read(p []byte) (int, error) {
-	// The stream is released at its end and must not be read again.
-	if b.ended {
-		return 0, io.EOF
-	}
-	n, err := b.stream.Read(p)
-	b.read += int64(n)
-	if err == io.EOF && b.length >= 0 && b.read < b.length {
-		err = io.ErrUnexpectedEOF
-	}
-	if err == io.EOF {
-		b.end(true, outcome.CauseNone)
-	} else if err != nil {
-		b.end(false, outcome.CauseTruncated)
+// finish returns the connection to the pool when it can be used again.
+func (x *Exchange) finish() {
+	complete := x.stopUpload()
+	conn := x.detach()
+	switch {
+	case conn == nil:
+	case x.reusable && complete && !x.isCanceled():
+		x.pool.put(conn)
+	default:
+		x.pool.drop(conn)
 	}
-	return n, err
 }
 
-// Close ends the body. When it was not read to its end, the caller broke off.
-func (b *body) Close() error {
-	if b.length >= 0 && b.read == b.length {
-		b.end(true, outcome.CauseNone)
+func (x *Exchange) fail(err error) {
+	if x.isCanceled() {
+		err = errCanceled
 	}
-	b.end(false, outcome.CauseCanceled)
-	return nil
+	x.Facts.Cause = causeOf(err)
+	x.Streaming = false
+	x.Abort()
 }
 
-func (b *body) end(whole bool, cause outcome.Cause) {
-	if b.ended {
-		return
+// Abort closes the connection of an exchange that did not end cleanly.
+func (x *Exchange) Abort() {
+	if x.conn != nil {
+		x.stopUpload()
 	}
-	b.ended = true
-	x := b.exchange
-	x.Facts.Cause = cause
-	x.Facts.Bytes = b.read
-	if whole && x.Response.CloseBodyStream() == nil {
-		x.finish()
-	} else {
-		x.Abort()
+	if conn := x.detach(); conn != nil {
+		x.pool.drop(conn)
 	}
-	b.done(x.Facts, whole)
+}
+
+// detach takes the connection away from the attempt, so that a late Cancel
+// does not touch it.
+func (x *Exchange) detach() *connection {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	conn := x.conn
+	x.conn = nil
+	return conn
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -9,106 +8,179 @@
 )
 
 const (
+	// maxIdlePerAddress and maxIdle bound the connections that are kept.
 	maxIdlePerAddress = 32
-	idleTimeout       = 30 * time.Second
-	ioBufferBytes     = 16 << 10
+	maxIdle           = 4096
+	// idleTimeout is how long an unused connection is kept. It is shorter
+	// than the usual keep-alive time of servers.
+	idleTimeout = 30 * time.Second
+	sweepEvery  = 5 * time.Second
 )
 
-// connection is one connection to a backend server.
-type connection struct {
-	net.Conn
-	reader  *bufio.Reader
-	writer  *bufio.Writer
-	idleAt  time.Time
-	address string
+// Pool opens connections to backend servers and keeps idle ones by address.
+type Pool struct {
+	dialer      net.Dialer
+	idleTimeout time.Duration
+	sweepEvery  time.Duration
+
+	mu        sync.RWMutex
+	addresses map[string]*address
+	sweeping  bool
 }
 
-// Pool keeps idle connections by address.
-type Pool struct {
+// address holds the connections to one address.
+type address struct {
+	name string
+	pool *Pool
+
 	mu   sync.Mutex
-	idle map[string][]*connection
+	idle []*connection
+	// open counts the connections that are open or being opened.
+	open int
+	// generation rises with CloseIdle. Connections of an earlier generation
+	// are not kept.
+	generation uint64
 }
 
 // NewPool returns an empty pool.
 func NewPool() *Pool {
-	return &Pool{idle: make(map[string][]*connection)}
+	return &Pool{
+		idleTimeout: idleTimeout,
+		sweepEvery:  sweepEvery,
+		addresses:   make(map[string]*address),
+	}
+}
+
+// withAddress calls f with the address locked. The map stays locked against
+// the sweep meanwhile, so that the address cannot be dropped under f.
+func (p *Pool) withAddress(name string, f func(*address)) {
+	p.mu.RLock()
+	a := p.addresses[name]
+	if a != nil {
+		a.mu.Lock()
+		f(a)
+		a.mu.Unlock()
+		p.mu.RUnlock()
+		return
+	}
+	p.mu.RUnlock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a = p.addresses[name]; a == nil {
+		a = &address{name: name, pool: p}
+		p.addresses[name] = a
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	f(a)
 }
 
-// get returns an idle connection that passed the idle check, or a new one.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*connection, error) {
-	for !fresh {
-		c := p.takeIdle(address)
+// reuse returns an idle connection that passed the idle check, or nil.
+func (p *Pool) reuse(name string) *connection {
+	for {
+		c := p.takeIdle(name)
 		if c == nil {
-			break
+			return nil
 		}
-		if time.Since(c.idleAt) < idleTimeout && c.checkIdle() == nil {
-			return c, nil
+		if time.Since(c.idleSince) < p.idleTimeout && c.checkIdle() == nil {
+			return c
 		}
-		c.Close()
+		p.drop(c)
+	}
+}
+
+// open opens a connection. limit is the largest number of connections to the
+// address, 0 for no limit.
+func (p *Pool) open(ctx context.Context, name string, limit int) (*connection, error) {
+	a, generation := p.reserve(name, limit)
+	if a == nil {
+		return nil, &LimitError{Address: name, Limit: limit}
 	}
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	c, err := dial(ctx, &p.dialer, a, generation)
 	if err != nil {
+		a.release()
 		return nil, err
 	}
-	return &connection{
-		Conn:    conn,
-		reader:  bufio.NewReaderSize(conn, ioBufferBytes),
-		writer:  bufio.NewWriterSize(conn, ioBufferBytes),
-		address: address,
-	}, nil
+	return c, nil
 }
 
-func (p *Pool) takeIdle(address string) *connection {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
-	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
+func (p *Pool) takeIdle(name string) (c *connection) {
+	p.withAddress(name, func(a *address) {
+		if last := len(a.idle) - 1; last >= 0 {
+			c = a.idle[last]
+			a.idle[last] = nil
+			a.idle = a.idle[:last]
+		}
+	})
 	return c
 }
 
-// put keeps a connection whose exchange ended cleanly.
-func (p *Pool) put(c *connection) {
-	if c.reader.Buffered() > 0 {
-		c.Close()
-		return
+// reserve counts a connection that is about to be opened. At the limit an
+// idle connection makes room; without one it returns nil.
+func (p *Pool) reserve(name string, limit int) (reserved *address, generation uint64) {
+	var evicted *connection
+	p.withAddress(name, func(a *address) {
+		if limit > 0 && a.open >= limit {
+			if len(a.idle) == 0 {
+				return
+			}
+			evicted = a.idle[0]
+			a.idle = append(a.idle[:0], a.idle[1:]...)
+			a.open--
+		}
+		a.open++
+		reserved = a
+		generation = a.generation
+	})
+	if evicted != nil {
+		evicted.Close()
 	}
-	c.idleAt = time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle[c.address]) >= maxIdlePerAddress {
-		c.Close()
+	return reserved, generation
+}
+
+func (a *address) release() {
+	a.mu.Lock()
+	a.open--
+	a.mu.Unlock()
+}
+
+// drop closes a connection.
+func (p *Pool) drop(c *connection) {
+	c.Close()
+	c.home.release()
+}
+
+// put keeps a connection whose exchange ended cleanly, or drops it.
+func (p *Pool) put(c *connection) {
+	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil || !c.home.keep(c) {
+		p.drop(c)
 		return
 	}
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.startSweep()
 }
 
-// CloseIdle closes the idle connections to an address.
-func (p *Pool) CloseIdle(address string) {
-	p.mu.Lock()
-	idle := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range idle {
-		c.Close()
+func (a *address) keep(c *connection) bool {
+	c.idleSince = time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.generation != a.generation || len(a.idle) >= maxIdlePerAddress {
+		return false
 	}
+	a.idle = append(a.idle, c)
+	return true
 }
 
-// checkIdle reads without waiting. An idle connection has nothing to read; an
-// end of file or a stray byte means that it must not be used again.
-func (c *connection) checkIdle() error {
-	if err := c.SetReadDeadline(time.Unix(1, 0)); err != nil {
-		return err
-	}
-	_, err := c.reader.Peek(1)
-	if nerr, ok := err.(net.Error); !ok || !nerr.Timeout() {
-		return errIdleUnknown
+// CloseIdle closes the idle connections to an address. Connections in use are
+// closed when their exchange ends.
+func (p *Pool) CloseIdle(name string) {
+	var idle []*connection
+	p.withAddress(name, func(a *address) {
+		a.generation++
+		idle = a.idle
+		a.idle = nil
+		a.open -= len(idle)
+	})
+	for _, c := range idle {
+		c.Close()
 	}
-	// bufio keeps the time-out as a sticky error until it is read.
-	c.reader.Reset(c.Conn)
-	return c.SetReadDeadline(time.Time{})
 }
--- a/caller/answers.go
+++ b/caller/answers.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"math"
 	"strconv"
 
 	"github.com/valyala/fasthttp"
@@ -25,6 +27,7 @@
 	Service string `json:"service,omitempty"`
 }
 
+// refusalStatus gives the statuses that differ from 503.
 var refusalStatus = map[outcome.Refusal]int{
 	outcome.RefusedNoService: fasthttp.StatusNotFound,
 	outcome.RefusedMalformed: fasthttp.StatusBadRequest,
@@ -37,17 +40,47 @@
 		status = fasthttp.StatusServiceUnavailable
 	}
 	if refusal.RetryAfter > 0 {
-		seconds := max(1, int(refusal.RetryAfter.Seconds()))
+		seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
 		ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
 	}
 	writeAnswer(ctx, status, answerBody{
 		Outcome: outcomeNotRun,
 		Reason:  string(refusal.Reason),
-		Message: "the request was refused and did not run",
+		Message: refusalMessages[refusal.Reason],
 		Service: refusal.Service,
 	})
 }
 
+// refuseMalformed answers a request that reached no backend server because of
+// its form.
+func refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+	writeAnswer(ctx, fasthttp.StatusBadRequest, answerBody{
+		Outcome: outcomeNotRun,
+		Reason:  string(outcome.RefusedMalformed),
+		Message: "the request was refused and did not run: " + err.Error(),
+	})
+}
+
+// refuseUnread answers a request that the library could not read.
+func refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	var large *fasthttp.ErrSmallBuffer
+	status, reason := fasthttp.StatusBadRequest, outcome.RefusedMalformed
+	switch {
+	case errors.As(err, &large):
+		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, outcome.RefusedTooLarge
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		status, reason = fasthttp.StatusRequestEntityTooLarge, outcome.RefusedTooLarge
+	}
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.lingerOnClose()
+	}
+	writeAnswer(ctx, status, answerBody{
+		Outcome: outcomeNotRun,
+		Reason:  string(reason),
+		Message: refusalMessages[reason],
+	})
+}
+
 func writeFailure(ctx *fasthttp.RequestCtx, failure core.Fail) {
 	status := fasthttp.StatusBadGateway
 	if failure.Reason == outcome.FailedTimeout {
@@ -59,7 +92,7 @@
 	writeAnswer(ctx, status, answerBody{
 		Outcome: outcomeUnknown,
 		Reason:  string(failure.Reason),
-		Message: "the backend server may have run the request; no whole answer came",
+		Message: failureMessages[failure.Reason],
 		Service: failure.Service,
 	})
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -3,16 +3,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
-	"strconv"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
 
 	"wisteriapond/backend"
-	"wisteriapond/config"
-	"wisteriapond/core"
-	"wisteriapond/outcome"
 	"wisteriapond/runtime"
 )
 
@@ -21,144 +19,82 @@
 	// attempt.
 	keptBodyBytes  = 64 << 10
 	maxHeaderBytes = 32 << 10
-	idleTimeout    = 75 * time.Second
-	headerTimeout  = 30 * time.Second
+	// writeBufferBytes bounds what is buffered of an answer.
+	writeBufferBytes = 16 << 10
+	idleTimeout      = 75 * time.Second
+	// headTimeout bounds the wait for the head of a request, and for a body
+	// that is kept.
+	headTimeout = 30 * time.Second
 )
 
 // Server takes requests from callers.
 type Server struct {
 	loop *runtime.Loop
 	pool *backend.Pool
+	log  log.Interface
 	http *fasthttp.Server
 }
 
 // NewServer returns a server that submits requests to the loop.
-func NewServer(loop *runtime.Loop, pool *backend.Pool) *Server {
-	s := &Server{loop: loop, pool: pool}
+func NewServer(loop *runtime.Loop, pool *backend.Pool, logger log.Interface) *Server {
+	s := &Server{loop: loop, pool: pool, log: logger}
 	s.http = &fasthttp.Server{
-		Handler:               s.handle,
-		Name:                  "wisteriapond",
-		ReadBufferSize:        maxHeaderBytes,
-		StreamRequestBody:     true,
-		IdleTimeout:           idleTimeout,
-		ReadTimeout:           headerTimeout,
-		NoDefaultContentType:  true,
-		NoDefaultDate:         true,
-		CloseOnShutdown:       true,
-		SecureErrorLogMessage: true,
+		Handler:                      s.handle,
+		ErrorHandler:                 refuseUnread,
+		Logger:                       libraryLog{logger},
+		ReadBufferSize:               maxHeaderBytes,
+		WriteBufferSize:              writeBufferBytes,
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		IdleTimeout:                  idleTimeout,
+		ReadTimeout:                  headTimeout,
+		NoDefaultContentType:         true,
+		NoDefaultDate:                true,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		SecureErrorLogMessage:        true,
+		LazyRequestTime:              true,
 	}
 	return s
 }
 
 // Serve accepts connections until the listener is closed.
-func (s *Server) Serve(listener net.Listener) error {
-	return s.http.Serve(listener)
+func (s *Server) Serve(l net.Listener) error {
+	return s.http.Serve(listener{l})
 }
 
-func (s *Server) handle(ctx *fasthttp.RequestCtx) {
-	view := s.loop.View()
-	if view.Closing {
-		ctx.SetConnectionClose()
-	}
-	arrival := arrivalOf(ctx, view)
-	ticket := s.loop.Submit(arrival)
-	if ticket == nil {
-		writeRefusal(ctx, core.Refuse{Reason: outcome.RefusedOverloaded})
-		return
-	}
-	s.follow(ctx, ticket)
+// Shutdown closes the listener and idle connections, and waits until every
+// answer under way is written or ctx is done.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.ShutdownWithContext(ctx)
 }
 
-func arrivalOf(ctx *fasthttp.RequestCtx, view *core.View) core.RequestArrived {
-	header := &ctx.Request.Header
-	arrival := core.RequestArrived{
-		Request: config.Request{
-			Method: string(header.Method()),
-			Host:   string(header.Host()),
-			Path:   string(ctx.Path()),
-		},
-		BodyBytes: int64(header.ContentLength()),
-	}
-	for _, name := range view.HeaderNames {
-		if value := header.Peek(name); value != nil {
-			arrival.Request.Headers = append(arrival.Request.Headers, config.Header{Name: name, Value: string(value)})
-		}
-	}
-	arrival.Depth, _ = strconv.Atoi(string(header.Peek(backend.HeaderDepth)))
-	if ms, err := strconv.Atoi(string(header.Peek(backend.HeaderTimeout))); err == nil && ms > 0 {
-		arrival.Timeout = time.Duration(ms) * time.Millisecond
-	}
-	arrival.BodyKept = keepBody(ctx)
-	return arrival
+// libraryLog passes the messages of fasthttp on.
+type libraryLog struct {
+	log log.Interface
 }
 
-// keepBody reads a short body whole, so that it can be sent again.
-func keepBody(ctx *fasthttp.RequestCtx) bool {
-	if !ctx.Request.IsBodyStream() {
-		return true
-	}
-	length := ctx.Request.Header.ContentLength()
-	if length < 0 || length > keptBodyBytes {
-		return false
-	}
-	ctx.Request.Body()
-	return true
+func (l libraryLog) Printf(format string, args ...any) {
+	l.log.WithField("library", "fasthttp").Warn(fmt.Sprintf(format, args...))
 }
 
-// follow carries out the commands for one request until its answer is known.
-func (s *Server) follow(ctx *fasthttp.RequestCtx, ticket *runtime.Ticket) {
-	var exchange *backend.Exchange
-	for command := range ticket.Commands {
-		switch c := command.(type) {
-		case core.StartAttempt:
-			exchange = s.attempt(ctx, ticket, c)
-		case core.PassAnswer:
-			s.pass(ctx, c, exchange)
-			return
-		case core.Refuse:
-			writeRefusal(ctx, c)
-			return
-		case core.Fail:
-			writeFailure(ctx, c)
-			return
-		}
-	}
-}
-
-func (s *Server) attempt(ctx *fasthttp.RequestCtx, ticket *runtime.Ticket, command core.StartAttempt) *backend.Exchange {
-	x := s.pool.Do(context.Background(), s.loop, command, &ctx.Request, ticket)
-	if x.Streaming {
-		s.loop.Send(core.AnswerBegun{Attempt: command.Attempt, Facts: x.Facts})
-	} else {
-		s.loop.Send(core.AttemptFinished{Attempt: command.Attempt, Facts: x.Facts})
-	}
-	return x
-}
-
-// pass hands the answer to the caller's connection. The response object is
-// fasthttp's; only its own fields are written before the handler returns.
-func (s *Server) pass(ctx *fasthttp.RequestCtx, command core.PassAnswer, x *backend.Exchange) {
-	copyHeader(&ctx.Response, &x.Response)
-	ctx.Response.Header.Set(backend.HeaderUpstream, command.Upstream)
-	if !x.Streaming {
-		ctx.Response.SkipBody = x.Response.SkipBody
-		ctx.Response.SetBodyRaw(x.Response.Body())
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	c := ctx.Conn().(*conn)
+	x := &call{server: s, ctx: ctx, conn: c}
+	defer x.end()
+	defer x.recover()
+	arrival, err := readArrival(&ctx.Request.Header, ctx.Path(), s.loop.View().HeaderNames)
+	if err != nil {
+		ctx.SetConnectionClose()
+		refuseMalformed(ctx, err)
 		return
 	}
-	body := x.Body(func(facts outcome.Facts, whole bool) {
-		s.loop.Send(core.AnswerDelivered{Attempt: command.Attempt, Whole: whole, Facts: facts})
-	})
-	ctx.Response.SetBodyStream(body, max(-1, x.Response.Header.ContentLength()))
-}
-
-func copyHeader(to, from *fasthttp.Response) {
-	closing := to.Header.ConnectionClose()
-	from.Header.CopyTo(&to.Header)
-	for _, name := range []string{"Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade"} {
-		to.Header.Del(name)
-	}
-	to.Header.ResetConnectionClose()
-	if closing {
-		to.SetConnectionClose()
+	x.request = requests.Get().(*backend.Request)
+	if err := prepare(x.request, ctx, c); err != nil {
+		ctx.SetConnectionClose()
+		refuseMalformed(ctx, err)
+		return
 	}
+	arrival.BodyKept = x.request.Stream == nil
+	x.submit(arrival)
 }
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -37,6 +37,8 @@
 		h.group.Go(func() error { h.readPart(e); return nil })
 	case core.ReadHostList:
 		h.group.Go(func() error { h.readHostList(); return nil })
+	case core.StartProbe:
+		h.group.Go(func() error { h.probe(e); return nil })
 	case core.StopAccepting:
 		h.callerListener.Close()
 	case core.ReportStatus:
@@ -136,6 +138,11 @@
 	}
 }
 
+func (h *Host) probe(e core.StartProbe) {
+	facts, took := h.pool.Probe(h.ctx, h.loop, e)
+	h.loop.Send(core.ProbeFinished{Service: e.Service, Upstream: e.Upstream, Facts: facts, Took: took})
+}
+
 func (h *Host) platformFailed(key string, err error) {
 	if h.ctx.Err() != nil {
 		return
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -57,7 +57,7 @@
 		statuses: make(map[uint64]chan core.Status),
 	}
 	h.loop = runtime.NewLoop(h)
-	h.caller = caller.NewServer(h.loop, h.pool)
+	h.caller = caller.NewServer(h.loop, h.pool, h.log)
 	h.admin = admin.NewServer(h, h.metrics)
 	var err error
 	if h.callerListener, err = net.Listen("tcp", s.Listen); err != nil {
@@ -102,13 +102,28 @@
 	h.group.Go(func() error {
 		defer cancel()
 		err := h.loop.Run(h.ctx)
-		h.callerListener.Close()
+		h.finishCallers()
 		h.admin.Close()
 		return err
 	})
 	return h.group.Wait()
 }
 
+// finishCallers waits until the last bytes of every answer are written: the
+// reducer counts an answer as delivered once its connection has taken it.
+func (h *Host) finishCallers() {
+	ctx := h.ctx
+	if limit := time.Duration(h.settings.StopTimeout); limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, limit)
+		defer cancel()
+	}
+	if err := h.caller.Shutdown(ctx); err != nil && !isClosed(err) {
+		h.log.WithError(err).Warn("connections of callers were still open at the end")
+	}
+	h.callerListener.Close()
+}
+
 func (h *Host) serveCallers() error {
 	err := h.caller.Serve(h.callerListener)
 	if isClosed(err) {
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -4,18 +4,19 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
 	"wisteriapond/core"
 )
 
-// mailboxLimit bounds the events that wait when a request arrives. At the
-// limit the request is refused as not run.
-const mailboxLimit = 65536
+// maxNumber is above the number of any attempt.
+const maxNumber = math.MaxInt
 
 // Handler carries out the effects that do not belong to one request. Its
-// methods run on the control goroutine and must not block.
+// methods run on the control goroutine and must not block; in particular they
+// must not call Send.
 type Handler interface {
 	Handle(effect core.Effect)
 }
@@ -32,7 +33,8 @@
 	view    atomic.Pointer[core.View]
 	ready   atomic.Bool
 	timer   *time.Timer
-	wakeAt  core.Instant
+	wakes   wakes
+	tickAt  core.Instant
 	done    chan struct{}
 }
 
@@ -47,6 +49,7 @@
 		timer:   time.NewTimer(core.TickInterval),
 		done:    make(chan struct{}),
 	}
+	l.tickAt = l.Now().Add(core.TickInterval)
 	l.view.Store(&core.View{})
 	return l
 }
@@ -70,17 +73,18 @@
 // Done is closed when the reducer has asked for the end of the process.
 func (l *Loop) Done() <-chan struct{} { return l.done }
 
-// Send queues an event.
+// Send queues an event. It waits while the mailbox is full.
 func (l *Loop) Send(event core.Event) {
-	l.mailbox.put(item{event: event}, 0)
+	l.mailbox.put(item{event: event})
 }
 
 // Submit queues the arrival of a request and returns its ticket, or nil when
-// the process is overloaded.
+// the process is overloaded or has ended. A ticket gets exactly one command
+// that ends the request, or its channel is closed.
 func (l *Loop) Submit(arrival core.RequestArrived) *Ticket {
 	arrival.ID = core.RequestID(l.nextID.Add(1))
-	ticket := &Ticket{ID: arrival.ID, Commands: make(chan core.Effect, 1)}
-	if !l.mailbox.put(item{event: arrival, ticket: ticket}, mailboxLimit) {
+	ticket := newTicket(arrival.ID)
+	if !l.mailbox.arrive(item{event: arrival, ticket: ticket}) {
 		return nil
 	}
 	return ticket
@@ -88,6 +92,7 @@
 
 // Run applies events until ctx is done or the reducer emits Exit.
 func (l *Loop) Run(ctx context.Context) error {
+	defer l.end()
 	defer l.timer.Stop()
 	var batch []item
 	for {
@@ -99,19 +104,39 @@
 		case <-l.mailbox.wake:
 			batch = l.mailbox.take(batch)
 			for _, i := range batch {
+				l.tickWhenDue()
 				l.apply(i)
 			}
 		case <-l.timer.C:
-			l.resetTimer(l.Now().Add(core.TickInterval))
-			l.apply(item{event: core.Tick{}})
+			l.tickWhenDue()
 		}
+		l.setTimer()
 	}
 }
 
+// tickWhenDue applies a Tick whose time has come. It runs before every other
+// event, so that after a pause the reducer learns of the pause first.
+func (l *Loop) tickWhenDue() {
+	now := l.Now()
+	if now < l.wakes.next(l.tickAt) {
+		return
+	}
+	l.wakes.passed(now)
+	l.tickAt = now.Add(core.TickInterval)
+	l.apply(item{event: core.Tick{}})
+}
+
+func (l *Loop) setTimer() {
+	l.timer.Reset(max(0, l.wakes.next(l.tickAt).Sub(l.Now())))
+}
+
 func (l *Loop) apply(i item) {
 	if i.ticket != nil {
 		l.tickets[i.ticket.ID] = i.ticket
 	}
+	if begun, ok := i.event.(core.AnswerBegun); ok {
+		l.setStreaming(begun.Attempt.Request, true)
+	}
 	l.state.Step(l.Now(), i.event, &l.effects)
 	for _, effect := range l.effects.All() {
 		l.carryOut(effect)
@@ -122,12 +147,19 @@
 	}
 }
 
+func (l *Loop) setStreaming(id core.RequestID, streaming bool) {
+	if ticket := l.tickets[id]; ticket != nil {
+		ticket.streaming = streaming
+	}
+}
+
 func (l *Loop) carryOut(effect core.Effect) {
 	switch e := effect.(type) {
 	case core.StartAttempt:
+		l.setStreaming(e.Attempt.Request, false)
 		l.command(e.Attempt.Request, e)
 	case core.PassAnswer:
-		l.command(e.Attempt.Request, e)
+		l.pass(e)
 	case core.Refuse:
 		l.command(e.Request, e)
 		delete(l.tickets, e.Request)
@@ -140,12 +172,10 @@
 		}
 	case core.SetTransferRate:
 		if ticket := l.tickets[e.Attempt.Request]; ticket != nil {
-			ticket.changeRate(e.Rate)
+			ticket.changeRate(e.Attempt.Number, e.Rate)
 		}
 	case core.WakeAt:
-		if e.At < l.wakeAt {
-			l.resetTimer(e.At)
-		}
+		l.wakes.add(e.At)
 	case core.PublishView:
 		l.view.Store(&e.View)
 	case core.SetReady:
@@ -158,15 +188,31 @@
 	}
 }
 
-func (l *Loop) command(id core.RequestID, effect core.Effect) {
-	if ticket := l.tickets[id]; ticket != nil {
-		ticket.Commands <- effect
+// pass hands an answer on. A held answer ends the request; a streamed one
+// ends with AnswerDelivered, until when it can be cancelled and paced.
+func (l *Loop) pass(e core.PassAnswer) {
+	id := e.Attempt.Request
+	l.command(id, e)
+	if ticket := l.tickets[id]; ticket != nil && !ticket.streaming {
+		delete(l.tickets, id)
 	}
 }
 
-func (l *Loop) resetTimer(at core.Instant) {
-	l.wakeAt = at
-	l.timer.Reset(max(0, at.Sub(l.Now())))
+// command hands a command to the request's traffic goroutine. The goroutine
+// has taken the one before, since the reducer waits for its result; a second
+// one would block the control goroutine, so the request is given up instead.
+func (l *Loop) command(id core.RequestID, effect core.Effect) {
+	ticket := l.tickets[id]
+	if ticket == nil {
+		return
+	}
+	select {
+	case ticket.Commands <- effect:
+	default:
+		delete(l.tickets, id)
+		ticket.abandon()
+		l.handler.Handle(core.Log{Level: core.LogError, Message: "two commands at once for one request"})
+	}
 }
 
 func (l *Loop) exit() {
@@ -176,3 +222,17 @@
 		close(l.done)
 	}
 }
+
+// end releases the traffic goroutines whose requests are not over.
+func (l *Loop) end() {
+	l.exit()
+	for _, i := range l.mailbox.close() {
+		if i.ticket != nil {
+			i.ticket.abandon()
+		}
+	}
+	for _, ticket := range l.tickets {
+		ticket.abandon()
+	}
+	clear(l.tickets)
+}
--- a/runtime/mailbox.go
+++ b/runtime/mailbox.go
@@ -6,6 +6,16 @@
 	"wisteriapond/core"
 )
 
+const (
+	// arrivalLimit bounds the events that wait when a request arrives. At the
+	// limit the request is refused as not run.
+	arrivalLimit = 1 << 16
+	// eventLimit bounds the events that wait in all. At the limit their
+	// senders wait. It is above arrivalLimit, so that the ends of requests
+	// still get in when arrivals do not.
+	eventLimit = 1 << 18
+)
+
 // item is an event on its way to the control goroutine. The ticket is set for
 // events that begin a request.
 type item struct {
@@ -13,34 +23,61 @@
 	ticket *Ticket
 }
 
-// mailbox is a queue of events with many writers and one reader.
+// mailbox is a bounded queue of events with many writers and one reader.
 type mailbox struct {
-	mu    sync.Mutex
-	items []item
+	mu     sync.Mutex
+	room   *sync.Cond
+	items  []item
+	closed bool
 	// wake holds one token while items is not empty, so that the reader blocks
 	// on a channel and never spins.
 	wake chan struct{}
 }
 
 func newMailbox() *mailbox {
-	return &mailbox{wake: make(chan struct{}, 1)}
+	m := &mailbox{wake: make(chan struct{}, 1)}
+	m.room = sync.NewCond(&m.mu)
+	return m
 }
 
-// put appends an item. It reports false when the mailbox already holds limit
-// items; limit 0 means no limit.
-func (m *mailbox) put(i item, limit int) bool {
+// arrive appends the arrival of a request. It reports false when the mailbox
+// is full or closed.
+func (m *mailbox) arrive(i item) bool {
 	m.mu.Lock()
-	if limit > 0 && len(m.items) >= limit {
+	if m.closed || len(m.items) >= arrivalLimit {
 		m.mu.Unlock()
 		return false
 	}
+	m.append(i)
+	return true
+}
+
+// put appends an item and waits for room when there is none. After close it
+// drops the item.
+func (m *mailbox) put(i item) {
+	m.mu.Lock()
+	for len(m.items) >= eventLimit && !m.closed {
+		m.room.Wait()
+	}
+	if m.closed {
+		m.mu.Unlock()
+		return
+	}
+	m.append(i)
+}
+
+// append adds an item and unlocks the mailbox.
+func (m *mailbox) append(i item) {
 	m.items = append(m.items, i)
+	first := len(m.items) == 1
 	m.mu.Unlock()
+	if !first {
+		return
+	}
 	select {
 	case m.wake <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // take swaps the queued items against an empty buffer.
@@ -50,5 +87,17 @@
 	defer m.mu.Unlock()
 	items := m.items
 	m.items = buffer[:0]
+	m.room.Broadcast()
+	return items
+}
+
+// close lets no further items in and returns those that wait.
+func (m *mailbox) close() []item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.closed = true
+	m.room.Broadcast()
+	items := m.items
+	m.items = nil
 	return items
 }
--- a/runtime/ticket.go
+++ b/runtime/ticket.go
@@ -6,50 +6,82 @@
 	"wisteriapond/core"
 )
 
+// Attempt is what the control goroutine can do to an attempt under way. Its
+// methods must not block.
+type Attempt interface {
+	// Cancel ends the attempt by closing its connection.
+	Cancel()
+	// SetRate changes the pacing of a long answer, in bytes per second; 0
+	// means no pacing.
+	SetRate(bytesPerSecond int64)
+}
+
 // Ticket connects a request's traffic goroutine with the control goroutine.
 type Ticket struct {
 	ID core.RequestID
 	// Commands carries StartAttempt, PassAnswer, Refuse and Fail effects. At
 	// most one command is outstanding, so the control goroutine never blocks.
+	// It is closed when the loop ended before the request did.
 	Commands chan core.Effect
 
+	// streaming belongs to the control goroutine. It is set while an answer
+	// is passed on as it comes in, so that its ticket outlives PassAnswer.
+	streaming bool
+
 	mu       sync.Mutex
-	cancel   func()
-	setRate  func(int64)
+	attempt  Attempt
+	number   int
 	canceled int
+	rate     int64
+	rateOf   int
 }
 
-// OnCancel sets what ends the attempt with the given number. When that attempt
-// was already cancelled, cancel runs at once.
-func (t *Ticket) OnCancel(number int, cancel func()) {
+func newTicket(id core.RequestID) *Ticket {
+	return &Ticket{ID: id, Commands: make(chan core.Effect, 1)}
+}
+
+// Attach names the attempt under way. A cancel or a rate that came before
+// takes effect at once.
+func (t *Ticket) Attach(number int, attempt Attempt) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.cancel = cancel
-	if t.canceled >= number && cancel != nil {
-		cancel()
+	t.number = number
+	t.attempt = attempt
+	if t.rateOf == number {
+		attempt.SetRate(t.rate)
+	}
+	if t.canceled >= number {
+		attempt.Cancel()
 	}
 }
 
-// OnRate sets what changes the pacing of the answer under way.
-func (t *Ticket) OnRate(setRate func(int64)) {
+func (t *Ticket) cancelAttempt(number int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.setRate = setRate
+	t.canceled = max(t.canceled, number)
+	if t.attempt != nil && t.number <= number {
+		t.attempt.Cancel()
+	}
 }
 
-func (t *Ticket) cancelAttempt(number int) {
+func (t *Ticket) changeRate(number int, rate int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.canceled = max(t.canceled, number)
-	if t.cancel != nil {
-		t.cancel()
+	t.rateOf = number
+	t.rate = rate
+	if t.attempt != nil && t.number == number {
+		t.attempt.SetRate(rate)
 	}
 }
 
-func (t *Ticket) changeRate(rate int64) {
+// abandon ends a request that the reducer can no longer end.
+func (t *Ticket) abandon() {
+	close(t.Commands)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.setRate != nil {
-		t.setRate(rate)
+	if t.attempt != nil {
+		t.attempt.Cancel()
 	}
+	// An attempt that starts from now on is cancelled by Attach.
+	t.canceled = maxNumber
 }
