backend: test attempts against raw servers

Cause: nothing checked the facts that decide between not run and unknown.

Change: tests on loopback sockets for truncated, malformed and early answers, pooling, limits, pacing, cancels, probes and streamed request bodies; fuzz targets for timeout, depth and Retry-After. A chunked body that ended within its trailer was classified as malformed and is now truncated.

--- /dev/null
+++ b/backend/body_test.go
@@ -0,0 +1,180 @@
+package backend_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/backend"
+	"wisteriapond/core"
+	"wisteriapond/outcome"
+)
+
+// long is a body beyond the hold limit.
+var long = strings.Repeat("archive ", core.HoldBytes/4)
+
+type delivery struct {
+	facts outcome.Facts
+	whole bool
+}
+
+// drain reads a streamed answer to its end, like the server does.
+func drain(x *backend.Exchange) (body []byte, end delivery, err error) {
+	GinkgoHelper()
+	Expect(x.Streaming).To(BeTrue())
+	ends := make(chan delivery, 2)
+	stream := x.Body(func(facts outcome.Facts, whole bool) { ends <- delivery{facts, whole} })
+	body, err = io.ReadAll(stream)
+	stream.CloseWithError(err)
+	stream.CloseWithError(err)
+	Expect(ends).To(HaveLen(1))
+	return body, <-ends, err
+}
+
+func chunked(body string) string {
+	return fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(body), body)
+}
+
+var _ = Describe("a long answer", func() {
+	// Guards against loss at the border between held and streamed bytes.
+	DescribeTable("is streamed whole",
+		func(raw string) {
+			s := answeringOnce(ok + raw)
+			b := newBench()
+			body, end, err := drain(b.run(b.command(s.address()), get()))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(bytes.Equal(body, []byte(long))).To(BeTrue())
+			Expect(end.whole).To(BeTrue())
+			Expect(end.facts.Bytes).To(BeEquivalentTo(len(long)))
+		},
+		Entry("with its length", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long)),
+		Entry("in chunks", chunked(long)+"0\r\n\r\n"),
+		Entry("that ends with the connection", "\r\n"+long),
+	)
+
+	// Guards against a broken download that looks complete.
+	DescribeTable("breaks",
+		func(raw string) {
+			s := answeringOnce(ok + raw)
+			b := newBench()
+			_, end, err := drain(b.run(b.command(s.address()), get()))
+			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
+			Expect(end.whole).To(BeFalse())
+			Expect(end.facts.Cause).To(Equal(outcome.CauseTruncated))
+			Expect(b.pool.Open(s.address())).To(BeZero())
+		},
+		Entry("before its length", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long)+1, long)),
+		Entry("before its last chunk", chunked(long)),
+	)
+
+	// Guards against an attempt that nobody ends when the caller breaks off.
+	It("ends not whole when passing it on failed", func() {
+		s := answeringOnce(ok + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long))
+		b := newBench()
+		x := b.run(b.command(s.address()), get())
+		ends := make(chan delivery, 1)
+		stream := x.Body(func(facts outcome.Facts, whole bool) { ends <- delivery{facts, whole} })
+		_, err := stream.Read(make([]byte, 100))
+		Expect(err).NotTo(HaveOccurred())
+		stream.CloseWithError(errors.New("caller gone"))
+		end := <-ends
+		Expect(end.whole).To(BeFalse())
+		Expect(end.facts.Cause).To(Equal(outcome.CauseCanceled))
+		Expect(b.pool.Open(s.address())).To(BeZero())
+	})
+
+	// Guards against a download that outlives its cancel, also while it waits
+	// for its pace.
+	It("ends when it is cancelled under a slow pace", func() {
+		s := answeringOnce(ok + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long))
+		b := newBench()
+		command := b.command(s.address())
+		command.Rate = 1
+		x := b.run(command, get())
+		ended := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(ended)
+			_, end, err := drain(x)
+			Expect(err).To(HaveOccurred())
+			Expect(end.facts.Cause).To(Equal(outcome.CauseCanceled))
+		}()
+		Consistently(ended, 100*time.Millisecond).ShouldNot(BeClosed())
+		x.Cancel()
+		Eventually(ended).WithTimeout(patience).Should(BeClosed())
+	})
+
+	// Guards against a pace that cannot be lifted while a read waits for it.
+	It("goes on at once when its pace is lifted", func() {
+		s := answeringOnce(ok + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long))
+		b := newBench()
+		command := b.command(s.address())
+		command.Rate = 1
+		x := b.run(command, get())
+		ended := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(ended)
+			_, end, err := drain(x)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(end.whole).To(BeTrue())
+		}()
+		Consistently(ended, 100*time.Millisecond).ShouldNot(BeClosed())
+		x.SetRate(0)
+		Eventually(ended).WithTimeout(patience).Should(BeClosed())
+	})
+})
+
+var _ = Describe("a streamed request body", func() {
+	// Guards against sending a request with a part of its body.
+	It("cannot be sent twice", func() {
+		s := answering(empty)
+		b := newBench()
+		request := upload(strings.NewReader(long), int64(len(long)), func() {})
+		first := b.run(b.command(s.address()), request)
+		Expect(first.Facts.Cause).To(Equal(outcome.CauseNone))
+		Expect(first.Facts.BodyTaken).To(BeTrue())
+		second := b.run(b.command(s.address()), request)
+		Expect(second.Facts.Cause).To(Equal(outcome.CauseRequestBody))
+		Expect(second.Facts.Wrote).To(BeFalse())
+		Expect(s.requests()).To(HaveLen(1))
+	})
+
+	// Guards against blaming the backend server for a caller that hung up.
+	It("that breaks off is reported as such", func() {
+		s := serve(func(s *fakeServer, c *peer, _ int64) { s.readRequest(c) })
+		b := newBench()
+		broken := io.MultiReader(strings.NewReader(long), errorReader{})
+		x := b.run(b.command(s.address()), upload(broken, int64(2*len(long)), func() {}))
+		Expect(x.Facts.Cause).To(Equal(outcome.CauseRequestBody))
+		Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.Unknown))
+		Expect(b.pool.Open(s.address())).To(BeZero())
+	})
+
+	// Guards against a dead wait when the server answers without reading.
+	It("is given up after an early answer, with its connection", func() {
+		s := serve(func(_ *fakeServer, c *peer, _ int64) {
+			c.readHead()
+			io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nlarge")
+			c.reader.ReadByte()
+			time.Sleep(50 * time.Millisecond)
+		})
+		b := newBench()
+		reader, writer := io.Pipe()
+		x := b.run(b.command(s.address()), upload(reader, 1<<30, func() { writer.CloseWithError(io.ErrClosedPipe) }))
+		Expect(x.Facts.Status).To(Equal(413))
+		Expect(x.Facts.Cause).To(Equal(outcome.CauseNone))
+		Expect(string(x.Held())).To(Equal("large"))
+		Expect(b.pool.Open(s.address())).To(BeZero())
+	})
+})
+
+type errorReader struct{}
+
+func (errorReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/backend/errors.go
+++ b/backend/errors.go
@@ -117,12 +117,19 @@
 
 // bodyError classifies an error from reading the body of an answer.
 func bodyError(err error) error {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetwork(err) {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetwork(err) || endsInTrailer(err) {
 		return &TruncatedError{Err: err}
 	}
 	return &MalformedError{Err: err}
 }
 
+// endsInTrailer reports whether a chunked body ended after its last chunk,
+// within the trailer. fasthttp wraps that end of file without Unwrap.
+func endsInTrailer(err error) bool {
+	var broken fasthttp.ErrBrokenChunk
+	return errors.As(err, &broken) && broken.Error() == io.ErrUnexpectedEOF.Error()
+}
+
 func isNetwork(err error) bool {
 	var network *net.OpError
 	var number syscall.Errno
--- /dev/null
+++ b/backend/fuzz_test.go
@@ -0,0 +1,62 @@
+package backend_test
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"wisteriapond/backend"
+)
+
+// Guards against values that wrap around, pass the bounds or crash the parser.
+func FuzzTimeout(f *testing.F) {
+	for _, seed := range []string{"", "0", "1", "250", "86400000", "86400001", "-1", "+1", " 1", "1e3", "99999999999999999999"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		d, ok := backend.ParseTimeout([]byte(value))
+		if ok && (d < time.Millisecond || d > 24*time.Hour) {
+			t.Fatalf("%q gives %v", value, d)
+		}
+		if n, err := strconv.ParseUint(value, 10, 64); ok && (err != nil || time.Duration(n)*time.Millisecond != d) {
+			t.Fatalf("%q gives %v", value, d)
+		}
+	})
+}
+
+func FuzzDepth(f *testing.F) {
+	for _, seed := range []string{"", "0", "15", "16", "-1", "0x1", "1000001", "99999999999999999999"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		n, ok := backend.ParseDepth([]byte(value))
+		if m, err := strconv.ParseUint(value, 10, 64); ok && (err != nil || int(m) != n) {
+			t.Fatalf("%q gives %d", value, n)
+		}
+	})
+}
+
+func FuzzRetryAfter(f *testing.F) {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	for _, seed := range []string{"", "0", "2", "-2", "999999999999999999999", "Sun, 01 Mar 2026 12:00:30 GMT", "Sun, 01 Mar 2020 12:00:30 GMT", "soon"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, value string) {
+		d := backend.ParseRetryAfter([]byte(value), now)
+		if d < 0 || d > time.Hour {
+			t.Fatalf("%q gives %v", value, d)
+		}
+	})
+}
+
+// Guards against reading a date as no wait.
+func TestRetryAfterDate(t *testing.T) {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	date := now.Add(30 * time.Second).Format(http.TimeFormat)
+	for value, want := range map[string]time.Duration{date: 30 * time.Second, "7": 7 * time.Second, "x": 0, " 3 ": 3 * time.Second} {
+		if got := backend.ParseRetryAfter([]byte(value), now); got != want {
+			t.Errorf("%q gives %v, want %v", value, got, want)
+		}
+	}
+}
