caller: test requests and answers, copy heads field by field

Cause: the first raw tests of the caller's side showed that deleting from a copied head changes the order of repeated headers (X-Forwarded-For came out reversed), that trailers reappeared as a Trailer header, and that answers without a content type got one.

Change: heads are built by adding what passes, in order. The date of an answer is that of the entry host, since fasthttp sends no other.

--- a/backend/answer.go
+++ b/backend/answer.go
@@ -27,8 +27,6 @@
 	}
 	readFacts(&r.Header, x.command.NotRun, &x.Facts)
 	x.reusable = !r.ConnectionClose()
-	// The trailers come with the body, and must not be taken for headers.
-	StripResponse(&r.Header)
 	stream := r.BodyStream()
 	if stream == nil {
 		return nil
@@ -83,22 +81,8 @@
 	}
 }
 
-// CopyHead adds the head of the answer to an empty one, without the headers
-// and trailers that must not pass. Copying field by field keeps the settings
-// of the target, such as that it gets no date of its own.
-func (x *Exchange) CopyHead(to *fasthttp.ResponseHeader) {
-	from := &x.response.Header
-	to.SetStatusCode(from.StatusCode())
-	if message := from.StatusMessage(); len(message) > 0 {
-		to.SetStatusMessage(message)
-	}
-	for key, value := range from.All() {
-		to.AddBytesKV(key, value)
-	}
-	if from.ContentLength() == chunkedLength {
-		to.SetContentLength(chunkedLength)
-	}
-}
+// CopyHead adds the head of the answer to an empty one.
+func (x *Exchange) CopyHead(to *fasthttp.ResponseHeader) { CopyResponse(to, &x.response.Header) }
 
 // Held returns the body of an answer that is held.
 func (x *Exchange) Held() []byte { return x.begin }
--- a/backend/headers.go
+++ b/backend/headers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"iter"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -25,86 +26,87 @@
 // hopByHop are the headers that belong to one connection.
 var hopByHop = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Upgrade",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// framing are the headers that a Connection header must not remove: without
+// essential are the headers that a Connection header must not remove: without
 // them the message would mean something else.
-var framing = []string{"Host", "Content-Length", "Content-Type", "Transfer-Encoding"}
+var essential = []string{"Host", "Content-Length", "Content-Type", "Content-Encoding"}
 
 // header is what the request and response headers of fasthttp share.
 type header interface {
-	Del(key string)
+	All() iter.Seq2[[]byte, []byte]
 	PeekAll(key string) [][]byte
+	AddBytesKV(key, value []byte)
 }
 
-// StripRequest removes what must not pass from a caller to a backend server:
-// headers of the caller's connection and every reserved header.
-func StripRequest(h *fasthttp.RequestHeader) {
-	var reserved []string
-	for key := range h.All() {
-		if isReserved(key) {
-			reserved = append(reserved, string(key))
-		}
-	}
-	deleteAll(h, reserved)
-	stripConnection(h)
-	h.Del("Expect")
-	h.ResetConnectionClose()
+// CopyRequest adds what passes from a caller to a backend server to an empty
+// head: no headers of the caller's connection and no reserved ones. The
+// framing of the body is left to the caller of CopyRequest.
+func CopyRequest(to, from *fasthttp.RequestHeader) {
+	to.SetNoDefaultContentType(true)
+	to.SetMethodBytes(from.Method())
+	to.SetRequestURIBytes(from.RequestURI())
+	copyFields(to, from, func(key []byte) bool {
+		return !isReserved(key) && !is(key, "Expect") && !is(key, "Content-Length")
+	})
 }
 
-// StripResponse removes what must not pass from a backend server to a caller.
-// The mark of a lower layer that gave up is kept, so that layers above do not
-// retry.
-func StripResponse(h *fasthttp.ResponseHeader) {
-	var reserved []string
-	for key := range h.All() {
-		if isReserved(key) && !strings.EqualFold(string(key), HeaderGaveUp) {
-			reserved = append(reserved, string(key))
-		}
+// CopyResponse adds what passes from a backend server to a caller to an empty
+// head. The mark of a lower layer that gave up is kept, so that layers above
+// do not retry. The date is left to the server, since fasthttp passes none on.
+func CopyResponse(to, from *fasthttp.ResponseHeader) {
+	from.SetNoDefaultContentType(true)
+	to.SetStatusCode(from.StatusCode())
+	if message := from.StatusMessage(); len(message) > 0 {
+		to.SetStatusMessage(message)
+	}
+	copyFields(to, from, func(key []byte) bool {
+		return !isReserved(key) || is(key, HeaderGaveUp)
+	})
+	if from.ContentLength() == chunkedLength {
+		to.SetContentLength(chunkedLength)
 	}
-	deleteAll(h, reserved)
-	stripConnection(h)
-	h.ResetConnectionClose()
 }
 
-// stripConnection removes the headers of one connection, also those that a
-// Connection header names.
-func stripConnection(h header) {
-	for _, name := range connectionOptions(h) {
-		h.Del(name)
+// copyFields copies field by field: deleting from a copy would change the
+// order of repeated headers.
+func copyFields(to, from header, passes func(key []byte) bool) {
+	options := connectionOptions(from)
+	for key, value := range from.All() {
+		if passes(key) && !isAny(key, hopByHop) && !isAny(key, options) {
+			to.AddBytesKV(key, value)
+		}
 	}
-	deleteAll(h, hopByHop)
 }
 
+// connectionOptions returns the headers that a Connection header names.
 func connectionOptions(h header) []string {
 	var names []string
 	for _, value := range h.PeekAll("Connection") {
 		for option := range bytes.SplitSeq(value, []byte{','}) {
-			name := string(bytes.TrimSpace(option))
-			if name != "" && !isFraming(name) {
-				names = append(names, name)
+			if name := bytes.TrimSpace(option); len(name) > 0 && !isAny(name, essential) {
+				names = append(names, string(name))
 			}
 		}
 	}
 	return names
 }
 
-func isFraming(name string) bool {
-	for _, kept := range framing {
-		if strings.EqualFold(name, kept) {
+func isReserved(key []byte) bool {
+	return len(key) >= len(reservedPrefix) && is(key[:len(reservedPrefix)], reservedPrefix)
+}
+
+func isAny(key []byte, names []string) bool {
+	for _, name := range names {
+		if is(key, name) {
 			return true
 		}
 	}
 	return false
 }
 
-func isReserved(key []byte) bool {
-	return len(key) >= len(reservedPrefix) && strings.EqualFold(string(key[:len(reservedPrefix)]), reservedPrefix)
-}
-
-func deleteAll(h header, names []string) {
-	for _, name := range names {
-		h.Del(name)
-	}
+// is compares header names without regard to case.
+func is(key []byte, name string) bool {
+	return len(key) == len(name) && strings.EqualFold(string(key), name)
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -103,10 +103,7 @@
 // prepare fills in the request as it goes to backend servers.
 func prepare(r *backend.Request, ctx *fasthttp.RequestCtx, c *conn) error {
 	h := &r.Header
-	ctx.Request.Header.CopyTo(h)
-	h.SetNoDefaultContentType(true)
-	h.SetProtocol("HTTP/1.1")
-	backend.StripRequest(h)
+	backend.CopyRequest(h, &ctx.Request.Header)
 	if target := h.RequestURI(); len(target) > 0 && target[0] != '/' && target[0] != '*' {
 		h.SetRequestURIBytes(ctx.URI().RequestURI())
 	}
@@ -127,6 +124,9 @@
 func readBody(r *backend.Request, ctx *fasthttp.RequestCtx, c *conn) error {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
+		if h := &ctx.Request.Header; !h.IsGet() && !h.IsHead() {
+			r.Header.SetContentLength(0)
+		}
 		return nil
 	}
 	length := int64(ctx.Request.Header.ContentLength())
@@ -159,6 +159,7 @@
 }
 
 func streamBody(r *backend.Request, c *conn, stream io.Reader, length int64) error {
+	r.Header.SetContentLength(int(length))
 	r.Stream = &bodyStream{Reader: stream, conn: c}
 	r.Length = length
 	r.StopStream = c.stopReading
--- /dev/null
+++ b/caller/request_test.go
@@ -0,0 +1,169 @@
+package caller_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+const (
+	plain = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nurns"
+	lead  = "GET /a HTTP/1.1\r\nHost: h\r\n"
+	order = "POST /a HTTP/1.1\r\nHost: h\r\n"
+)
+
+// Guards against requests that two servers would read differently, and against
+// refusals that a program cannot tell from the backend server's answers.
+var _ = DescribeTable("a malformed request is refused before any backend server sees it",
+	func(raw string, status int, reason string) {
+		s := answering(plain)
+		sys := start(service(s.address()))
+		response, body := sys.ask(raw)
+		Expect(response.StatusCode).To(Equal(status))
+		Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("not-run"))
+		Expect(response.Header.Get("Wisteriapond-Reason")).To(Equal(reason))
+		Expect(response.Header.Get("Content-Type")).To(Equal("application/json"))
+		Expect(response.Close).To(BeTrue())
+		Expect(body).To(MatchRegexp(`^\{"outcome":"not-run","reason":"` + reason + `","message":".+"\}$`))
+		Expect(s.accepted.Load()).To(BeZero())
+	},
+	Entry("with length and coding", order+"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, "malformed"),
+	Entry("with coding and length", order+"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n", 400, "malformed"),
+	Entry("with two lengths", order+"Content-Length: 4\r\nContent-Length: 5\r\n\r\nurns!", 400, "malformed"),
+	Entry("with the same length twice", order+"Content-Length: 4\r\nContent-Length: 4\r\n\r\nurns", 400, "malformed"),
+	Entry("with a list of lengths", order+"Content-Length: 4, 4\r\n\r\nurns", 400, "malformed"),
+	Entry("with a signed length", order+"Content-Length: +4\r\n\r\nurns", 400, "malformed"),
+	Entry("with two codings", order+"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, "malformed"),
+	Entry("with an unknown coding", order+"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 400, "malformed"),
+	Entry("with the identity coding", order+"Transfer-Encoding: identity\r\nContent-Length: 4\r\n\r\nurns", 400, "malformed"),
+	Entry("with a space before the colon", order+"Content-Length : 4\r\n\r\nurns", 400, "malformed"),
+	Entry("with broken chunks", order+"Transfer-Encoding: chunked\r\n\r\nzz\r\nurns\r\n0\r\n\r\n", 400, "malformed"),
+	Entry("without a host", "GET /a HTTP/1.1\r\n\r\n", 400, "malformed"),
+	Entry("with two hosts", lead+"Host: other\r\n\r\n", 400, "malformed"),
+	Entry("with the method CONNECT", "CONNECT h:443 HTTP/1.1\r\nHost: h\r\n\r\n", 400, "malformed"),
+	Entry("with a bad timeout", lead+"Wisteriapond-Timeout: soon\r\n\r\n", 400, "malformed"),
+	Entry("with a timeout of zero", lead+"Wisteriapond-Timeout: 0\r\n\r\n", 400, "malformed"),
+	Entry("with two timeouts", lead+"Wisteriapond-Timeout: 5\r\nWisteriapond-Timeout: 6\r\n\r\n", 400, "malformed"),
+	Entry("with a negative depth", lead+"Wisteriapond-Depth: -1\r\n\r\n", 400, "malformed"),
+	Entry("with a head too large", lead+"X: "+strings.Repeat("x", 40<<10)+"\r\n\r\n", 431, "too_large"),
+)
+
+var _ = Describe("a request", func() {
+	// Guards against a call that is nested without end.
+	It("is refused when it is nested too deep", func() {
+		s := answering(plain)
+		sys := start(service(s.address()))
+		response, _ := sys.ask(lead + "Wisteriapond-Depth: 15\r\n\r\n")
+		Expect(response.StatusCode).To(Equal(503))
+		Expect(response.Header.Get("Wisteriapond-Reason")).To(Equal("depth"))
+	})
+
+	// Guards against headers that would let a caller speak for the system, and
+	// against headers of its connection that reach the backend server.
+	It("passes with its own headers only", func() {
+		seen := make(chan *http.Request, 1)
+		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
+			seen <- s.read(r)
+			io.WriteString(c, plain)
+		})
+		sys := start(service(s.address()))
+		sys.ask("GET /a//b/../c?x=%2f HTTP/1.1\r\nHost: gravure.example\r\nConnection: close, X-Hop, Host\r\nX-Hop: 1\r\n" +
+			"Te: trailers\r\nUpgrade: x\r\nKeep-Alive: 5\r\nWisteriapond-Upstream: forged\r\nWisteriapond-Depth: 3\r\n" +
+			"X-Forwarded-For: 192.0.2.1\r\nX-Forwarded-For: 192.0.2.2\r\nCookie: a=b; c\r\nX-Kept: 1\r\n\r\n")
+		var request *http.Request
+		Eventually(seen).WithTimeout(patience).Should(Receive(&request))
+		Expect(request.RequestURI).To(Equal("/a//b/../c?x=%2f"))
+		Expect(request.Host).To(Equal("gravure.example"))
+		Expect(request.Header.Get("Wisteriapond-Timeout")).NotTo(BeEmpty())
+		request.Header.Del("Wisteriapond-Timeout")
+		Expect(request.Header).To(Equal(http.Header{
+			"Wisteriapond-Depth": {"4"},
+			"X-Forwarded-For":    {"192.0.2.1, 192.0.2.2, 127.0.0.1"},
+			"Cookie":             {"a=b; c"},
+			"X-Kept":             {"1"},
+		}))
+	})
+
+	// Guards against a body that is changed on its way.
+	DescribeTable("passes its body",
+		func(head, body, want string) {
+			s := answering(plain)
+			sys := start(service(s.address()))
+			response, _ := sys.ask(order + head + "\r\n" + body)
+			Expect(response.StatusCode).To(Equal(200))
+			Expect(s.requests()).To(Equal([]string{"POST /a " + want}))
+		},
+		Entry("of known length", "Content-Length: 4\r\n", "urns", "urns"),
+		Entry("in chunks", "Transfer-Encoding: chunked\r\n", "2\r\nur\r\n2\r\nns\r\n0\r\n\r\n", "urns"),
+		Entry("in chunks with trailers", "Transfer-Encoding: chunked\r\nTrailer: X\r\n", "4\r\nurns\r\n0\r\nX: y\r\n\r\n", "urns"),
+		Entry("without bytes", "Content-Length: 0\r\n", "", ""),
+		Entry("without a length", "", "", ""),
+		Entry("as a form", "Content-Type: multipart/form-data; boundary=b\r\nContent-Length: 8\r\n", "no form!", "no form!"),
+		Entry("that is long", "Content-Length: 200000\r\n", strings.Repeat("urns", 50000), strings.Repeat("urns", 50000)),
+		Entry("that is long, in chunks", "Transfer-Encoding: chunked\r\n",
+			strings.Repeat("4e20\r\n"+strings.Repeat("urns", 5000)+"\r\n", 10)+"0\r\n\r\n", strings.Repeat("urns", 50000)),
+	)
+
+	// Guards against a caller that waits for a permission that never comes.
+	DescribeTable("waits for 100 Continue",
+		func(length string, body string) {
+			s := answering(plain)
+			sys := start(service(s.address()))
+			c := sys.dial()
+			c.send(order + "Expect: 100-continue\r\nContent-Length: " + length + "\r\n\r\n")
+			line, err := c.reader.ReadString('\n')
+			Expect(err).NotTo(HaveOccurred())
+			Expect(line).To(Equal("HTTP/1.1 100 Continue\r\n"))
+			_, err = c.reader.ReadString('\n')
+			Expect(err).NotTo(HaveOccurred())
+			c.send(body)
+			response, _ := c.answer("POST")
+			Expect(response.StatusCode).To(Equal(200))
+			Expect(s.requests()).To(Equal([]string{"POST /a " + body}))
+		},
+		Entry("with a short body", "4", "urns"),
+		Entry("with a long body", "200000", strings.Repeat("urns", 50000)),
+	)
+
+	// Guards against a refusal that the caller cannot read, since it is still
+	// sending when the connection is closed.
+	It("gets its refusal while it sends a long body", func() {
+		sys := start(service("127.0.0.1:1"))
+		c := sys.dial()
+		go io.WriteString(c, order+"Content-Length: 2000000\r\n\r\n"+strings.Repeat("urns", 500000))
+		response, _ := c.answer("POST")
+		Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("not-run"))
+		Expect(response.Close).To(BeTrue())
+	})
+
+	// Guards against a retry that sends a part of a body.
+	It("with a long body is not sent again once the body was read", func() {
+		refusing := func() *fake {
+			return answering("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+		a, b := refusing(), refusing()
+		sys := start(service(a.address(), b.address()))
+		response, _ := sys.ask(order + "Content-Length: 200000\r\n\r\n" + strings.Repeat("urns", 50000))
+		Expect(response.StatusCode).To(Equal(503))
+		Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("not-run"))
+		Expect(append(a.requests(), b.requests()...)).To(HaveLen(1))
+	})
+
+	// Guards against losing an order that another backend server would take.
+	It("with a short body is sent elsewhere when it was not run", func() {
+		a := answering("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		b := answering(plain)
+		sys := start(service(a.address(), b.address()))
+		for range 4 {
+			response, body := sys.ask(order + "Content-Length: 4\r\n\r\nurns")
+			Expect(response.StatusCode).To(Equal(200))
+			Expect(body).To(Equal("urns"))
+		}
+		Expect(b.requests()).To(HaveLen(4))
+	})
+})
--- a/caller/server.go
+++ b/caller/server.go
@@ -49,7 +49,6 @@
 		IdleTimeout:                  idleTimeout,
 		ReadTimeout:                  headTimeout,
 		NoDefaultContentType:         true,
-		NoDefaultDate:                true,
 		NoDefaultServerHeader:        true,
 		CloseOnShutdown:              true,
 		SecureErrorLogMessage:        true,
--- /dev/null
+++ b/caller/suite_test.go
@@ -0,0 +1,208 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/backend"
+	"wisteriapond/caller"
+	"wisteriapond/config"
+	"wisteriapond/core"
+	"wisteriapond/runtime"
+)
+
+// patience is the limit of every wait for a condition.
+const patience = 20 * time.Second
+
+func TestCaller(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "caller")
+}
+
+// ignore carries out no effects but the end of accepting.
+type ignore struct {
+	stopAccepting func()
+}
+
+func (h *ignore) Handle(effect core.Effect) {
+	if _, ok := effect.(core.StopAccepting); ok {
+		h.stopAccepting()
+	}
+}
+
+// system is the path from callers to the given backend servers.
+type system struct {
+	address string
+	loop    *runtime.Loop
+	pool    *backend.Pool
+	// ended is closed when a planned stop is over.
+	ended chan struct{}
+}
+
+// service is the configuration of the tests: one service with a short time
+// limit, which tests may change.
+func service(servers ...string) *config.Service {
+	s := &config.Service{
+		Name:    "catalogue",
+		Match:   []config.Match{{PathPrefix: "/"}},
+		Timeout: time.Minute,
+		Queue:   16,
+		NotRun:  config.NotRunForm{Status: 503, Header: "X-Not-Run", Value: "1"},
+		Probe:   config.Probe{Path: "/load", Timeout: time.Second, AnswerLimit: 1024},
+	}
+	for i, address := range servers {
+		name := fmt.Sprintf("backend-%d", i+1)
+		s.Upstreams = append(s.Upstreams, config.Upstream{
+			Name: name, Host: name, Address: address, Region: "mtl", FailureDomain: "mtl-a", Slots: 3, Connections: 220,
+		})
+	}
+	return s
+}
+
+func start(s *config.Service) *system {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	sys := &system{address: l.Addr().String(), pool: backend.NewPool(), ended: make(chan struct{})}
+	sys.loop = runtime.NewLoop(&ignore{stopAccepting: func() { l.Close() }})
+	server := caller.NewServer(sys.loop, sys.pool, &log.Logger{Handler: discard.New()})
+	sys.loop.Send(core.Start{Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a", Seed: 1})
+	hash := config.Hash(strings.Repeat("a", 64))
+	sys.loop.Send(core.ManifestRead{
+		Version:  config.Version{Generation: 1, Hash: hash},
+		Manifest: &config.Manifest{Generation: 1, EntryHosts: 1, Links: config.Links{LongPercent: 50}, Services: []config.ServiceRef{{Name: s.Name, Hash: hash}}},
+	})
+	sys.loop.Send(core.PartRead{Hash: hash, Service: s})
+	ctx, cancel := context.WithCancel(context.Background())
+	go server.Serve(l)
+	go func() {
+		defer close(sys.ended)
+		sys.loop.Run(ctx)
+		server.Shutdown(ctx)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(sys.ended).WithTimeout(patience).Should(BeClosed())
+		l.Close()
+	})
+	Eventually(sys.loop.Ready).WithTimeout(patience).Should(BeTrue())
+	return sys
+}
+
+// fake is a backend server whose connections a test handles itself.
+type fake struct {
+	net.Listener
+	accepted atomic.Int64
+	mu       sync.Mutex
+	seen     []string
+}
+
+func serve(f func(s *fake, c net.Conn, r *bufio.Reader)) *fake {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	s := &fake{Listener: l}
+	DeferCleanup(l.Close)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go func() {
+				defer c.Close()
+				f(s, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return s
+}
+
+// answering serves every request with the same bytes.
+func answering(raw string) *fake {
+	GinkgoHelper()
+	return serve(func(s *fake, c net.Conn, r *bufio.Reader) {
+		for s.read(r) != nil {
+			io.WriteString(c, raw)
+		}
+	})
+}
+
+func (s *fake) address() string { return s.Addr().String() }
+
+// read reads one request with its body, and notes it as "METHOD target body".
+func (s *fake) read(r *bufio.Reader) *http.Request {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return nil
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen = append(s.seen, fmt.Sprintf("%s %s %s", request.Method, request.RequestURI, body))
+	return request
+}
+
+func (s *fake) requests() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.seen...)
+}
+
+// client is a caller on a raw connection.
+type client struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (sys *system) dial() *client {
+	GinkgoHelper()
+	c, err := net.Dial("tcp", sys.address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	c.SetDeadline(time.Now().Add(patience))
+	return &client{Conn: c, reader: bufio.NewReader(c)}
+}
+
+func (c *client) send(raw string) {
+	GinkgoHelper()
+	_, err := io.WriteString(c, raw)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// answer reads one answer to a request of the given method.
+func (c *client) answer(method string) (*http.Response, string) {
+	GinkgoHelper()
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return response, string(body)
+}
+
+// ask sends one raw request on a connection of its own.
+func (sys *system) ask(raw string) (*http.Response, string) {
+	GinkgoHelper()
+	c := sys.dial()
+	c.send(raw)
+	method, _, _ := strings.Cut(raw, " ")
+	return c.answer(method)
+}
