caller, runtime: test hang-ups, pipelining, stops and faults

Cause: a fault while an answer was being passed left the goroutine waiting for a command that had already come.

Change: a call remembers that its last command came, and reports whatever the reducer still waits for.

--- a/caller/call.go
+++ b/caller/call.go
@@ -23,6 +23,8 @@
 	exchange *backend.Exchange
 	// running names the attempt whose end the reducer has not been told.
 	running *core.AttemptID
+	// passing is set once an answer is to be passed on.
+	passing bool
 	// streaming is set once the body of an answer is left to fasthttp, which
 	// reads it after the handler returned.
 	streaming bool
@@ -58,6 +60,8 @@
 		case core.StartAttempt:
 			x.attempt(c)
 		case core.PassAnswer:
+			x.passing = true
+			x.ended = !x.exchange.Streaming
 			x.pass(c)
 			return
 		case core.Refuse:
@@ -127,7 +131,8 @@
 	writeFailure(x.ctx, core.Fail{Reason: outcome.FailedInternal})
 }
 
-// release ends a request towards the reducer without its help.
+// release ends a request towards the reducer without its help: whatever the
+// reducer waits for is reported as given up.
 func (x *call) release() {
 	if x.ticket == nil || x.ended {
 		return
@@ -135,18 +140,28 @@
 	x.ended = true
 	x.server.loop.Send(core.CallerGone{ID: x.ticket.ID})
 	x.finishAttempt(x.running)
-	if x.exchange != nil && x.exchange.Streaming {
-		// The reducer waits for the end of an answer that was begun.
-		attempt := x.exchange.Attempt()
-		x.server.loop.Send(core.AnswerDelivered{Attempt: attempt, Facts: canceled()})
+	if x.passing {
+		x.finishStream()
 		return
 	}
 	for command := range x.ticket.Commands {
-		start, ok := command.(core.StartAttempt)
-		if !ok {
+		switch c := command.(type) {
+		case core.StartAttempt:
+			x.exchange = nil
+			x.finishAttempt(&c.Attempt)
+		case core.PassAnswer:
+			x.finishStream()
+			return
+		default:
 			return
 		}
-		x.finishAttempt(&start.Attempt)
+	}
+}
+
+// finishStream reports the end of an answer that was begun.
+func (x *call) finishStream() {
+	if x.exchange != nil && x.exchange.Streaming {
+		x.server.loop.Send(core.AnswerDelivered{Attempt: x.exchange.Attempt(), Facts: canceled()})
 	}
 }
 
--- /dev/null
+++ b/caller/hangup_test.go
@@ -0,0 +1,174 @@
+package caller_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// waiting is a backend server that reads requests and answers on release. Its
+// closed channel gets one value for every connection that ended under it.
+type waiting struct {
+	*fake
+	release chan struct{}
+	closed  chan struct{}
+}
+
+func serveWaiting() *waiting {
+	GinkgoHelper()
+	w := &waiting{release: make(chan struct{}), closed: make(chan struct{}, 16)}
+	w.fake = serve(func(s *fake, c net.Conn, r *bufio.Reader) {
+		if s.read(r) == nil {
+			return
+		}
+		ended := make(chan struct{})
+		go func() {
+			r.ReadByte()
+			close(ended)
+		}()
+		select {
+		case <-w.release:
+			io.WriteString(c, plain)
+			<-ended
+		case <-ended:
+			w.closed <- struct{}{}
+		}
+	})
+	return w
+}
+
+var _ = Describe("a caller that hangs up", func() {
+	// Guards against work for nobody: the backend server's slot must come free.
+	DescribeTable("while its request runs frees the attempt",
+		func(request string) {
+			w := serveWaiting()
+			sys := start(service(w.address()))
+			c := sys.dial()
+			c.send(request)
+			Eventually(w.requests).WithTimeout(patience).Should(HaveLen(1))
+			c.Close()
+			Eventually(w.closed).WithTimeout(patience).Should(Receive())
+			Eventually(func() int { return sys.loop.Open() }).WithTimeout(patience).Should(BeZero())
+		},
+		Entry("with a lookup", lead+"\r\n"),
+		Entry("with an order", order+"Content-Length: 4\r\n\r\nurns"),
+		Entry("with a streamed body", order+"Content-Length: 200000\r\n\r\n"+strings.Repeat("urns", 50000)),
+	)
+
+	// Guards against a backend server that gets the rest of a body from nobody.
+	It("within its streamed body frees the attempt", func() {
+		read := make(chan int, 1)
+		s := serve(func(_ *fake, _ net.Conn, r *bufio.Reader) {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(request.Body)
+			read <- len(body)
+		})
+		sys := start(service(s.address()))
+		c := sys.dial()
+		c.send(order + "Content-Length: 200000\r\n\r\n" + strings.Repeat("urns", 5000))
+		Eventually(s.accepted.Load).WithTimeout(patience).Should(BeEquivalentTo(1))
+		c.Close()
+		Eventually(read).WithTimeout(patience).Should(Receive(BeNumerically("<=", 20000)))
+		Eventually(func() int { return sys.loop.Open() }).WithTimeout(patience).Should(BeZero())
+	})
+
+	// Guards against a download that runs on for a caller that left, also while
+	// the backend server is silent.
+	It("within a download frees the attempt", func() {
+		closed := make(chan struct{})
+		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
+			s.read(r)
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"+long)
+			r.ReadByte()
+			close(closed)
+		})
+		sys := start(service(s.address()))
+		c := sys.dial()
+		c.send(lead + "\r\n")
+		_, err := c.reader.Peek(1000)
+		Expect(err).NotTo(HaveOccurred())
+		c.Close()
+		Eventually(closed).WithTimeout(patience).Should(BeClosed())
+		Eventually(func() int { return sys.loop.Open() }).WithTimeout(patience).Should(BeZero())
+	})
+
+	// Guards against answers that reach the wrong request of a connection.
+	It("is told apart from one that sends its next request early", func() {
+		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
+			for {
+				request := s.read(r)
+				if request == nil {
+					return
+				}
+				time.Sleep(5 * time.Millisecond)
+				answerWith(c, request.RequestURI)
+			}
+		})
+		sys := start(service(s.address()))
+		c := sys.dial()
+		const requests = 40
+		go func() {
+			for i := range requests {
+				io.WriteString(c, "GET /"+strings.Repeat("x", i)+" HTTP/1.1\r\nHost: h\r\n\r\n")
+				if i%4 == 0 {
+					time.Sleep(time.Millisecond)
+				}
+			}
+		}()
+		for i := range requests {
+			_, body := c.answer("GET")
+			Expect(body).To(Equal("/" + strings.Repeat("x", i)))
+		}
+		Expect(s.requests()).To(HaveLen(requests))
+	})
+
+	// Guards against bytes lost between the outstanding read and the body.
+	It("is told apart from one that sends a body and the next request together", func() {
+		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
+			for {
+				request := s.read(r)
+				if request == nil {
+					return
+				}
+				answerWith(c, request.RequestURI)
+			}
+		})
+		sys := start(service(s.address()))
+		c := sys.dial()
+		body := strings.Repeat("urns", 50000)
+		go func() {
+			for range 4 {
+				io.WriteString(c, order+"Content-Length: 200000\r\n\r\n"+body)
+				io.WriteString(c, lead+"\r\n")
+			}
+		}()
+		for range 4 {
+			_, answer := c.answer("POST")
+			Expect(answer).To(Equal("/a"))
+			_, answer = c.answer("GET")
+			Expect(answer).To(Equal("/a"))
+		}
+		Expect(s.requests()).To(HaveLen(8))
+		for i, request := range s.requests() {
+			if i%2 == 0 {
+				Expect(request == "POST /a "+body).To(BeTrue())
+			}
+		}
+	})
+})
+
+func answerWith(c net.Conn, body string) {
+	response := http.Response{
+		StatusCode: 200, ProtoMajor: 1, ProtoMinor: 1, ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
+	}
+	response.Write(c)
+}
--- a/caller/pass.go
+++ b/caller/pass.go
@@ -21,7 +21,6 @@
 		x.passStream(command.Attempt)
 		return
 	}
-	x.ended = true
 	held := x.exchange.Held()
 	if x.keepsChunks() {
 		response.SetBodyStream(bytes.NewReader(held), -1)
--- /dev/null
+++ b/caller/release_test.go
@@ -0,0 +1,117 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/valyala/fasthttp"
+
+	"wisteriapond/backend"
+	"wisteriapond/config"
+	"wisteriapond/core"
+	"wisteriapond/runtime"
+)
+
+type noEffects struct{}
+
+func (noEffects) Handle(core.Effect) {}
+
+// Guards against requests that stay in the reducer for ever after a fault of
+// the goroutine that carries them, at each point where it can stop.
+func TestReleaseAfterFault(t *testing.T) {
+	for name, stop := range map[string]func(*call){
+		"before its first command":    func(*call) {},
+		"within an attempt":           func(x *call) { start := next(x); x.running = &start.Attempt },
+		"after an attempt":            func(x *call) { x.attempt(next(x)) },
+		"while an answer is streamed": func(x *call) { x.attempt(next(x)); <-x.ticket.Commands; x.passing = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testServer(t, longAnswer(t))
+			x := testCall(s)
+			x.ticket = s.loop.Submit(core.RequestArrived{Request: config.Request{Method: "GET", Path: "/"}, BodyKept: true})
+			stop(x)
+			func() {
+				defer x.recover()
+				panic("fault")
+			}()
+			if x.ctx.Response.StatusCode() < 500 {
+				t.Errorf("the caller got %d", x.ctx.Response.StatusCode())
+			}
+			for deadline := time.Now().Add(20 * time.Second); s.loop.Open() > 0; time.Sleep(time.Millisecond) {
+				if time.Now().After(deadline) {
+					t.Fatal("the reducer still holds the request")
+				}
+			}
+		})
+	}
+}
+
+func next(x *call) core.StartAttempt { return (<-x.ticket.Commands).(core.StartAttempt) }
+
+func testCall(s *Server) *call {
+	request := &backend.Request{}
+	request.Header.SetMethod("GET")
+	request.Header.SetRequestURI("/")
+	request.Header.SetHost("h")
+	return &call{server: s, ctx: &fasthttp.RequestCtx{}, request: request}
+}
+
+func testServer(t *testing.T, address string) *Server {
+	loop := runtime.NewLoop(noEffects{})
+	hash := config.Hash(strings.Repeat("a", 64))
+	loop.Send(core.Start{Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a"})
+	loop.Send(core.ManifestRead{
+		Version:  config.Version{Generation: 1, Hash: hash},
+		Manifest: &config.Manifest{Generation: 1, EntryHosts: 1, Links: config.Links{LongPercent: 50}, Services: []config.ServiceRef{{Name: "s", Hash: hash}}},
+	})
+	loop.Send(core.PartRead{Hash: hash, Service: &config.Service{
+		Name: "s", Match: []config.Match{{PathPrefix: "/"}}, Timeout: time.Minute,
+		Probe:     config.Probe{Path: "/", Timeout: time.Second, AnswerLimit: 1024},
+		Upstreams: []config.Upstream{{Name: "b", Host: "b", Address: address, Region: "mtl", FailureDomain: "mtl-a", Slots: 1, Connections: 1}},
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		loop.Run(ctx)
+	}()
+	t.Cleanup(func() { cancel(); <-ended })
+	for deadline := time.Now().Add(20 * time.Second); !loop.Ready(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the loop is not ready")
+		}
+	}
+	return NewServer(loop, backend.NewPool(), &log.Logger{Handler: discard.New()})
+}
+
+// longAnswer starts a backend server whose answers are too long to be held.
+func longAnswer(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				http.ReadRequest(bufio.NewReader(c))
+				io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+				io.Copy(io.Discard, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
--- a/caller/suite_test.go
+++ b/caller/suite_test.go
@@ -177,7 +177,7 @@
 	GinkgoHelper()
 	c, err := net.Dial("tcp", sys.address)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(c.Close)
+	DeferCleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(patience))
 	return &client{Conn: c, reader: bufio.NewReader(c)}
 }
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -35,6 +35,7 @@
 	timer   *time.Timer
 	wakes   wakes
 	tickAt  core.Instant
+	open    atomic.Int64
 	done    chan struct{}
 }
 
@@ -70,6 +71,9 @@
 // Ready reports whether the process takes requests.
 func (l *Loop) Ready() bool { return l.ready.Load() }
 
+// Open returns the number of requests that the reducer has not ended.
+func (l *Loop) Open() int { return int(l.open.Load()) }
+
 // Done is closed when the reducer has asked for the end of the process.
 func (l *Loop) Done() <-chan struct{} { return l.done }
 
@@ -145,6 +149,7 @@
 	if delivered, ok := i.event.(core.AnswerDelivered); ok {
 		delete(l.tickets, delivered.Attempt.Request)
 	}
+	l.open.Store(int64(len(l.tickets)))
 }
 
 func (l *Loop) setStreaming(id core.RequestID, streaming bool) {
@@ -235,4 +240,5 @@
 		ticket.abandon()
 	}
 	clear(l.tickets)
+	l.open.Store(0)
 }
--- /dev/null
+++ b/runtime/loop_test.go
@@ -0,0 +1,206 @@
+package runtime
+
+import (
+	"context"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/core"
+)
+
+// recorder notes the effects that belong to no request.
+type recorder struct {
+	mu      sync.Mutex
+	effects []core.Effect
+}
+
+func (r *recorder) Handle(effect core.Effect) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.effects = append(r.effects, effect)
+}
+
+// order returns the position of the first effect that is asked for, or -1.
+func (r *recorder) order(is func(core.Effect) bool) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, effect := range r.effects {
+		if is(effect) {
+			return i
+		}
+	}
+	return -1
+}
+
+func run(l *Loop) (ended chan struct{}, stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended = make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.Run(ctx)
+	}()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(ended).WithTimeout(patience).Should(BeClosed())
+	})
+	return ended, cancel
+}
+
+var _ = Describe("the loop", func() {
+	// Guards against acting on events before the reducer knows how much time
+	// has passed: a Tick that is due goes first.
+	It("applies a due tick before the next event", func() {
+		r := &recorder{}
+		l := NewLoop(r)
+		l.Send(core.Start{})
+		l.Send(core.StopRequested{})
+		l.Send(core.StatusRequested{ID: 1})
+		run(l)
+		Eventually(l.Done()).WithTimeout(patience).Should(BeClosed())
+		isStop := func(e core.Effect) bool { _, ok := e.(core.StopAccepting); return ok }
+		isStatus := func(e core.Effect) bool { _, ok := e.(core.ReportStatus); return ok }
+		Eventually(func() int { return r.order(isStatus) }).WithTimeout(patience).Should(BeNumerically(">", 0))
+		Expect(r.order(isStop)).To(BeNumerically("<", r.order(isStatus)))
+	})
+
+	// Guards against traffic goroutines that wait for ever when the process
+	// ends before their requests do.
+	It("releases every ticket at its end", func() {
+		l := NewLoop(&recorder{})
+		waiting := l.Submit(core.RequestArrived{})
+		l.tickets[7] = newTicket(7)
+		running := l.tickets[7]
+		attempt := &fakeAttempt{}
+		running.Attach(1, attempt)
+		ended, stop := run(l)
+		stop()
+		Eventually(ended).WithTimeout(patience).Should(BeClosed())
+		Eventually(running.Commands).WithTimeout(patience).Should(BeClosed())
+		Expect(attempt.canceled).To(Equal(1))
+		// The request that waited was refused, or its channel is closed.
+		_, open := <-waiting.Commands
+		if open {
+			Expect(waiting.Commands).NotTo(Receive())
+		}
+		Expect(l.Submit(core.RequestArrived{})).To(BeNil())
+		l.Send(core.Tick{})
+		Expect(l.Open()).To(BeZero())
+	})
+
+	// Guards against a control goroutine that blocks on one request.
+	It("gives a request up rather than wait for it", func() {
+		r := &recorder{}
+		l := NewLoop(r)
+		ticket := newTicket(1)
+		l.tickets[1] = ticket
+		l.command(1, core.StartAttempt{})
+		l.command(1, core.StartAttempt{})
+		Expect(ticket.Commands).To(Receive())
+		Expect(ticket.Commands).To(BeClosed())
+		Expect(l.tickets).To(BeEmpty())
+		Expect(r.effects).To(ConsistOf(HaveField("Level", core.LogError)))
+	})
+
+	// Guards against a leak of tickets, and against a streamed answer that can
+	// no longer be cancelled.
+	It("keeps the ticket of a streamed answer until it is delivered", func() {
+		l := NewLoop(&recorder{})
+		l.tickets[1], l.tickets[2] = newTicket(1), newTicket(2)
+		id := func(request core.RequestID) core.AttemptID { return core.AttemptID{Request: request, Number: 1} }
+		l.apply(item{event: core.AnswerBegun{Attempt: id(1)}})
+		l.carryOut(core.PassAnswer{Attempt: id(1)})
+		l.carryOut(core.PassAnswer{Attempt: id(2)})
+		Expect(l.tickets).To(HaveLen(1))
+		l.apply(item{event: core.AnswerDelivered{Attempt: id(1)}})
+		Expect(l.tickets).To(BeEmpty())
+	})
+})
+
+var _ = Describe("the instants of ticks", func() {
+	// Guards against a wake that is lost to an earlier or a later one.
+	It("come in order, the earliest first", func() {
+		var w wakes
+		for _, at := range []core.Instant{50, 10, 30, 10, 90} {
+			w.add(at)
+		}
+		var seen []core.Instant
+		for now := w.next(100); now < 100; now = w.next(100) {
+			seen = append(seen, now)
+			w.passed(now)
+		}
+		Expect(seen).To(Equal([]core.Instant{10, 30, 50, 90}))
+		w.add(200)
+		Expect(w.next(100)).To(BeEquivalentTo(100))
+	})
+
+	// Guards against memory that grows with the wakes that are asked for.
+	It("are bounded, and lose the latest", func() {
+		var w wakes
+		for at := range core.Instant(2 * maxWakes) {
+			w.add(at)
+		}
+		Expect(w.instants).To(HaveLen(maxWakes))
+		Expect(w.next(1 << 40)).To(BeZero())
+	})
+})
+
+var _ = Describe("the mailbox", func() {
+	// Guards against memory that grows without bound under load.
+	It("refuses arrivals at its limit, and still takes other events", func() {
+		m := newMailbox()
+		for range arrivalLimit {
+			Expect(m.arrive(item{})).To(BeTrue())
+		}
+		Expect(m.arrive(item{})).To(BeFalse())
+		m.put(item{})
+		Expect(m.take(nil)).To(HaveLen(arrivalLimit + 1))
+		Expect(m.arrive(item{})).To(BeTrue())
+	})
+
+	// Guards against events that are dropped when there is no room.
+	It("lets senders wait for room", func() {
+		m := newMailbox()
+		for range eventLimit {
+			m.put(item{})
+		}
+		in := make(chan struct{})
+		go func() {
+			m.put(item{event: core.Tick{}})
+			close(in)
+		}()
+		Consistently(in).ShouldNot(BeClosed())
+		Expect(m.take(nil)).To(HaveLen(eventLimit))
+		Eventually(in).WithTimeout(patience).Should(BeClosed())
+		Expect(m.take(nil)).To(HaveLen(1))
+	})
+})
+
+type fakeAttempt struct {
+	canceled int
+	rate     int64
+}
+
+func (a *fakeAttempt) Cancel()            { a.canceled++ }
+func (a *fakeAttempt) SetRate(rate int64) { a.rate = rate }
+
+var _ = Describe("a ticket", func() {
+	// Guards against a cancel or a rate that comes before the attempt is known
+	// to the ticket, or after it was superseded.
+	It("brings commands to the attempt that they name", func() {
+		t := newTicket(1)
+		t.cancelAttempt(1)
+		t.changeRate(2, 500)
+		first, second := &fakeAttempt{}, &fakeAttempt{}
+		t.Attach(1, first)
+		Expect(first.canceled).To(Equal(1))
+		t.Attach(2, second)
+		Expect(second.rate).To(BeEquivalentTo(500))
+		t.cancelAttempt(1)
+		t.changeRate(1, 900)
+		Expect(*second).To(Equal(fakeAttempt{rate: 500}))
+		t.cancelAttempt(2)
+		Expect(second.canceled).To(Equal(1))
+	})
+})
