runtime, entryhost: measure the hand-over and the added delay

Cause: the target of 0.39 ms and the choice of one control goroutine had no figures.

Change: a benchmark of the hand-over with one loop and with shards, and an opt-in measurement of calls beside direct calls to the same stand-in.

--- /dev/null
+++ b/entryhost/measure_test.go
@@ -0,0 +1,111 @@
+package entryhost_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/standin"
+)
+
+const (
+	// measureVariable turns on measurements, which are no part of the verdict.
+	measureVariable = "WISTERIAPOND_MEASURE"
+	// addedTarget is what the system may add to 99 of 100 calls.
+	addedTarget  = 390 * time.Microsecond
+	measureCalls = 20_000
+	warmupCalls  = 1_000
+)
+
+// Measures the delay that the system adds to a call. Each caller alternates
+// between the stand-in itself and the same stand-in behind the system, so that
+// both see the same machine.
+var _ = Describe("added delay", func() {
+	BeforeEach(func() {
+		if os.Getenv(measureVariable) == "" {
+			Skip("set " + measureVariable + "=1 to measure")
+		}
+	})
+
+	DescribeTable("of",
+		func(request string, callers int) {
+			backend := httptest.NewServer(standin.NewBackend("backend-1", 1000, 0))
+			DeferCleanup(backend.Close)
+			platform := standin.NewPlatform()
+			direct := backend.Listener.Addr().String()
+			platform.PublishConfiguration(1, map[string][]byte{"catalogue": part(direct)}, nil)
+			platformServer := httptest.NewServer(platform)
+			DeferCleanup(platformServer.Close)
+			through := startHost(platformServer.URL)[len("http://"):]
+
+			var group sync.WaitGroup
+			plain, added := make([][]time.Duration, callers), make([][]time.Duration, callers)
+			for i := range callers {
+				group.Go(func() {
+					defer GinkgoRecover()
+					plain[i], added[i] = alternate(direct, through, request, measureCalls/callers)
+				})
+			}
+			group.Wait()
+			report(slices.Concat(plain...), slices.Concat(added...))
+		},
+		Entry("a lookup, 1 caller", "GET /catalogue/urn-7 HTTP/1.1\r\nHost: h\r\n\r\n", 1),
+		Entry("a lookup, 3 callers", "GET /catalogue/urn-7 HTTP/1.1\r\nHost: h\r\n\r\n", 3),
+		Entry("an order, 1 caller", "POST /catalogue/orders HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nurn", 1),
+	)
+})
+
+func alternate(direct, through, request string, calls int) (plain, added []time.Duration) {
+	a, b := connect(direct), connect(through)
+	for i := range warmupCalls + calls {
+		first, second := call(a, request), call(b, request)
+		if i >= warmupCalls {
+			plain = append(plain, first)
+			added = append(added, second)
+		}
+	}
+	return plain, added
+}
+
+func connect(address string) *bufio.ReadWriter {
+	GinkgoHelper()
+	c, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	return bufio.NewReadWriter(bufio.NewReader(c), bufio.NewWriter(c))
+}
+
+func call(c *bufio.ReadWriter, request string) time.Duration {
+	GinkgoHelper()
+	begun := time.Now()
+	c.WriteString(request)
+	c.Flush()
+	response, err := http.ReadResponse(c.Reader, nil)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = io.Copy(io.Discard, response.Body)
+	took := time.Since(begun)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(response.StatusCode).To(Equal(http.StatusOK))
+	return took
+}
+
+func report(plain, added []time.Duration) {
+	slices.Sort(plain)
+	slices.Sort(added)
+	for _, share := range []float64{0.5, 0.99, 0.999} {
+		i := int(share * float64(len(plain)))
+		difference := added[i] - plain[i]
+		fmt.Fprintf(GinkgoWriter, "p%g: direct %v, through %v, ratio %.2f, difference %v (%.2f of the target)\n",
+			share*100, plain[i], added[i], float64(added[i])/float64(plain[i]), difference, float64(difference)/float64(addedTarget))
+	}
+}
--- /dev/null
+++ b/runtime/handover_test.go
@@ -0,0 +1,130 @@
+package runtime
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"wisteriapond/config"
+	"wisteriapond/core"
+	"wisteriapond/outcome"
+)
+
+type noEffects struct{}
+
+func (noEffects) Handle(core.Effect) {}
+
+// configuration is one service with enough slots for every request.
+func configuration() []core.Event {
+	hash := config.Hash(strings.Repeat("a", 64))
+	s := &config.Service{
+		Name: "s", Match: []config.Match{{PathPrefix: "/"}}, Timeout: time.Minute, Queue: 1024,
+		Probe: config.Probe{Path: "/", Timeout: time.Second, AnswerLimit: 1024},
+	}
+	for i := range 14 {
+		name := fmt.Sprintf("b%d", i)
+		s.Upstreams = append(s.Upstreams, config.Upstream{
+			Name: name, Host: name, Address: name + ":80", Region: "mtl", FailureDomain: "mtl-a", Slots: 1000, Connections: 1000,
+		})
+	}
+	return []core.Event{
+		core.Start{Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a"},
+		core.ManifestRead{
+			Version:  config.Version{Generation: 1, Hash: hash},
+			Manifest: &config.Manifest{Generation: 1, EntryHosts: 1, Links: config.Links{LongPercent: 50}, Services: []config.ServiceRef{{Name: "s", Hash: hash}}},
+		},
+		core.PartRead{Hash: hash, Service: s},
+	}
+}
+
+var (
+	arrival = core.RequestArrived{Request: config.Request{Method: "GET", Host: "h", Path: "/a"}, BodyKept: true}
+	answer  = outcome.Facts{Wrote: true, Status: 200, Load: -1, Bytes: 100}
+)
+
+func readyLoops(b *testing.B, count int) []*Loop {
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	loops := make([]*Loop, count)
+	for i := range loops {
+		l := NewLoop(noEffects{})
+		for _, event := range configuration() {
+			l.Send(event)
+		}
+		go l.Run(ctx)
+		for !l.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		loops[i] = l
+	}
+	return loops
+}
+
+// pass takes one request through a loop, without a backend server.
+func pass(b *testing.B, l *Loop) {
+	ticket := l.Submit(arrival)
+	if ticket == nil {
+		b.Error("refused")
+		return
+	}
+	start, ok := (<-ticket.Commands).(core.StartAttempt)
+	if !ok {
+		b.Error("not started")
+		return
+	}
+	l.Send(core.AttemptFinished{Attempt: start.Attempt, Facts: answer})
+	if _, ok := (<-ticket.Commands).(core.PassAnswer); !ok {
+		b.Error("not passed")
+	}
+}
+
+// BenchmarkHandover measures what one request costs between its traffic
+// goroutine and the control goroutine, beside the reducer alone and beside
+// shards: the same reducer behind several loops, each with a part of the
+// requests.
+func BenchmarkHandover(b *testing.B) {
+	b.Run("reducer", func(b *testing.B) {
+		state := core.New()
+		var effects core.Effects
+		for _, event := range configuration() {
+			state.Step(1, event, &effects)
+		}
+		b.ReportAllocs()
+		for i := range b.N {
+			effects.Reset()
+			request := arrival
+			request.ID = core.RequestID(i + 1)
+			state.Step(2, request, &effects)
+			state.Step(2, core.AttemptFinished{Attempt: core.AttemptID{Request: request.ID, Number: 1}, Facts: answer}, &effects)
+		}
+	})
+	for _, callers := range []int{1, 8, 128} {
+		for _, shards := range []int{1, 2, 4} {
+			b.Run(fmt.Sprintf("callers=%d/loops=%d", callers, shards), func(b *testing.B) {
+				benchmarkLoops(b, callers, readyLoops(b, shards))
+			})
+		}
+	}
+}
+
+func benchmarkLoops(b *testing.B, callers int, loops []*Loop) {
+	b.ReportAllocs()
+	b.ResetTimer()
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	done := make(chan struct{}, callers)
+	for i := range callers {
+		go func() {
+			for left.Add(-1) >= 0 {
+				pass(b, loops[i%len(loops)])
+			}
+			done <- struct{}{}
+		}()
+	}
+	for range callers {
+		<-done
+	}
+}
