--- a/caller/observe.go
+++ b/caller/observe.go
@@ -3,21 +3,21 @@
 import (
 	"wisteriapond/core"
 	"wisteriapond/metrics"
-	"wisteriapond/runtime"
 )
 
 // observe reports the latency of a request whose answer, or the head of whose
-// long answer, is about to be written. The ticket is nil for a request that
-// was refused before it reached the reducer.
-func (s *Server) observe(ticket *runtime.Ticket, begin core.Instant) {
+// long answer, is about to be written. A request has no ticket when it was
+// refused before it reached the reducer.
+func (x *call) observe() {
+	s := x.server
 	if s.Observe == nil {
 		return
 	}
 	service, outcome := "", metrics.OutcomeNotRun
-	if ticket != nil {
-		service, outcome = ticket.Service, outcomeOf(ticket.Last)
+	if x.ticket != nil {
+		service, outcome = x.ticket.Service, outcomeOf(x.ticket.Last)
 	}
-	s.Observe(service, outcome, s.loop.Now().Sub(begin))
+	s.Observe(service, outcome, s.loop.Now().Sub(x.begin))
 }
 
 func outcomeOf(last core.Effect) string {
