membership: add the table of entry hosts

Change: suspicion-based membership with incarnation numbers, indirect pings, piggybacked updates, a bounded table, full exchange on request, and contacts that join the sides of a healed partition.

--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,478 @@
+// Package membership keeps the table of entry hosts. Each host pings one
+// member per period, asks others to ping it when no answer comes, suspects it,
+// and declares it dead when nobody refutes the suspicion. Updates travel on
+// the pings, so the cost per host does not depend on the number of members.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// Period is the time between two pings of a host.
+	Period = time.Second
+	// pingTimeout is the wait before others are asked to ping a member. It is
+	// several round trips between regions.
+	pingTimeout = 300 * time.Millisecond
+	// helpers is the number of members that are asked to ping another.
+	helpers = 3
+	// suspicionTime is the time that a suspected member has to refute.
+	suspicionTime = 5 * time.Second
+	// forgetAfter is the time for which dead members are remembered, so that
+	// old updates do not bring them back.
+	forgetAfter = 10 * time.Minute
+	// reconnectEvery is the time between two attempts to reach an address that
+	// belongs to no live member. It joins the sides of a healed partition.
+	reconnectEvery = 5 * time.Second
+	// MaxMembers bounds the table.
+	MaxMembers = 4096
+	// maxUpdates bounds the updates attached to one message.
+	maxUpdates = 8
+	// viewUpdates bounds the updates in one message of a full exchange.
+	viewUpdates = 64
+	// maxRelays bounds the pings made for others that wait for an answer.
+	maxRelays = 64
+	// maxContacts bounds the addresses known from settings and the host list.
+	maxContacts = 4096
+)
+
+// Change reports that what this host believes about a member has changed.
+type Change struct {
+	Member Member
+	From   Status
+	To     Status
+	// New is set when the member was not in the table.
+	New bool
+}
+
+// Output collects what follows from a call.
+type Output struct {
+	Sends   []Send
+	Changes []Change
+}
+
+// Reset empties the output and keeps its memory.
+func (o *Output) Reset() {
+	clear(o.Sends)
+	o.Sends = o.Sends[:0]
+	o.Changes = o.Changes[:0]
+}
+
+// Table is the member table of one host. Times are instants of the process's
+// monotonic clock.
+type Table struct {
+	self     Update
+	random   func(n int) int
+	members  map[string]*member
+	live     []*member
+	contacts []string
+	rumors   Rumors[Update]
+	sequence uint64
+	turn     int
+	nextPing time.Duration
+	nextSeek time.Duration
+	probe    probe
+	relays   []relay
+	out      *Output
+}
+
+type member struct {
+	Update
+	since time.Duration
+	// answered is set once the member itself has sent a message. Members known
+	// from others only do not count as reachable.
+	answered bool
+}
+
+// probe is the ping of the current period.
+type probe struct {
+	target   *member
+	sequence uint64
+	deadline time.Duration
+	indirect bool
+}
+
+// relay is a ping made for another host.
+type relay struct {
+	sequence uint64
+	origin   uint64
+	address  string
+}
+
+// New returns a table that holds only the host itself. The incarnation must be
+// higher than that of any earlier run of the host.
+func New(self Member, incarnation uint64, random func(n int) int) *Table {
+	return &Table{
+		self:    Update{Member: self, Incarnation: incarnation},
+		random:  random,
+		members: make(map[string]*member),
+	}
+}
+
+// Self returns the host's own update.
+func (t *Table) Self() Update { return t.self }
+
+// Live returns the number of other members that are not dead.
+func (t *Table) Live() int { return len(t.live) }
+
+// LiveMembers returns the other live members, in the order of names.
+func (t *Table) LiveMembers() []Member {
+	found := make([]Member, 0, len(t.live))
+	for _, m := range t.live {
+		found = append(found, m.Member)
+	}
+	slices.SortFunc(found, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return found
+}
+
+// Updates returns what is known of all members, in the order of names.
+func (t *Table) Updates() []Update {
+	found := make([]Update, 0, len(t.members))
+	for _, m := range t.members {
+		found = append(found, m.Update)
+	}
+	slices.SortFunc(found, func(a, b Update) int { return cmp.Compare(a.Member.Name, b.Member.Name) })
+	return found
+}
+
+// Lookup returns what is known of a member.
+func (t *Table) Lookup(name string) (Update, bool) {
+	m := t.members[name]
+	if m == nil {
+		return Update{}, false
+	}
+	return m.Update, true
+}
+
+// Sample returns up to n random live members.
+func (t *Table) Sample(n int) []Member {
+	n = min(n, len(t.live))
+	picked := make([]Member, 0, n)
+	for i := range n {
+		j := i + t.random(len(t.live)-i)
+		t.live[i], t.live[j] = t.live[j], t.live[i]
+		picked = append(picked, t.live[i].Member)
+	}
+	return picked
+}
+
+// AddContact remembers an address at which an entry host may be found.
+func (t *Table) AddContact(address string) {
+	if address == "" || address == t.self.Member.Address || len(t.contacts) >= maxContacts {
+		return
+	}
+	if !slices.Contains(t.contacts, address) {
+		t.contacts = append(t.contacts, address)
+	}
+}
+
+// Join asks the given addresses for everything they know.
+func (t *Table) Join(now time.Duration, addresses []string, out *Output) {
+	t.out = out
+	for _, address := range addresses {
+		t.sequence++
+		t.send(address, Message{Kind: Join, Sequence: t.sequence})
+	}
+	t.nextPing = max(t.nextPing, now)
+}
+
+// Announce tells the given members about this host at once. A starting host
+// uses it towards the members whose duties it takes over.
+func (t *Table) Announce(members []Member, out *Output) {
+	t.out = out
+	for _, m := range members {
+		t.send(m.Address, Message{Kind: Gossip})
+	}
+}
+
+// Leave announces a planned stop to the given members.
+func (t *Table) Leave(members []Member, out *Output) {
+	t.self.Status = Left
+	t.rumors.Add(t.self.Member.Name, t.self)
+	t.Announce(members, out)
+}
+
+// Tick advances pings and suspicions.
+func (t *Table) Tick(now time.Duration, out *Output) {
+	t.out = out
+	t.checkProbe(now)
+	t.checkSuspects(now)
+	if now >= t.nextPing {
+		t.nextPing = now + Period
+		t.ping(now)
+	}
+	if now >= t.nextSeek {
+		t.nextSeek = now + reconnectEvery
+		t.seek()
+	}
+}
+
+// Resume forgets the ping under way after a pause of the process: its answer
+// may have been lost through no fault of the other member.
+func (t *Table) Resume(now time.Duration, out *Output) {
+	t.out = out
+	t.probe = probe{}
+	for _, m := range t.members {
+		m.since = max(m.since, now-suspicionTime/2)
+	}
+	t.Join(now, addressesOf(t.Sample(helpers)), out)
+}
+
+// ping sends the ping of the period to the next member of a random order that
+// is renewed after each round. Every member is pinged once per round, which
+// bounds the time until a failure is noticed.
+func (t *Table) ping(now time.Duration) {
+	if len(t.live) == 0 {
+		return
+	}
+	if t.turn >= len(t.live) {
+		t.turn = 0
+		t.Sample(len(t.live))
+	}
+	target := t.live[t.turn]
+	t.turn++
+	t.sequence++
+	t.probe = probe{target: target, sequence: t.sequence, deadline: now + pingTimeout}
+	t.send(target.Member.Address, Message{Kind: Ping, Sequence: t.sequence})
+}
+
+func (t *Table) checkProbe(now time.Duration) {
+	p := &t.probe
+	if p.target == nil || now < p.deadline {
+		return
+	}
+	if p.indirect {
+		t.suspect(p.target, now)
+		*p = probe{}
+		return
+	}
+	p.indirect = true
+	p.deadline += Period - pingTimeout
+	target := p.target.Member
+	for _, helper := range t.Sample(helpers + 1) {
+		if helper.Name != target.Name {
+			t.send(helper.Address, Message{Kind: PingRequest, Sequence: p.sequence, Target: &target})
+		}
+	}
+}
+
+func (t *Table) suspect(m *member, now time.Duration) {
+	if m.Status != Alive {
+		return
+	}
+	update := m.Update
+	update.Status = Suspect
+	t.apply(update, now)
+}
+
+func (t *Table) checkSuspects(now time.Duration) {
+	var overdue, old []*member
+	for _, m := range t.members {
+		switch {
+		case m.Status == Suspect && now-m.since >= suspicionTime:
+			overdue = append(overdue, m)
+		case m.Status >= Dead && now-m.since >= forgetAfter:
+			old = append(old, m)
+		}
+	}
+	slices.SortFunc(overdue, func(a, b *member) int { return cmp.Compare(a.Member.Name, b.Member.Name) })
+	for _, m := range overdue {
+		update := m.Update
+		update.Status = Dead
+		t.apply(update, now)
+	}
+	for _, m := range old {
+		delete(t.members, m.Member.Name)
+	}
+}
+
+// seek sends a Join to one address that belongs to no live member.
+func (t *Table) seek() {
+	candidates := make([]string, 0, 8)
+	for _, address := range t.contacts {
+		if !t.isLive(address) {
+			candidates = append(candidates, address)
+		}
+	}
+	for _, m := range t.members {
+		if m.Status == Dead && !slices.Contains(candidates, m.Member.Address) {
+			candidates = append(candidates, m.Member.Address)
+		}
+	}
+	if len(candidates) == 0 {
+		return
+	}
+	slices.Sort(candidates)
+	t.sequence++
+	t.send(candidates[t.random(len(candidates))], Message{Kind: Join, Sequence: t.sequence})
+}
+
+func (t *Table) isLive(address string) bool {
+	return slices.ContainsFunc(t.live, func(m *member) bool { return m.Member.Address == address })
+}
+
+// Receive applies a message from the host that its certificate names. A
+// message that claims to come from another host is ignored.
+func (t *Table) Receive(now time.Duration, from string, m Message, out *Output) {
+	t.out = out
+	if m.Sender.Member.Name != from || from == t.self.Member.Name {
+		return
+	}
+	t.apply(m.Sender, now)
+	for _, update := range m.Updates[:min(len(m.Updates), viewUpdates)] {
+		t.apply(update, now)
+	}
+	sender := t.members[from]
+	if sender == nil {
+		return
+	}
+	t.confirm(sender, now)
+	address := m.Sender.Member.Address
+	switch m.Kind {
+	case Ping:
+		t.send(address, Message{Kind: Ack, Sequence: m.Sequence})
+	case Join:
+		t.send(address, Message{Kind: Ack, Sequence: m.Sequence})
+		t.sendView(address)
+	case Ack:
+		t.acknowledged(m.Sequence)
+	case PingRequest:
+		t.pingFor(address, m)
+	}
+}
+
+// confirm tells a member that this host believes to be suspect or dead, so
+// that it can refute at once.
+func (t *Table) confirm(m *member, now time.Duration) {
+	m.answered = true
+	if t.probe.target == m {
+		t.probe = probe{}
+	}
+	if m.Status == Suspect || m.Status == Dead {
+		t.rumors.Add(m.Member.Name, m.Update)
+		t.sendUpdates(m.Member.Address, []Update{m.Update})
+	}
+}
+
+func (t *Table) sendUpdates(address string, updates []Update) {
+	t.out.Sends = append(t.out.Sends, Send{Address: address, Message: Message{Sender: t.self, Updates: updates}})
+}
+
+// sendView sends the whole table in messages of bounded size.
+func (t *Table) sendView(address string) {
+	for chunk := range slices.Chunk(t.Updates(), viewUpdates) {
+		t.sendUpdates(address, chunk)
+	}
+}
+
+func (t *Table) acknowledged(sequence uint64) {
+	if t.probe.target != nil && t.probe.sequence == sequence {
+		t.probe = probe{}
+	}
+	for i, r := range t.relays {
+		if r.sequence == sequence {
+			t.relays = slices.Delete(t.relays, i, i+1)
+			t.send(r.address, Message{Kind: Ack, Sequence: r.origin})
+			return
+		}
+	}
+}
+
+func (t *Table) pingFor(address string, m Message) {
+	if m.Target == nil {
+		return
+	}
+	if len(t.relays) >= maxRelays {
+		t.relays = slices.Delete(t.relays, 0, 1)
+	}
+	t.sequence++
+	t.relays = append(t.relays, relay{sequence: t.sequence, origin: m.Sequence, address: address})
+	t.send(m.Target.Address, Message{Kind: Ping, Sequence: t.sequence})
+}
+
+// apply takes an update when it is newer than what is known.
+func (t *Table) apply(update Update, now time.Duration) {
+	name := update.Member.Name
+	if name == "" {
+		return
+	}
+	if name == t.self.Member.Name {
+		t.refute(update)
+		return
+	}
+	m := t.members[name]
+	if m == nil {
+		t.add(update, now)
+		return
+	}
+	if !update.supersedes(m.Update) {
+		return
+	}
+	from := m.Status
+	m.Update = update
+	m.since = now
+	t.setLive(m, from, update.Status)
+	t.rumors.Add(name, update)
+	if from != update.Status {
+		t.out.Changes = append(t.out.Changes, Change{Member: update.Member, From: from, To: update.Status})
+	}
+}
+
+func (t *Table) add(update Update, now time.Duration) {
+	if len(t.members) >= MaxMembers {
+		return
+	}
+	m := &member{Update: update, since: now}
+	t.members[update.Member.Name] = m
+	t.rumors.Add(update.Member.Name, update)
+	if update.Status >= Dead {
+		return
+	}
+	t.setLive(m, Dead, update.Status)
+	t.out.Changes = append(t.out.Changes, Change{Member: update.Member, From: Dead, To: update.Status, New: true})
+}
+
+// setLive keeps the list of live members. A new member is put at a random
+// place of the ping order, so that it is pinged within one round.
+func (t *Table) setLive(m *member, from, to Status) {
+	if (from < Dead) == (to < Dead) {
+		return
+	}
+	if to >= Dead {
+		t.live = slices.DeleteFunc(t.live, func(other *member) bool { return other == m })
+		return
+	}
+	t.live = append(t.live, m)
+	i := t.random(len(t.live))
+	last := len(t.live) - 1
+	t.live[i], t.live[last] = t.live[last], t.live[i]
+}
+
+// refute answers a statement that this host is not alive with a higher
+// incarnation. A host that is stopping keeps the status Left.
+func (t *Table) refute(update Update) {
+	if update.Incarnation < t.self.Incarnation {
+		return
+	}
+	if update.Incarnation == t.self.Incarnation && update.Status <= t.self.Status {
+		return
+	}
+	t.self.Incarnation = update.Incarnation + 1
+	t.rumors.Add(t.self.Member.Name, t.self)
+}
+
+func (t *Table) send(address string, m Message) {
+	m.Sender = t.self
+	m.Updates = t.rumors.Take(maxUpdates, len(t.live)+1)
+	t.out.Sends = append(t.out.Sends, Send{Address: address, Message: m})
+}
+
+func addressesOf(members []Member) []string {
+	addresses := make([]string, 0, len(members))
+	for _, m := range members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
