lease: add slot leases granted by one owner per unit

Messages carry absolute values and everything that is not confirmed, so loss, delay, repetition and reordering are harmless. Leases run from the sending of the ask, so they expire at the holder first.

Property: no upstream has more slots held or granted than it has.

--- /dev/null
+++ b/lease/holder.go
@@ -0,0 +1,709 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// window is the time over which the highest use of a unit is remembered.
+	// Slots beyond it are given back.
+	window = time.Second
+	// askSpacing is the least time between two asks for one unit.
+	askSpacing = 5 * time.Millisecond
+	// repeatAfter is the time after which an unanswered ask is repeated. It is
+	// several round trips between regions.
+	repeatAfter = 200 * time.Millisecond
+	// scanTicks is the number of ticks over which all units are looked at.
+	scanTicks = 4
+	// sentLimit bounds the remembered times of asks.
+	sentLimit = 16
+)
+
+// Slot is an upstream as its holder uses it. Use.Refresh sets Size and Running;
+// the holder sets Held.
+type Slot struct {
+	Upstream string
+	// Size is the number of slots of the upstream, 0 when it is leaving.
+	Size int
+	// Running is the number of requests that this host runs there.
+	Running int
+	// Held is the number of requests that the leases allow it to run there.
+	Held int
+}
+
+// Holding is a unit as its holder uses it.
+type Holding struct {
+	Unit  Unit
+	Slots []*Slot
+	// Leased says that Held counts. Otherwise the host relies on its own
+	// counts.
+	Leased bool
+
+	link   *link
+	wanted int
+	spare  int
+	// wantedSince is the instant since which slots are wanted.
+	wantedSince time.Duration
+	// dirty is set when there is something to say, askedIn is the sequence
+	// number of the last ask that named the unit.
+	dirty    bool
+	askedIn  uint64
+	askedAt  time.Duration
+	nextAsk  time.Duration
+	queued   bool
+	settling bool
+	// frozenUntil is the end of leases granted by an earlier owner. They count
+	// until then, since the next owner waits that long.
+	frozenUntil time.Duration
+	peak        int
+	peakBefore  int
+	peakUntil   time.Duration
+}
+
+// Use tells a holder what it needs about units.
+type Use interface {
+	// Owner names the host that owns a unit by this host's view, empty when
+	// this host is alone.
+	Owner(Unit) string
+	// Refresh sets Size and Running of the unit's slots.
+	Refresh(*Holding)
+}
+
+// Outgoing is an ask to be sent to an owner.
+type Outgoing struct {
+	Owner string
+	Ask   Ask
+}
+
+// Holder is what this host holds from all owners.
+type Holder struct {
+	use      Use
+	session  uint64
+	links    map[string]*link
+	holdings map[Unit]*Holding
+	order    []*Holding
+	turn     int
+	queue    []*Holding
+	settling []*Holding
+	changed  []*Holding
+	stopping bool
+}
+
+// link is the conversation with one owner.
+type link struct {
+	owner    string
+	session  uint64
+	sequence uint64
+	seen     uint64
+	answered uint64
+	fresh    bool
+	expires  time.Duration
+	nextAsk  time.Duration
+	sent     []time.Duration
+	holdings []*Holding
+}
+
+// NewHolder returns a holder without leases. The incarnation of the host keeps
+// its sessions apart from those of earlier runs.
+func NewHolder(incarnation uint64, use Use) *Holder {
+	return &Holder{
+		use:      use,
+		session:  incarnation,
+		links:    make(map[string]*link),
+		holdings: make(map[Unit]*Holding),
+	}
+}
+
+// SetUnit adds a unit or replaces its upstreams. Leases on upstreams that stay
+// are kept.
+func (h *Holder) SetUnit(unit Unit, upstreams []string) *Holding {
+	holding := h.holdings[unit]
+	if holding == nil {
+		holding = &Holding{Unit: unit}
+		h.holdings[unit] = holding
+		i, _ := slices.BinarySearchFunc(h.order, unit, compareHolding)
+		h.order = slices.Insert(h.order, i, holding)
+	}
+	slots := make([]*Slot, 0, len(upstreams))
+	for _, upstream := range upstreams {
+		slot := holding.slot(upstream)
+		if slot == nil {
+			slot = &Slot{Upstream: upstream}
+		}
+		slots = append(slots, slot)
+	}
+	holding.Slots = slots
+	h.Resized(holding)
+	return holding
+}
+
+// RemoveUnit forgets a unit.
+func (h *Holder) RemoveUnit(unit Unit) {
+	holding := h.holdings[unit]
+	if holding == nil {
+		return
+	}
+	h.detach(holding)
+	h.lapse(holding)
+	delete(h.holdings, unit)
+	h.order = slices.DeleteFunc(h.order, func(other *Holding) bool { return other == holding })
+	h.settling = slices.DeleteFunc(h.settling, func(other *Holding) bool { return other == holding })
+}
+
+// Resized takes over changed sizes and leaving marks of a unit's upstreams.
+func (h *Holder) Resized(holding *Holding) {
+	h.use.Refresh(holding)
+	for _, slot := range holding.Slots {
+		slot.Held = min(slot.Held, slot.Size)
+	}
+	h.note(holding)
+	if holding.link != nil {
+		holding.dirty = true
+		h.enqueue(holding)
+	}
+}
+
+func compareHolding(holding *Holding, unit Unit) int { return compareUnits(holding.Unit, unit) }
+
+func (holding *Holding) slot(upstream string) *Slot {
+	for _, slot := range holding.Slots {
+		if slot.Upstream == upstream {
+			return slot
+		}
+	}
+	return nil
+}
+
+// Holding returns a unit, or nil.
+func (h *Holder) Holding(unit Unit) *Holding { return h.holdings[unit] }
+
+// Totals returns the slots held, the units leased and the units in use that
+// rely on own counts.
+func (h *Holder) Totals() (slots, leased, fallback int) {
+	for _, holding := range h.order {
+		slots += holding.held()
+		switch {
+		case holding.Leased:
+			leased++
+		case holding.running() > 0:
+			fallback++
+		}
+	}
+	return slots, leased, fallback
+}
+
+// Changed returns the units whose Held or Leased changed since the last call.
+func (h *Holder) Changed() []*Holding {
+	changed := h.changed
+	h.changed = nil
+	return changed
+}
+
+func (h *Holder) note(holding *Holding) {
+	if !slices.Contains(h.changed, holding) {
+		h.changed = append(h.changed, holding)
+	}
+}
+
+// Want asks for further slots for the given number of requests that wait.
+func (h *Holder) Want(now time.Duration, holding *Holding, waiting int) {
+	h.use.Refresh(holding)
+	limit := 0
+	for _, slot := range holding.Slots {
+		limit += max(0, slot.Size-slot.Held)
+	}
+	if wanted := min(waiting, limit); wanted > holding.wanted {
+		if holding.wanted == 0 {
+			holding.wantedSince = now
+		}
+		holding.wanted = wanted
+		holding.dirty = true
+	}
+	h.touch(now, holding)
+}
+
+// Unmet returns the time for which slots that were asked for have not come.
+func (holding *Holding) Unmet(now time.Duration) time.Duration {
+	if holding.wanted == 0 {
+		return 0
+	}
+	return now - holding.wantedSince
+}
+
+// Touch makes sure that a unit in use is leased.
+func (h *Holder) Touch(now time.Duration, holding *Holding) {
+	if holding.link != nil || now < holding.nextAsk {
+		return
+	}
+	h.use.Refresh(holding)
+	h.touch(now, holding)
+}
+
+func (h *Holder) touch(now time.Duration, holding *Holding) {
+	holding.observe(now)
+	if holding.link == nil {
+		h.attach(now, holding)
+	}
+	if holding.link == nil {
+		return
+	}
+	holding.spare = max(0, holding.target()-max(holding.held(), holding.running())-holding.wanted)
+	if holding.dirty {
+		h.enqueue(holding)
+	}
+}
+
+func (h *Holder) attach(now time.Duration, holding *Holding) {
+	owner := h.use.Owner(holding.Unit)
+	if owner == "" || now < holding.nextAsk {
+		return
+	}
+	l := h.links[owner]
+	if l == nil {
+		l = &link{owner: owner}
+		h.links[owner] = l
+		h.restart(l)
+	}
+	holding.link = l
+	holding.renew()
+	l.holdings = append(l.holdings, holding)
+}
+
+// renew makes the next ask name the unit, and lets no earlier answer count.
+func (holding *Holding) renew() {
+	holding.askedIn = holding.link.sequence + 1
+	holding.askedAt = 0
+	holding.dirty = true
+}
+
+// open reports whether the unit may be named in an ask. One ask at a time is
+// under way for a unit, since a later one voids the answer to it.
+func (holding *Holding) open(now time.Duration) bool {
+	return now >= holding.opensAt()
+}
+
+func (holding *Holding) opensAt() time.Duration {
+	if holding.askedAt == 0 || holding.askedIn <= holding.link.answered {
+		return holding.nextAsk
+	}
+	return max(holding.nextAsk, holding.askedAt+repeatAfter)
+}
+
+// detach gives up the link of a unit. What it holds counts until the leases
+// expire.
+func (h *Holder) detach(holding *Holding) {
+	l := holding.link
+	if l == nil {
+		return
+	}
+	holding.link = nil
+	holding.frozenUntil = l.expires
+	l.holdings = slices.DeleteFunc(l.holdings, func(other *Holding) bool { return other == holding })
+}
+
+// restart begins a new session, in which everything is said again.
+func (h *Holder) restart(l *link) {
+	h.session++
+	*l = link{owner: l.owner, session: h.session, fresh: true, nextAsk: l.nextAsk, holdings: l.holdings}
+	for _, holding := range l.holdings {
+		h.lapse(holding)
+		holding.renew()
+	}
+}
+
+// lapse ends the leases of a unit. The host falls back to its own counts.
+func (h *Holder) lapse(holding *Holding) {
+	if holding.Leased {
+		h.note(holding)
+	}
+	holding.Leased = false
+	holding.frozenUntil = 0
+	for _, slot := range holding.Slots {
+		slot.Held = 0
+	}
+}
+
+// Reset drops all leases after a pause of the process.
+func (h *Holder) Reset() {
+	for _, owner := range slices.Sorted(maps.Keys(h.links)) {
+		h.restart(h.links[owner])
+	}
+	for _, holding := range h.order {
+		h.lapse(holding)
+	}
+}
+
+// Stop gives back what is not in use and asks for no spare slots any more.
+func (h *Holder) Stop(now time.Duration) {
+	h.stopping = true
+	for _, holding := range h.order {
+		if holding.link != nil {
+			h.use.Refresh(holding)
+			h.balance(now, holding)
+		}
+	}
+}
+
+func (h *Holder) enqueue(holding *Holding) {
+	if !holding.queued {
+		holding.queued = true
+		h.queue = append(h.queue, holding)
+	}
+}
+
+// Receive applies an answer.
+func (h *Holder) Receive(now time.Duration, owner string, answer Answer) {
+	l := h.links[owner]
+	if l == nil || answer.Session != l.session {
+		return
+	}
+	if answer.Restart {
+		h.restart(l)
+		l.nextAsk = now
+		return
+	}
+	if answer.Sequence <= l.seen || answer.Asked > l.sequence {
+		return
+	}
+	l.seen = answer.Sequence
+	l.answered = max(l.answered, answer.Asked)
+	l.fresh = false
+	expired := l.expires
+	if sent, ok := l.sentAt(answer.Asked); ok {
+		l.expires = max(l.expires, sent+min(answer.For, Longest))
+	}
+	for _, unit := range answer.Units {
+		holding := h.holdings[unit.Unit]
+		if holding != nil && holding.link == l {
+			h.apply(now, holding, unit, answer.Asked, expired)
+		}
+	}
+}
+
+func (l *link) sentAt(sequence uint64) (time.Duration, bool) {
+	back := int(l.sequence - sequence)
+	if back >= len(l.sent) {
+		return 0, false
+	}
+	return l.sent[len(l.sent)-1-back], true
+}
+
+func (h *Holder) apply(now time.Duration, holding *Holding, answer UnitAnswer, asked uint64, expired time.Duration) {
+	if answer.Refused {
+		h.refused(now, holding, answer.Wait, expired)
+		return
+	}
+	// The owner may have lowered its grant since: an ask that it had not seen
+	// when it answered may have given slots back.
+	if asked < holding.askedIn {
+		return
+	}
+	before := holding.held()
+	holding.frozenUntil = 0
+	holding.Leased = now < holding.link.expires
+	for _, slot := range holding.Slots {
+		slot.Held = min(countOf(answer.Grants, slot.Upstream), slot.Size)
+	}
+	got := holding.held() - before
+	if got > 0 {
+		holding.wanted = max(0, holding.wanted-got)
+	}
+	if answer.Recall {
+		h.giveBack(holding, holding.held()-answer.Keep)
+	}
+	h.note(holding)
+}
+
+// refused takes note that the owner grants nothing. What it granted before
+// counts until it would have expired without this answer, since any other
+// owner waits that long. The unit is asked for again after the wait.
+func (h *Holder) refused(now time.Duration, holding *Holding, wait, expired time.Duration) {
+	if wait > 0 {
+		holding.nextAsk = now + wait
+		holding.dirty = true
+		h.enqueue(holding)
+	} else {
+		holding.nextAsk = now + RenewEvery
+		h.detach(holding)
+		holding.frozenUntil = expired
+	}
+	if now >= holding.frozenUntil {
+		h.lapse(holding)
+	}
+}
+
+func countOf(slots []Slots, upstream string) int {
+	for _, s := range slots {
+		if s.Upstream == upstream {
+			return s.Count
+		}
+	}
+	return 0
+}
+
+func (holding *Holding) held() int {
+	sum := 0
+	for _, slot := range holding.Slots {
+		sum += slot.Held
+	}
+	return sum
+}
+
+func (holding *Holding) running() int {
+	sum := 0
+	for _, slot := range holding.Slots {
+		sum += slot.Running
+	}
+	return sum
+}
+
+// giveBack lowers what is held, unused slots first. A slot in use is claimed
+// until its request ends, and not used again.
+func (h *Holder) giveBack(holding *Holding, count int) {
+	for _, idleOnly := range []bool{true, false} {
+		for _, slot := range slices.Backward(holding.Slots) {
+			for count > 0 && slot.Held > 0 && (!idleOnly || slot.Held > slot.Running) {
+				slot.Held--
+				count--
+				holding.dirty = true
+			}
+		}
+	}
+	if !holding.dirty {
+		return
+	}
+	h.note(holding)
+	h.enqueue(holding)
+	h.watch(holding)
+}
+
+// watch follows a unit that uses more slots than it holds, so that its owner
+// hears at once when one becomes free.
+func (h *Holder) watch(holding *Holding) {
+	if !holding.settling && holding.overdrawn() > 0 {
+		holding.settling = true
+		h.settling = append(h.settling, holding)
+	}
+}
+
+func (holding *Holding) overdrawn() int {
+	sum := 0
+	for _, slot := range holding.Slots {
+		sum += max(0, slot.Running-slot.Held)
+	}
+	return sum
+}
+
+// Settle notices that units which use more slots than they hold use fewer than
+// before. It costs nothing when there are none.
+func (h *Holder) Settle() {
+	if len(h.settling) == 0 {
+		return
+	}
+	h.settling = slices.DeleteFunc(h.settling, func(holding *Holding) bool {
+		before := holding.overdrawn()
+		h.use.Refresh(holding)
+		after := holding.overdrawn()
+		if after < before && holding.link != nil {
+			holding.dirty = true
+			h.enqueue(holding)
+		}
+		holding.settling = after > 0
+		return after == 0
+	})
+}
+
+// Tick looks at a part of the units: it gives back idle slots, asks for
+// standing ones, follows changes of owners and ends leases that expired.
+func (h *Holder) Tick(now time.Duration) {
+	for _, owner := range slices.Sorted(maps.Keys(h.links)) {
+		h.checkLink(now, h.links[owner])
+	}
+	for _, holding := range h.due() {
+		h.check(now, holding)
+	}
+	h.turn++
+}
+
+// due returns the units that this tick looks at.
+func (h *Holder) due() []*Holding {
+	size := (len(h.order) + scanTicks - 1) / scanTicks
+	first := min(h.turn%scanTicks*size, len(h.order))
+	return h.order[first:min(first+size, len(h.order))]
+}
+
+func (h *Holder) checkLink(now time.Duration, l *link) {
+	if len(l.holdings) == 0 {
+		if now >= l.expires {
+			delete(h.links, l.owner)
+		}
+		return
+	}
+	if !l.fresh && now >= l.expires {
+		h.restart(l)
+	}
+}
+
+func (h *Holder) check(now time.Duration, holding *Holding) {
+	h.use.Refresh(holding)
+	holding.observe(now)
+	owner := h.use.Owner(holding.Unit)
+	if holding.link != nil && holding.link.owner != owner {
+		h.detach(holding)
+	}
+	if holding.thawed(now) {
+		h.lapse(holding)
+	}
+	if holding.link == nil {
+		if holding.target() > 0 && now >= holding.nextAsk {
+			h.touch(now, holding)
+		}
+		return
+	}
+	h.balance(now, holding)
+	if holding.target() == 0 && holding.held() == 0 && holding.running() == 0 && holding.confirmed() {
+		h.detach(holding)
+		h.lapse(holding)
+	}
+}
+
+// thawed reports whether leases that an earlier owner granted have expired.
+func (holding *Holding) thawed(now time.Duration) bool {
+	return holding.Leased && holding.frozenUntil > 0 && now >= holding.frozenUntil
+}
+
+// observe remembers the highest use of the last one to two windows.
+func (holding *Holding) observe(now time.Duration) {
+	if now >= holding.peakUntil {
+		holding.peakBefore = holding.peak
+		if now >= holding.peakUntil+window {
+			holding.peakBefore = 0
+		}
+		holding.peak = 0
+		holding.peakUntil = now + window
+	}
+	holding.peak = max(holding.peak, holding.running()+holding.wanted)
+}
+
+// target is the standing share: the highest recent use and one spare slot, so
+// that the next request finds a slot held.
+func (holding *Holding) target() int {
+	highest := max(holding.peak, holding.peakBefore)
+	if highest == 0 {
+		return 0
+	}
+	return highest + 1
+}
+
+func (h *Holder) balance(now time.Duration, holding *Holding) {
+	target := holding.target()
+	if h.stopping {
+		target = holding.running() + holding.wanted
+	}
+	held := holding.held()
+	spare := max(0, target-max(held, holding.running())-holding.wanted)
+	if spare != holding.spare {
+		holding.spare = spare
+		holding.dirty = true
+	}
+	if surplus := held - max(target, holding.running()); surplus > 0 {
+		h.giveBack(holding, surplus)
+	}
+	h.watch(holding)
+	if holding.dirty {
+		h.enqueue(holding)
+	}
+}
+
+// confirmed reports whether the owner knows all that there is to say.
+func (holding *Holding) confirmed() bool {
+	return !holding.dirty && holding.askedIn <= holding.link.answered
+}
+
+// Busy reports whether asks may be due without a tick.
+func (h *Holder) Busy() bool { return len(h.queue) > 0 }
+
+// NextAsk returns the instant at which an ask that waits is to be sent.
+func (h *Holder) NextAsk() (at time.Duration, waits bool) {
+	for _, holding := range h.queue {
+		if holding.link == nil {
+			continue
+		}
+		if opens := holding.opensAt(); !waits || opens < at {
+			at, waits = opens, true
+		}
+	}
+	return at, waits
+}
+
+// Asks returns the asks that are due, in the order of owners.
+func (h *Holder) Asks(now time.Duration) []Outgoing {
+	var owners []string
+	add := func(owner string) {
+		if !slices.Contains(owners, owner) {
+			owners = append(owners, owner)
+		}
+	}
+	waiting := h.queue[:0]
+	for _, holding := range h.queue {
+		switch {
+		case holding.link == nil:
+			holding.queued = false
+		case !holding.open(now):
+			waiting = append(waiting, holding)
+		default:
+			holding.queued = false
+			add(holding.link.owner)
+		}
+	}
+	h.queue = waiting
+	for _, owner := range slices.Sorted(maps.Keys(h.links)) {
+		if l := h.links[owner]; len(l.holdings) > 0 && now >= l.nextAsk {
+			add(owner)
+		}
+	}
+	slices.Sort(owners)
+	asks := make([]Outgoing, 0, len(owners))
+	for _, owner := range owners {
+		asks = append(asks, Outgoing{Owner: owner, Ask: h.links[owner].ask(now, h.use)})
+	}
+	return asks
+}
+
+// ask says everything that the owner has not confirmed.
+func (l *link) ask(now time.Duration, use Use) Ask {
+	l.sequence++
+	l.nextAsk = now + RenewEvery
+	if len(l.sent) >= sentLimit {
+		l.sent = slices.Delete(l.sent, 0, 1)
+	}
+	l.sent = append(l.sent, now)
+	ask := Ask{Session: l.session, Sequence: l.sequence, Seen: l.seen, Fresh: l.fresh}
+	for _, holding := range l.holdings {
+		if holding.confirmed() || !holding.open(now) || len(ask.Units) >= maxUnitsPerAsk {
+			continue
+		}
+		holding.dirty = false
+		holding.nextAsk = now + askSpacing
+		holding.askedIn = l.sequence
+		holding.askedAt = now
+		use.Refresh(holding)
+		ask.Units = append(ask.Units, holding.ask())
+	}
+	return ask
+}
+
+func (holding *Holding) ask() UnitAsk {
+	ask := UnitAsk{Unit: holding.Unit, Wanted: holding.wanted, Spare: holding.spare}
+	for _, slot := range holding.Slots {
+		if claimed := max(slot.Held, slot.Running); claimed > 0 {
+			ask.Claims = append(ask.Claims, Slots{Upstream: slot.Upstream, Count: claimed})
+		}
+		if holding.wanted > 0 && slot.Held > slot.Running {
+			ask.Except = append(ask.Except, slot.Upstream)
+		}
+	}
+	return ask
+}
