--- /dev/null
+++ b/generation/generation_test.go
@@ -0,0 +1,160 @@
+package generation_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"wisteriapond/config"
+	"wisteriapond/generation"
+	"wisteriapond/membership"
+)
+
+func parts(n int) []generation.Part {
+	var list []generation.Part
+	for i := range n {
+		list = append(list, generation.Part{Service: fmt.Sprint("s", i), Hash: config.Hash(fmt.Sprint("h", i))})
+	}
+	return list
+}
+
+func all(generation.Part) bool { return true }
+
+var _ = Describe("Collection", func() {
+	// Guards against a configuration service that is asked by every host of a
+	// fleet for what the hosts could give each other.
+	It("asks the peers before the configuration service", func() {
+		c := generation.NewCollection(parts(1))
+		c.AddSource("a")
+		c.AddSource("b")
+		var asked []string
+		for range 3 {
+			requests := c.Requests(0)
+			Expect(requests).To(HaveLen(1))
+			asked = append(asked, requests[0].Peer)
+			c.Failed(0, all)
+		}
+		Expect(asked[:2]).To(ConsistOf("a", "b"))
+		Expect(asked[2]).To(BeEmpty())
+		Expect(c.Requests(0)).To(BeEmpty(), "there is a pause after the last source")
+		Expect(c.Requests(generation.Pause(0))).To(HaveLen(1))
+	})
+
+	// Guards against a start that asks for thousands of parts at once.
+	It("bounds the parts under way", func() {
+		c := generation.NewCollection(parts(100))
+		c.AddSource("a")
+		count := 0
+		for _, request := range c.Requests(0) {
+			Expect(len(request.Parts)).To(BeNumerically("<=", generation.MaxPartsPerPeer))
+			count += len(request.Parts)
+		}
+		Expect(count).To(Equal(generation.MaxRequests))
+		Expect(c.Requests(0)).To(BeEmpty())
+	})
+
+	// Guards against a version that stalls when an answer is lost.
+	It("asks again when no answer comes", func() {
+		c := generation.NewCollection(parts(1))
+		c.AddSource("a")
+		Expect(c.Requests(0)).To(HaveLen(1))
+		Expect(c.Requests(10 * time.Second)).To(HaveLen(1))
+		Expect(c.Arrived("h0")).To(BeTrue())
+		Expect(c.Missing()).To(BeZero())
+	})
+
+	// Guards against a dead configuration service being asked in a tight loop.
+	It("pauses longer after each round", func() {
+		Expect(generation.Pause(0)).To(Equal(500 * time.Millisecond))
+		Expect(generation.Pause(1)).To(Equal(time.Second))
+		Expect(generation.Pause(100)).To(Equal(10 * time.Second))
+	})
+})
+
+var _ = Describe("Watches", func() {
+	// Guards against a fleet without a watcher, and against one whose watches
+	// use up the calls of the configuration service.
+	DescribeTable("chooses the square root of the fleet", func(n, want int) {
+		watchers := 0
+		for i := range n {
+			var others []membership.Member
+			for j := range n {
+				if j != i {
+					others = append(others, membership.Member{Name: fmt.Sprint("host-", j)})
+				}
+			}
+			if generation.Watches(fmt.Sprint("host-", i), others) {
+				watchers++
+			}
+		}
+		Expect(watchers).To(Equal(want))
+	},
+		Entry("one host", 1, 1),
+		Entry("two hosts", 2, 2),
+		Entry("three hosts", 3, 2),
+		Entry("17 hosts", 17, 5),
+		Entry("256 hosts", 256, 16),
+	)
+})
+
+var _ = Describe("Patch", func() {
+	manifest := func(generation int, hashes []int) []byte {
+		var b strings.Builder
+		fmt.Fprintf(&b, `{"generation":%d,"services":{`, generation)
+		for i, hash := range hashes {
+			fmt.Fprintf(&b, `"service-%d":"%064d",`, i, hash)
+		}
+		b.WriteString(`}}`)
+		return []byte(b.String())
+	}
+
+	// Guards against a manifest of 1,500 services being sent for each of
+	// 10,000 changes a day.
+	It("is small for a change of one service", func() {
+		hashes := make([]int, 1500)
+		before := manifest(1, hashes)
+		hashes[700] = 1
+		after := manifest(2, hashes)
+		patch := generation.Diff("x", before, after)
+		size := 0
+		for _, edit := range patch.Edits {
+			size += len(edit.Insert)
+		}
+		Expect(size).To(BeNumerically("<", 256))
+		Expect(generation.Apply(before, patch, len(after))).To(Equal(after))
+	})
+
+	// Guards against a patch that makes another document.
+	It("turns any document into any other", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			entries := rapid.SliceOf(rapid.SampledFrom([]string{"a,", "b,", "c,", "dd,", "e"}))
+			before := []byte(strings.Join(entries.Draw(t, "before"), ""))
+			after := []byte(strings.Join(entries.Draw(t, "after"), ""))
+			patch := generation.Diff("x", before, after)
+			if patch == nil {
+				return
+			}
+			got, err := generation.Apply(before, patch, len(after))
+			if err != nil || string(got) != string(after) {
+				t.Fatalf("got %q, %v", got, err)
+			}
+		})
+	})
+
+	// Guards against a host that is brought down by a peer's message.
+	DescribeTable("refuses", func(edit generation.Edit) {
+		_, err := generation.Apply([]byte("abc"), &generation.Patch{Edits: []generation.Edit{edit}}, 4)
+		Expect(err).To(MatchError(generation.ErrPatch))
+	},
+		Entry("a negative offset", generation.Edit{Offset: -1, Length: 1}),
+		Entry("a negative length", generation.Edit{Offset: 1, Length: -1}),
+		Entry("an offset beyond the end", generation.Edit{Offset: 4}),
+		Entry("a length beyond the end", generation.Edit{Offset: 2, Length: 2}),
+		Entry("a length that overflows", generation.Edit{Offset: 1, Length: 1<<63 - 1}),
+		Entry("a result beyond the limit", generation.Edit{Length: 3, Insert: []byte("de")}),
+	)
+})
