budget: add the share of the measuring budget

Change: evenly spaced probes from a share that depends on settings only. The spacing includes the 50 ms by which a command may start late. A new process waits one spacing; nothing is saved up.

Conclusion: requests and bytes stay within the budget in every minute.

--- /dev/null
+++ b/budget/measuring_test.go
@@ -0,0 +1,93 @@
+package budget_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"wisteriapond/budget"
+)
+
+var _ = Describe("Measuring", func() {
+	// Guards against probes before the first minute of a process has shown
+	// that it is not in a restart loop.
+	It("starts with a full spacing and saves nothing up", func() {
+		m := budget.NewMeasuring(0)
+		m.Set(60, 1<<20, 1, 1024)
+		Expect(m.PerMinute()).To(Equal(60))
+		Expect(m.Take(time.Second)).To(BeFalse())
+		Expect(m.Take(m.Spacing())).To(BeTrue())
+		Expect(m.Take(time.Hour)).To(BeTrue())
+		Expect(m.Take(time.Hour)).To(BeFalse())
+	})
+
+	// Guards against a share that is rounded up, which adds up over the hosts.
+	DescribeTable("rounds the share down", func(requests int, bytes int64, hosts int, probe int64, want int) {
+		m := budget.NewMeasuring(0)
+		m.Set(requests, bytes, hosts, probe)
+		Expect(m.PerMinute()).To(Equal(want))
+	},
+		Entry("by requests", 60, int64(1<<30), 17, int64(1024), 3),
+		Entry("by bytes", 600, int64(100_000), 10, int64(4_000), 2),
+		Entry("bytes for no whole probe", 600, int64(30_000), 10, int64(4_000), 0),
+		Entry("off", 0, int64(1<<30), 10, int64(1024), 0),
+		Entry("no bytes", 600, int64(0), 10, int64(1024), 0),
+	)
+
+	// I1. Guards against a minute in which the hosts together spend more than
+	// the operators allow, whatever restarts, pauses and splits they go
+	// through. A probe may start up to 50 ms after it was decided.
+	It("never exceeds the budget of the deployment in any minute", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			hosts := rapid.IntRange(1, 5).Draw(t, "hosts")
+			requests := rapid.IntRange(hosts, 300).Draw(t, "requests")
+			probe := int64(rapid.IntRange(100, 5000).Draw(t, "probe"))
+			bytes := int64(rapid.IntRange(1, 400_000).Draw(t, "bytes"))
+			var starts []time.Duration
+			for range hosts {
+				starts = append(starts, probesOf(t, hosts, requests, bytes, probe)...)
+			}
+			for _, first := range starts {
+				count := 0
+				for _, at := range starts {
+					if at >= first && at < first+time.Minute {
+						count++
+					}
+				}
+				if count > requests || int64(count)*probe > bytes {
+					t.Fatalf("%d probes of %d bytes in a minute, allowed %d and %d bytes", count, probe, requests, bytes)
+				}
+			}
+		})
+	})
+})
+
+// probesOf returns the instants at which one host starts probes, through
+// restarts and pauses.
+func probesOf(t *rapid.T, hosts, requests int, bytes, probe int64) []time.Duration {
+	var starts []time.Duration
+	now := time.Duration(0)
+	m := budget.NewMeasuring(now)
+	m.Set(requests, bytes, hosts, probe)
+	for range rapid.IntRange(5, 200).Draw(t, "steps") {
+		switch rapid.IntRange(0, 20).Draw(t, "action") {
+		case 0:
+			m = budget.NewMeasuring(now)
+			m.Set(requests, bytes, hosts, probe)
+		case 1:
+			now += time.Duration(rapid.IntRange(0, 90_000).Draw(t, "pause")) * time.Millisecond
+		default:
+			now += time.Duration(rapid.IntRange(1, 500).Draw(t, "ms")) * time.Millisecond
+		}
+		if at, ok := m.NextAt(); ok && rapid.Bool().Draw(t, "exact") {
+			now = max(now, at)
+		}
+		if m.Take(now) {
+			late := time.Duration(rapid.IntRange(0, 50).Draw(t, "late")) * time.Millisecond
+			starts = append(starts, now+late)
+		}
+	}
+	return starts
+}
