core: decide on members, leaving marks, versions, leases, probes and pauses

Change: Step calls membership, lease, generation and budget. Messages between entry hosts are typed fields of core.Message. Leaving marks and versions are spread at once and attached to pings. The configuration service is watched by few hosts and asked last; every read is one effect, and its repetition is the reducer's decision. The entry host carries out ReadManifest and StopWatching.

--- a/core/counter.go
+++ b/core/counter.go
@@ -17,4 +17,27 @@
 	CounterAttempts Counter = "attempts_total"
 	// CounterConfigurations counts configurations by verdict (verdict).
 	CounterConfigurations Counter = "configurations_total"
+	// CounterMembers counts changes of entry hosts (new state).
+	CounterMembers Counter = "member_changes_total"
+	// CounterPeerUnreachable counts messages to peers that could not be sent.
+	CounterPeerUnreachable Counter = "peer_unreachable_total"
+	// CounterLeavingMarks counts changes of leaving marks (where they came
+	// from).
+	CounterLeavingMarks Counter = "leaving_marks_total"
+	// CounterPartRequests counts requests for parts (peer or service).
+	CounterPartRequests Counter = "part_requests_total"
+	// CounterPlatformFailures counts failed reads and watches.
+	CounterPlatformFailures Counter = "platform_failures_total"
+	// CounterLeases counts upstreams that changed between leases and own
+	// counts (leased or lapsed).
+	CounterLeases Counter = "lease_changes_total"
+	// CounterLeaseMessages counts lease messages sent (ask or answer).
+	CounterLeaseMessages Counter = "lease_messages_total"
+	// CounterProbes counts probes (started, answered, failed, expired,
+	// from_peer).
+	CounterProbes Counter = "probes_total"
+	// CounterProbeBytes counts the bytes charged for probes.
+	CounterProbeBytes Counter = "probe_bytes_total"
+	// CounterPauses counts pauses of the process.
+	CounterPauses Counter = "pauses_total"
 )
--- a/core/hosts.go
+++ b/core/hosts.go
@@ -1,19 +1,157 @@
 package core
 
+import (
+	"slices"
+	"strconv"
+
+	"wisteriapond/membership"
+)
+
+// maxHosts bounds the host table. It holds the 37,000 backend servers of the
+// largest deployment and their replacements.
+const maxHosts = 1 << 16
+
+// marks is what is passed on about leaving hosts.
+type marks struct {
+	rumors membership.Rumors[HostEntry]
+	// ever holds the hosts that were leaving at some time: a full exchange
+	// names them, live again or not.
+	ever map[string]bool
+	// listed is set once a host list came. The first one is no news to a fleet
+	// that this host has just joined.
+	listed bool
+}
+
 // hostListRead takes the platform's host list. An entry counts only when its
 // epoch is not below the one known, so that a lagging list cannot bring a
 // leaving host back.
 func (s *State) hostListRead(e HostListRead) {
+	var news []HostEntry
 	for _, entry := range e.Hosts {
 		known, ok := s.hosts[entry.Host]
 		if ok && !supersedes(entry, known) {
+			s.describeHost(entry, known)
 			continue
 		}
-		s.hosts[entry.Host] = entry
-		if entry.Leaving {
-			s.closeIdleOf(entry.Host)
+		if entry.Role == EntryHost && entry.Host != s.self.Host {
+			s.members.AddContact(entry.Address)
+		}
+		if !s.setHost(entry) {
+			continue
 		}
+		s.count(CounterLeavingMarks, "host_list")
+		news = append(news, markOf(entry))
+	}
+	peers := s.fanout()
+	if !s.marks.listed {
+		peers = s.members.Sample(1)
+	}
+	s.marks.listed = true
+	s.spreadMarks(news, peers)
+	s.pauseAnswered()
+}
+
+// describeHost completes an entry that came as a mark from a peer.
+func (s *State) describeHost(entry, known HostEntry) {
+	if known.Address != "" || entry.Address == "" {
+		return
 	}
+	entry.Epoch, entry.Leaving = known.Epoch, known.Leaving
+	s.hosts[entry.Host] = entry
+}
+
+// markLeaving notes that a backend server said that it is leaving. The epoch
+// stays the one known, so that only a newer entry can bring the host back.
+func (s *State) markLeaving(host string) {
+	entry := s.hosts[host]
+	if entry.Leaving {
+		return
+	}
+	entry.Host = host
+	entry.Leaving = true
+	if s.setHost(entry) {
+		s.count(CounterLeavingMarks, "backend")
+		s.spreadMarks([]HostEntry{markOf(entry)}, s.fanout())
+	}
+}
+
+// marksHeard takes leaving marks from a peer and passes on those that are new
+// here. In a small fleet the peer has told everyone itself.
+func (s *State) marksHeard(heard []HostEntry) {
+	var news []HostEntry
+	for _, mark := range heard {
+		known, ok := s.hosts[mark.Host]
+		if mark.Host == "" || ok && !supersedes(mark, known) {
+			continue
+		}
+		entry := known
+		entry.Host, entry.Role, entry.Epoch, entry.Leaving = mark.Host, mark.Role, mark.Epoch, mark.Leaving
+		if s.setHost(entry) {
+			s.count(CounterLeavingMarks, "peer")
+			news = append(news, mark)
+		}
+	}
+	if s.members.Live() > maxDirectPeers {
+		s.spreadMarks(news, s.members.Sample(fanoutPeers))
+		return
+	}
+	s.spreadMarks(news, nil)
+}
+
+// setHost is the only writer of the host table. It reports whether the leaving
+// mark of the host changed.
+func (s *State) setHost(entry HostEntry) bool {
+	known, ok := s.hosts[entry.Host]
+	if !ok && len(s.hosts) >= maxHosts {
+		s.count(CounterLeavingMarks, "table_full")
+		return false
+	}
+	s.hosts[entry.Host] = entry
+	if entry.Leaving == known.Leaving {
+		return false
+	}
+	if s.marks.ever == nil {
+		s.marks.ever = make(map[string]bool)
+	}
+	s.marks.ever[entry.Host] = true
+	s.out.add(Log{Message: "host changed", Fields: []LogField{
+		{Key: "changed", Value: entry.Host},
+		{Key: "leaving", Value: strconv.FormatBool(entry.Leaving)},
+		{Key: "epoch", Value: strconv.FormatUint(entry.Epoch, 10)},
+	}})
+	if entry.Leaving {
+		s.closeIdleOf(entry.Host)
+	}
+	s.hostChanged(entry.Host)
+	s.hostLeases(entry.Host)
+	return true
+}
+
+// spreadMarks tells the peers at once, and attaches the marks to later
+// messages in case that one was lost.
+func (s *State) spreadMarks(news []HostEntry, peers []membership.Member) {
+	for _, mark := range news {
+		s.marks.rumors.Add(mark.Host, mark)
+	}
+	for chunk := range slices.Chunk(news, hostsPerMessage) {
+		s.sendTo(peers, Message{Hosts: chunk})
+	}
+}
+
+// sendMarks tells a starting host all leaving marks.
+func (s *State) sendMarks(address string) {
+	var entries []HostEntry
+	for _, host := range sortedKeys(s.marks.ever) {
+		entries = append(entries, markOf(s.hosts[host]))
+	}
+	for chunk := range slices.Chunk(entries, hostsPerMessage) {
+		s.send(address, Message{Hosts: chunk})
+	}
+}
+
+// markOf leaves out what a leaving mark does not need.
+func markOf(entry HostEntry) HostEntry {
+	return HostEntry{Host: entry.Host, Role: entry.Role, Epoch: entry.Epoch, Leaving: entry.Leaving}
 }
 
 // supersedes orders host entries by epoch, then leaving after live.
@@ -40,3 +178,13 @@
 		}
 	}
 }
+
+func (s *State) leavingHosts() []HostEntry {
+	var entries []HostEntry
+	for _, host := range sortedKeys(s.marks.ever) {
+		if s.hosts[host].Leaving {
+			entries = append(entries, s.hosts[host])
+		}
+	}
+	return entries
+}
--- a/core/request.go
+++ b/core/request.go
@@ -86,6 +86,10 @@
 		s.refuseRequest(r, outcome.RefusedDeadline)
 		return
 	}
+	if !r.idempotent && s.confirming() {
+		s.refuseRequest(r, outcome.RefusedNotReady)
+		return
+	}
 	candidates := s.candidates(r)
 	if len(candidates) == 0 {
 		s.refuseRequest(r, outcome.RefusedNoHost)
--- a/core/service.go
+++ b/core/service.go
@@ -6,12 +6,28 @@
 type service struct {
 	config    *config.CompiledService
 	upstreams []*upstream
+	// waiting is the number of requests in the queue.
+	waiting int
 }
 
 // upstream is the changing state of an upstream as this host sees it.
 type upstream struct {
 	config  *config.CompiledUpstream
 	running int
+	// leased says that the number of slots this host may use is held, slots of
+	// a lease. Both are set by the holder of the leases.
+	leased bool
+	held   int
+}
+
+// limit returns the number of requests that this host may run on the upstream
+// now. Without a lease it is half of the slots, rounded up: other hosts use
+// them as well.
+func (u *upstream) limit() int {
+	if u.leased {
+		return u.held
+	}
+	return (u.config.Slots + 1) / 2
 }
 
 // updateServices carries the state of services and upstreams over to the
@@ -52,3 +68,9 @@
 	}
 	return nil
 }
+
+// drainQueue starts waiting requests while slots are free for them.
+func (s *State) drainQueue(*service) {}
+
+// hostChanged takes over the leaving mark of a host.
+func (s *State) hostChanged(string) {}
--- a/core/state.go
+++ b/core/state.go
@@ -24,22 +24,26 @@
 	ready    bool
 	stop     stopState
 	out      *Effects
+	coordination
 }
 
 // New returns an empty state. Its first event must be Start.
 func New() *State {
-	return &State{
+	s := &State{
 		services: make(map[string]*service),
 		requests: make(map[RequestID]*request),
 		hosts:    make(map[string]HostEntry),
 		parts:    make(map[config.Hash]*config.CompiledService),
 	}
+	s.coordination.init(s)
+	return s
 }
 
 // Step applies one event at the given instant and appends its effects to out.
 func (s *State) Step(at Instant, event Event, out *Effects) {
 	s.now = max(s.now, at)
 	s.out = out
+	s.notePause()
 	switch e := event.(type) {
 	case Start:
 		s.start(e)
@@ -70,21 +74,24 @@
 	case PeerMessage:
 		s.peerMessage(e)
 	case PeerUnreachable:
+		s.peerUnreachable(e)
 	case ProbeFinished:
+		s.probeFinished(e)
 	case StatusRequested:
 		s.out.add(ReportStatus{ID: e.ID, Status: s.status()})
 	}
+	s.settle(event)
 	s.out = nil
 }
 
 func (s *State) start(e Start) {
 	s.self = e
 	s.random.state = e.Seed
-	s.out.add(ReadHostList{})
-	s.out.add(WatchManifest{})
+	s.startCoordination(e)
 }
 
 func (s *State) tick() {
+	s.tickCoordination()
 	s.checkStop()
 }
 
--- a/core/status.go
+++ b/core/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"wisteriapond/config"
 )
@@ -14,6 +15,49 @@
 	Version  config.Version
 	Services []ServiceStatus
 	Hosts    []HostEntry
+	// Pending is the version being collected, MissingParts what it lacks.
+	Pending      config.Version
+	MissingParts int
+	// Watching says that this host watches the configuration service.
+	Watching bool
+	// Members are the other entry hosts, Leaving the hosts marked as leaving.
+	Members   []MemberStatus
+	Leaving   []HostEntry
+	Leases    LeaseStatus
+	Measuring MeasuringStatus
+}
+
+// MemberStatus reports one entry host.
+type MemberStatus struct {
+	Name        string
+	Address     string
+	Region      string
+	State       string
+	Incarnation uint64
+}
+
+// LeaseStatus reports slot leases. Units are the upstreams of one service in
+// one region.
+type LeaseStatus struct {
+	// Granted is the number of slots granted to Holders hosts.
+	Granted int
+	Holders int
+	// Held is the number of slots held.
+	Held int
+	// Leased and OwnCounts are the numbers of units with leases, and of units
+	// in use without.
+	Leased    int
+	OwnCounts int
+}
+
+// MeasuringStatus reports the share of the measuring budget.
+type MeasuringStatus struct {
+	// PerMinute is the number of probes that this host may start per minute.
+	PerMinute int
+	// NextIn is the time until the next probe may start.
+	NextIn time.Duration
+	// Bytes is the sum charged since the start.
+	Bytes int64
 }
 
 // ServiceStatus reports one service.
@@ -39,6 +83,15 @@
 		Ready:    s.ready,
 		Stopping: s.stop.requested,
 		Version:  s.inForce(),
+		Watching: s.documents.watching,
+		Members:  s.memberStatus(),
+		Leaving:  s.leavingHosts(),
+		Leases:   s.leaseStatus(),
+	}
+	status.Measuring = s.measuringStatus()
+	if s.pending != nil {
+		status.Pending = s.pending.version
+		status.MissingParts = s.pending.collection.Missing()
 	}
 	for _, name := range sortedKeys(s.services) {
 		status.Services = append(status.Services, s.serviceStatus(s.services[name]))
@@ -49,6 +102,20 @@
 	return status
 }
 
+func (s *State) memberStatus() []MemberStatus {
+	var members []MemberStatus
+	for _, update := range s.members.Updates() {
+		members = append(members, MemberStatus{
+			Name:        update.Member.Name,
+			Address:     update.Member.Address,
+			Region:      update.Member.Region,
+			State:       update.Status.String(),
+			Incarnation: update.Incarnation,
+		})
+	}
+	return members
+}
+
 func (s *State) serviceStatus(svc *service) ServiceStatus {
 	status := ServiceStatus{Name: svc.config.Name}
 	for _, u := range svc.upstreams {
--- a/core/stop.go
+++ b/core/stop.go
@@ -1,5 +1,7 @@
 package core
 
+import "time"
+
 // stopState tracks a planned stop.
 type stopState struct {
 	requested   bool
@@ -16,9 +18,20 @@
 	s.updateReady()
 	s.publishView()
 	s.out.add(Log{Message: "planned stop"})
+	s.handBack()
 	s.out.add(WakeAt{At: s.stop.acceptUntil})
 }
 
+// handBack tells the peers that this host leaves, so that others take over what
+// it owns, and returns the leases that it does not use. Slots in use go back
+// as their requests end.
+func (s *State) handBack() {
+	s.members.Leave(s.fanout(), &s.memberOut)
+	s.sendMembership()
+	s.updateView()
+	s.leases.holder.Stop(time.Duration(s.now))
+}
+
 // checkStop closes the listener after the time that the platform's balancer
 // needs to turn away, and ends the process once nothing is in flight.
 func (s *State) checkStop() {
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -19,7 +19,6 @@
 	// retryPlatform is the wait after a failed call. It bounds the calls of a
 	// host while the platform is down.
 	retryPlatform = time.Second
-	hostListEvery = time.Second
 )
 
 // Handle carries out the effects that do not belong to one request.
@@ -33,6 +32,10 @@
 		h.pool.CloseIdle(e.Address)
 	case core.WatchManifest:
 		h.watchManifest()
+	case core.StopWatching:
+		h.stopWatching()
+	case core.ReadManifest:
+		h.group.Go(func() error { h.readManifest(); return nil })
 	case core.ReadPart:
 		h.group.Go(func() error { h.readPart(e); return nil })
 	case core.ReadHostList:
@@ -61,20 +64,28 @@
 }
 
 func (h *Host) watchManifest() {
-	if h.watching {
+	if h.endWatch != nil {
 		return
 	}
-	h.watching = true
-	h.group.Go(func() error { h.followManifest(); return nil })
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.endWatch = cancel
+	h.group.Go(func() error { h.followManifest(ctx); return nil })
 }
 
-// followManifest keeps a watch open until the host ends.
-func (h *Host) followManifest() {
+func (h *Host) stopWatching() {
+	if h.endWatch != nil {
+		h.endWatch()
+		h.endWatch = nil
+	}
+}
+
+// followManifest keeps a watch open until ctx is done.
+func (h *Host) followManifest(ctx context.Context) {
 	etag := ""
-	for h.ctx.Err() == nil {
-		value, err := h.nextManifest(etag)
+	for ctx.Err() == nil {
+		value, err := h.nextManifest(ctx, etag)
 		switch {
-		case errors.Is(err, platform.ErrUnchanged):
+		case errors.Is(err, platform.ErrUnchanged), ctx.Err() != nil:
 		case err != nil:
 			h.platformFailed(manifestKey, err)
 			h.sleep(retryPlatform)
@@ -85,11 +96,21 @@
 	}
 }
 
-func (h *Host) nextManifest(etag string) (platform.Value, error) {
+// readManifest reads the manifest once.
+func (h *Host) readManifest() {
+	value, err := h.platform.Read(h.ctx, manifestKey)
+	if err != nil {
+		h.platformFailed(manifestKey, err)
+		return
+	}
+	h.manifestRead(value.Raw)
+}
+
+func (h *Host) nextManifest(ctx context.Context, etag string) (platform.Value, error) {
 	if etag == "" {
-		return h.platform.Read(h.ctx, manifestKey)
+		return h.platform.Read(ctx, manifestKey)
 	}
-	return h.platform.Watch(h.ctx, manifestKey, etag)
+	return h.platform.Watch(ctx, manifestKey, etag)
 }
 
 func (h *Host) manifestRead(raw []byte) {
@@ -101,39 +122,36 @@
 	h.loop.Send(core.ManifestRead{Version: version, Manifest: manifest, Raw: raw})
 }
 
+// readPart reads one part once. The reducer decides when to try again.
 func (h *Host) readPart(e core.ReadPart) {
 	key := partPrefix + e.Service
-	for h.ctx.Err() == nil {
-		value, err := h.platform.Read(h.ctx, key)
-		if err != nil {
-			h.platformFailed(key, err)
-			h.sleep(retryPlatform)
-			continue
-		}
-		hash := document.HashOf(value.Raw)
-		service, err := document.Service(key, value.Raw)
-		if err != nil {
-			h.loop.Send(core.DocumentRefused{Key: key, Problems: []string{err.Error()}})
-			return
-		}
-		h.loop.Send(core.PartRead{Hash: hash, Service: service, Raw: value.Raw})
+	value, err := h.platform.Read(h.ctx, key)
+	if err != nil {
+		h.platformFailed(key, err)
 		return
 	}
+	hash := document.HashOf(value.Raw)
+	service, err := document.Service(key, value.Raw)
+	if err != nil {
+		h.loop.Send(core.DocumentRefused{Key: key, Problems: []string{err.Error()}})
+		return
+	}
+	h.loop.Send(core.PartRead{Hash: hash, Service: service, Raw: value.Raw})
 }
 
-// readHostList polls the platform's list of hosts.
+// readHostList reads the platform's list of hosts once.
 func (h *Host) readHostList() {
-	for h.ctx.Err() == nil {
-		raw, err := h.platform.Hosts(h.ctx)
-		if err != nil {
-			h.platformFailed("hosts", err)
-		} else if hosts, err := document.HostList("hosts", raw); err != nil {
-			h.loop.Send(core.DocumentRefused{Key: "hosts", Problems: []string{err.Error()}})
-		} else {
-			h.loop.Send(core.HostListRead{Hosts: hosts})
-		}
-		h.sleep(hostListEvery)
+	raw, err := h.platform.Hosts(h.ctx)
+	if err != nil {
+		h.platformFailed("hosts", err)
+		return
+	}
+	hosts, err := document.HostList("hosts", raw)
+	if err != nil {
+		h.loop.Send(core.DocumentRefused{Key: "hosts", Problems: []string{err.Error()}})
+		return
 	}
+	h.loop.Send(core.HostListRead{Hosts: hosts})
 }
 
 func (h *Host) platformFailed(key string, err error) {
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -39,7 +39,7 @@
 
 	ctx      context.Context
 	group    *errgroup.Group
-	watching bool
+	endWatch context.CancelFunc
 
 	statusMu sync.Mutex
 	statuses map[uint64]chan core.Status
