config: find the route of a request by an index

Table.Service looked at every match of every service, so that a decision grew with the number of services (1,500 expected).

--- /dev/null
+++ b/config/routeindex.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"slices"
+	"strings"
+)
+
+// routeIndex finds the route of a request without looking at every service.
+// The cost grows with the number of different path prefix lengths of a host.
+type routeIndex struct {
+	hosts map[string]*prefixIndex
+}
+
+// prefixIndex holds the routes of one host name by path prefix.
+type prefixIndex struct {
+	routes map[string][]route
+	// lengths are the lengths of the prefixes, longest first.
+	lengths []int
+}
+
+// newRouteIndex takes routes in the order of compareRoutes.
+func newRouteIndex(routes []route) routeIndex {
+	x := routeIndex{hosts: make(map[string]*prefixIndex)}
+	for _, r := range routes {
+		host := strings.ToLower(r.match.Host)
+		p := x.hosts[host]
+		if p == nil {
+			p = &prefixIndex{routes: make(map[string][]route)}
+			x.hosts[host] = p
+		}
+		p.add(r)
+	}
+	return x
+}
+
+func (p *prefixIndex) add(r route) {
+	prefix := r.match.PathPrefix
+	if !slices.Contains(p.lengths, len(prefix)) {
+		p.lengths = append(p.lengths, len(prefix))
+	}
+	p.routes[prefix] = append(p.routes[prefix], r)
+}
+
+func (x *routeIndex) find(r *Request) *CompiledService {
+	if service := x.hosts[strings.ToLower(r.Host)].find(r); service != nil {
+		return service
+	}
+	return x.hosts[""].find(r)
+}
+
+func (p *prefixIndex) find(r *Request) *CompiledService {
+	if p == nil {
+		return nil
+	}
+	for _, length := range p.lengths {
+		if length > len(r.Path) {
+			continue
+		}
+		routes := p.routes[r.Path[:length]]
+		for i := range routes {
+			if routes[i].match.Matches(r) {
+				return routes[i].service
+			}
+		}
+	}
+	return nil
+}
--- a/config/table.go
+++ b/config/table.go
@@ -14,6 +14,7 @@
 	Manifest *Manifest
 	services []*CompiledService
 	routes   []route
+	index    routeIndex
 	headers  []string
 }
 
@@ -120,6 +121,7 @@
 		}
 	}
 	slices.SortStableFunc(t.routes, compareRoutes)
+	t.index = newRouteIndex(t.routes)
 	slices.Sort(t.headers)
 	return t, t.conflicts()
 }
@@ -180,12 +182,7 @@
 
 // Service returns the service that a request belongs to, or nil.
 func (t *Table) Service(r *Request) *CompiledService {
-	for i := range t.routes {
-		if t.routes[i].match.Matches(r) {
-			return t.routes[i].service
-		}
-	}
-	return nil
+	return t.index.find(r)
 }
 
 // Matches reports whether the request fits the description.
