core: decide on picking, queueing, retries and transfer rates

The reducer picked among all upstreams by own counts, never waited for a slot and retried without a budget. Requests now wait in a bounded queue ordered by deadline, slots are never exceeded knowingly, unhealthy upstreams are ejected up to a third, and retries take a token each. Answers with 502, 503 or 504 are retried for idempotent requests; the held answer is passed on when no other attempt starts, and a request that may have run is never reported as not run. Long answers from other regions share a part of the link.

Packages pick, queue, health and budget are new.

--- a/caller/answers.go
+++ b/caller/answers.go
@@ -40,6 +40,9 @@
 		seconds := max(1, int(refusal.RetryAfter.Seconds()))
 		ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
 	}
+	if refusal.GaveUp {
+		ctx.Response.Header.Set(backend.HeaderGaveUp, "1")
+	}
 	writeAnswer(ctx, status, answerBody{
 		Outcome: outcomeNotRun,
 		Reason:  string(refusal.Reason),
--- a/caller/server.go
+++ b/caller/server.go
@@ -111,20 +111,30 @@
 	for command := range ticket.Commands {
 		switch c := command.(type) {
 		case core.StartAttempt:
+			abandon(exchange)
 			exchange = s.attempt(ctx, ticket, c)
 		case core.PassAnswer:
 			s.pass(ctx, c, exchange)
 			return
 		case core.Refuse:
+			abandon(exchange)
 			writeRefusal(ctx, c)
 			return
 		case core.Fail:
+			abandon(exchange)
 			writeFailure(ctx, c)
 			return
 		}
 	}
 }
 
+// abandon closes the connection of a long answer that is not passed on.
+func abandon(x *backend.Exchange) {
+	if x != nil {
+		x.Abort()
+	}
+}
+
 func (s *Server) attempt(ctx *fasthttp.RequestCtx, ticket *runtime.Ticket, command core.StartAttempt) *backend.Exchange {
 	x := s.pool.Do(context.Background(), s.loop, command, &ctx.Request, ticket)
 	if x.Streaming {
@@ -140,6 +150,9 @@
 func (s *Server) pass(ctx *fasthttp.RequestCtx, command core.PassAnswer, x *backend.Exchange) {
 	copyHeader(&ctx.Response, &x.Response)
 	ctx.Response.Header.Set(backend.HeaderUpstream, command.Upstream)
+	if command.GaveUp {
+		ctx.Response.Header.Set(backend.HeaderGaveUp, "1")
+	}
 	if !x.Streaming {
 		ctx.Response.SkipBody = x.Response.SkipBody
 		ctx.Response.SetBodyRaw(x.Response.Body())
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -90,6 +90,7 @@
 func (s *State) adopt(table *config.Table) {
 	s.table = table
 	s.updateServices()
+	s.shareLinks()
 	s.count(CounterConfigurations, "accepted")
 	s.out.add(Log{Message: "configuration accepted", Fields: []LogField{
 		{Key: "generation", Value: strconv.FormatUint(table.Version.Generation, 10)},
--- a/core/effect.go
+++ b/core/effect.go
@@ -62,6 +62,8 @@
 type PassAnswer struct {
 	Attempt  AttemptID
 	Upstream string
+	// GaveUp marks the answer, so that layers above do not retry.
+	GaveUp bool
 }
 
 // Refuse tells the caller that the request was not run.
@@ -71,6 +73,8 @@
 	Service string
 	// RetryAfter is the wait suggested to the caller; 0 for none.
 	RetryAfter time.Duration
+	// GaveUp marks the answer, so that layers above do not retry.
+	GaveUp bool
 }
 
 // Fail tells the caller that the outcome of the request is unknown.
--- /dev/null
+++ b/core/group.go
@@ -0,0 +1,94 @@
+package core
+
+import (
+	"slices"
+
+	"wisteriapond/label"
+	"wisteriapond/queue"
+)
+
+// maxCachedGroups bounds the label sets that a service remembers. Callers
+// choose header values, so the number of sets is theirs to grow.
+const maxCachedGroups = 256
+
+// group is the requests of a service with the same labels. They may go to the
+// same upstreams.
+type group struct {
+	labels   label.Set
+	long     bool
+	eligible []*upstream
+	waiting  queue.Queue[*request]
+}
+
+// groupCache finds the group of a label set. The oldest one makes room when
+// the cache is full.
+type groupCache struct {
+	byLabels map[string]*group
+	keys     []string
+	oldest   int
+	key      []byte
+}
+
+func (c *groupCache) find(labels label.Set) *group {
+	c.key = c.key[:0]
+	for i := range labels {
+		c.key = append(c.key, labels[i].Key...)
+		c.key = append(c.key, '=')
+		c.key = append(c.key, labels[i].Value...)
+		c.key = append(c.key, ',')
+	}
+	return c.byLabels[string(c.key)]
+}
+
+// add remembers a group under the key of the preceding find.
+func (c *groupCache) add(g *group) {
+	key := string(c.key)
+	if c.byLabels == nil {
+		c.byLabels = make(map[string]*group)
+	}
+	c.byLabels[key] = g
+	if len(c.keys) < maxCachedGroups {
+		c.keys = append(c.keys, key)
+		return
+	}
+	delete(c.byLabels, c.keys[c.oldest])
+	c.keys[c.oldest] = key
+	c.oldest = (c.oldest + 1) % maxCachedGroups
+}
+
+func (c *groupCache) clear() {
+	clear(c.byLabels)
+	c.keys = c.keys[:0]
+	c.oldest = 0
+}
+
+// groupOf returns the group of requests with the given labels.
+func (svc *service) groupOf(labels label.Set) *group {
+	if g := svc.groups.find(labels); g != nil {
+		return g
+	}
+	g := &group{labels: labels, long: svc.config.Long(labels), eligible: svc.eligible(labels)}
+	svc.groups.add(g)
+	return g
+}
+
+func (svc *service) eligible(labels label.Set) []*upstream {
+	var found []*upstream
+	for _, u := range svc.upstreams {
+		if ok, _, _ := svc.config.Eligible(labels, u.config); ok {
+			found = append(found, u)
+		}
+	}
+	return found
+}
+
+// regroup applies a new configuration. Requests that wait keep the labels with
+// which they arrived.
+func (svc *service) regroup() {
+	svc.groups.clear()
+	for _, g := range svc.waitingGroups {
+		g.eligible = svc.eligible(g.labels)
+	}
+}
+
+func (g *group) allows(u *upstream) bool { return slices.Contains(g.eligible, u) }
--- a/core/hosts.go
+++ b/core/hosts.go
@@ -9,11 +9,30 @@
 		if ok && !supersedes(entry, known) {
 			continue
 		}
-		s.hosts[entry.Host] = entry
-		if entry.Leaving {
-			s.closeIdleOf(entry.Host)
-		}
+		s.setHost(entry)
+	}
+}
+
+// markLeaving notes that a backend server said that it is leaving. The epoch
+// stays the one known, so that only a newer entry can bring the host back.
+func (s *State) markLeaving(host string) {
+	entry := s.hosts[host]
+	if entry.Leaving {
+		return
 	}
+	entry.Host = host
+	entry.Leaving = true
+	s.setHost(entry)
+}
+
+// setHost is the only writer of the host table, since upstreams keep a copy of
+// the leaving mark.
+func (s *State) setHost(entry HostEntry) {
+	s.hosts[entry.Host] = entry
+	if entry.Leaving {
+		s.closeIdleOf(entry.Host)
+	}
+	s.hostChanged(entry.Host)
 }
 
 // supersedes orders host entries by epoch, then leaving after live.
@@ -29,14 +48,7 @@
 }
 
 func (s *State) closeIdleOf(host string) {
-	if s.table == nil {
-		return
-	}
-	for _, compiled := range s.table.Services() {
-		for _, u := range compiled.Upstreams {
-			if u.Host == host {
-				s.out.add(CloseIdle{Address: u.Address})
-			}
-		}
+	for _, u := range s.upstreamsOf[host] {
+		s.out.add(CloseIdle{Address: u.config.Address})
 	}
 }
--- a/core/request.go
+++ b/core/request.go
@@ -1,11 +1,13 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"wisteriapond/config"
 	"wisteriapond/label"
 	"wisteriapond/outcome"
+	"wisteriapond/queue"
 )
 
 const (
@@ -21,118 +23,127 @@
 	maxAttempts = 3
 )
 
-// request is a request that has not had its final answer.
+// request is a request that has not had its final answer. It waits in the
+// queue (place), waits between two attempts (alarm only), or has an attempt
+// under way (upstream).
 type request struct {
 	id         RequestID
 	service    *service
-	attributes config.Request
+	group      *group
 	labels     label.Set
 	idempotent bool
 	bodyKept   bool
+	bodyBytes  int64
 	depth      int
 	deadline   Instant
 	attempts   int
 	upstream   *upstream
-	streaming  bool
-	gone       bool
+	startedAt  Instant
+	// trial says that the attempt decides about the ejection of its upstream.
+	trial     bool
+	streaming bool
+	gone      bool
+	// withheld says that a retry was possible and not made.
+	withheld bool
 	// mayHaveRun is set once an attempt ended in any other way than not run.
 	// From then on the request must not be reported as not run.
 	mayHaveRun bool
 	failure    outcome.Failure
-	tried      []*upstream
+	// held says that the answer of the last attempt, an error, is still at
+	// hand and is passed on if no other attempt starts.
+	held         bool
+	heldUpstream string
+	tried        [maxAttempts]*upstream
+	transferFrom string
+	rate         int64
+	place        queue.Item[*request]
+	alarm        queue.Item[timer]
 }
 
 func (s *State) requestArrived(e RequestArrived) {
 	if s.table == nil {
-		s.refuse(e.ID, outcome.RefusedNotReady, "")
+		s.refuse(Refuse{Request: e.ID, Reason: outcome.RefusedNotReady})
 		return
 	}
 	compiled := s.table.Service(&e.Request)
 	if compiled == nil {
-		s.refuse(e.ID, outcome.RefusedNoService, "")
+		s.refuse(Refuse{Request: e.ID, Reason: outcome.RefusedNoService})
 		return
 	}
 	s.count(CounterRequests, compiled.Name)
 	if e.Depth >= MaxDepth {
-		s.refuse(e.ID, outcome.RefusedDepth, compiled.Name)
+		s.refuse(Refuse{Request: e.ID, Reason: outcome.RefusedDepth, Service: compiled.Name})
 		return
 	}
-	r := s.newRequest(e, compiled)
+	r := s.newRequest(&e, compiled)
+	r.service.retries.Deposit()
 	s.requests[r.id] = r
 	s.dispatch(r)
 }
 
-func (s *State) newRequest(e RequestArrived, compiled *config.CompiledService) *request {
+func (s *State) newRequest(e *RequestArrived, compiled *config.CompiledService) *request {
 	timeout := compiled.Timeout
 	if e.Timeout > 0 {
 		timeout = min(timeout, e.Timeout)
 	}
 	labels := compiled.RequestLabels(&e.Request)
-	return &request{
+	svc := s.services[compiled.Name]
+	r := &request{
 		id:         e.ID,
-		service:    s.services[compiled.Name],
-		attributes: e.Request,
+		service:    svc,
+		group:      svc.groupOf(labels),
 		labels:     labels,
 		idempotent: compiled.Idempotent(e.Request.Method, labels),
 		bodyKept:   e.BodyKept,
-		depth:      e.Depth,
+		bodyBytes:  e.BodyBytes,
+		depth:      max(0, e.Depth),
 		deadline:   s.now.Add(timeout),
 	}
+	r.alarm.Value.request = r
+	return r
 }
 
-// dispatch starts an attempt or refuses the request.
+// dispatch starts an attempt, lets the request wait for a slot, or refuses it.
 func (s *State) dispatch(r *request) {
-	if !s.now.Before(r.deadline) {
+	if s.tooLate(r) {
 		s.refuseRequest(r, outcome.RefusedDeadline)
 		return
 	}
-	candidates := s.candidates(r)
-	if len(candidates) == 0 {
-		s.refuseRequest(r, outcome.RefusedNoHost)
-		return
+	if r.attempts > 0 {
+		// The configuration may have changed since the last attempt.
+		r.group = r.service.groupOf(r.labels)
 	}
-	s.startAttempt(r, s.pick(candidates))
-}
-
-// candidates returns the upstreams that the selectors allow, that are not
-// leaving and that this request has not tried.
-func (s *State) candidates(r *request) []*upstream {
-	var found []*upstream
-	for _, u := range r.service.upstreams {
-		if s.leaving(u.config.Host) || r.hasTried(u) {
-			continue
-		}
-		if ok, _, _ := r.service.config.Eligible(r.labels, u.config); ok {
-			found = append(found, u)
-		}
+	u, usable := s.choose(r)
+	switch {
+	case !usable:
+		s.refuseRequest(r, outcome.RefusedNoHost)
+	case u == nil:
+		s.wait(r)
+	default:
+		s.startAttempt(r, u)
 	}
-	return found
 }
 
 func (r *request) hasTried(u *upstream) bool {
-	for _, tried := range r.tried {
-		if tried == u {
-			return true
-		}
-	}
-	return false
-}
-
-// pick returns the less loaded of two random candidates.
-func (s *State) pick(candidates []*upstream) *upstream {
-	a := candidates[s.random.below(len(candidates))]
-	b := candidates[s.random.below(len(candidates))]
-	if b.running < a.running {
-		return b
-	}
-	return a
+	return r.attempts > 0 && slices.Contains(r.tried[:r.attempts], u)
 }
 
 func (s *State) startAttempt(r *request, u *upstream) {
+	r.tried[r.attempts] = u
 	r.attempts++
 	r.upstream = u
-	r.tried = append(r.tried, u)
+	r.startedAt = s.now
+	r.held = false
+	r.rate = s.firstRate(u)
+	if u.health.TrialDue(time.Duration(s.now)) {
+		u.health.BeginTrial()
+		r.trial = true
+		s.count(CounterTrials, r.service.config.Name)
+	}
 	u.running++
+	if r.group.long {
+		u.long++
+	}
 	s.out.add(StartAttempt{
 		Attempt:     r.attempt(),
 		Service:     r.service.config.Name,
@@ -143,6 +154,7 @@
 		Depth:       r.depth + 1,
 		Fresh:       !r.idempotent,
 		HoldBytes:   HoldBytes,
+		Rate:        r.rate,
 		NotRun:      r.service.config.NotRun,
 	})
 }
@@ -161,13 +173,24 @@
 	return r
 }
 
+// answerBegun takes the head of a long answer. One that calls for another
+// attempt, or that says that the request did not run, is not passed on.
 func (s *State) answerBegun(e AnswerBegun) {
 	r := s.current(e.Attempt)
-	if r == nil {
+	if r == nil || r.streaming {
 		return
 	}
+	class := s.classify(r, e.Facts)
+	again := s.retryReason(r, e.Facts, class)
+	if class != outcome.Answered || again != outcome.RetryNone {
+		s.endAttempt(r, e.Facts, class, again, false)
+		return
+	}
+	s.noteHints(r.upstream, e.Facts)
+	r.service.usualFor(r.group.long).respond.Add(s.now.Sub(r.startedAt))
 	r.streaming = true
-	s.out.add(PassAnswer{Attempt: e.Attempt, Upstream: r.upstream.config.Name})
+	s.beginTransfer(r)
+	s.out.add(PassAnswer{Attempt: e.Attempt, Upstream: r.upstream.config.Name, GaveUp: r.marksGaveUp(e.Facts)})
 }
 
 func (s *State) answerDelivered(e AnswerDelivered) {
@@ -175,9 +198,14 @@
 	if r == nil {
 		return
 	}
-	s.release(r)
-	s.count(CounterAttempts, outcome.Classify(e.Facts, 0).String())
+	u := r.upstream
+	class := s.classify(r, e.Facts)
+	s.count(CounterAttempts, class.String())
+	s.noteHints(u, e.Facts)
+	s.noteResult(r, e.Facts, class)
+	s.release(r, e.Facts)
 	s.forget(r)
+	s.drainUpstream(u)
 }
 
 func (s *State) attemptFinished(e AttemptFinished) {
@@ -185,38 +213,58 @@
 	if r == nil {
 		return
 	}
+	class := s.classify(r, e.Facts)
+	s.endAttempt(r, e.Facts, class, s.retryReason(r, e.Facts, class), true)
+}
+
+func (s *State) classify(r *request, facts outcome.Facts) outcome.Class {
+	return outcome.Classify(facts, r.service.config.NotRun.Status)
+}
+
+// endAttempt ends an attempt of which the caller has seen nothing. held says
+// that the answer, if there is one, is held whole.
+func (s *State) endAttempt(r *request, facts outcome.Facts, class outcome.Class, again outcome.Retry, held bool) {
 	u := r.upstream
-	s.release(r)
-	class := outcome.Classify(e.Facts, r.service.config.NotRun.Status)
 	s.count(CounterAttempts, class.String())
-	if class == outcome.Unknown {
-		r.mayHaveRun = true
-		r.failure = outcome.FailureOf(e.Facts.Cause)
-	}
-	if class == outcome.Answered {
-		s.out.add(PassAnswer{Attempt: e.Attempt, Upstream: u.config.Name})
-		s.forget(r)
-		return
-	}
-	if r.mayRetry(class) {
-		s.count(CounterRetries, e.Facts.Cause.String())
-		s.dispatch(r)
-		return
+	s.noteHints(u, facts)
+	s.noteResult(r, facts, class)
+	s.release(r, facts)
+	r.noteOutcome(facts, class)
+	switch {
+	case again != outcome.RetryNone:
+		r.held = held && class == outcome.Answered
+		r.heldUpstream = u.config.Name
+		s.pauseBeforeRetry(r, again)
+	case class == outcome.Answered:
+		s.passLast(r, u.config.Name, r.marksGaveUp(facts))
+	default:
+		s.refuseRequest(r, outcome.RefusedUnavailable)
 	}
-	s.refuseRequest(r, outcome.RefusedUnavailable)
+	s.drainUpstream(u)
 }
 
-// mayRetry reports whether another attempt cannot run the request twice. Only
-// an idempotent request with its body kept is sent again after an unknown
-// outcome.
-func (r *request) mayRetry(class outcome.Class) bool {
-	if r.gone || r.attempts >= maxAttempts {
-		return false
-	}
-	if class == outcome.NotRun {
-		return true
+// marksGaveUp reports whether an answer is passed on as the last of several
+// attempts, by this host or by a layer below.
+func (r *request) marksGaveUp(facts outcome.Facts) bool {
+	return facts.GaveUp || facts.Status >= firstServerError && (r.attempts > 1 || r.withheld)
+}
+
+// noteOutcome remembers that the request may have run.
+func (r *request) noteOutcome(facts outcome.Facts, class outcome.Class) {
+	switch class {
+	case outcome.Unknown:
+		r.mayHaveRun = true
+		r.failure = outcome.FailureOf(facts.Cause)
+	case outcome.Answered:
+		r.mayHaveRun = true
+		r.failure = outcome.FailedBackend
 	}
-	return r.idempotent && r.bodyKept
+}
+
+// passLast passes on the answer of the last attempt.
+func (s *State) passLast(r *request, upstream string, gaveUp bool) {
+	s.out.add(PassAnswer{Attempt: r.attempt(), Upstream: upstream, GaveUp: gaveUp})
+	s.forget(r)
 }
 
 // callerGone frees the place of a request whose caller hung up. A running
@@ -227,28 +275,47 @@
 		return
 	}
 	r.gone = true
-	s.out.add(CancelAttempt{Attempt: r.attempt()})
+	if r.upstream != nil {
+		s.out.add(CancelAttempt{Attempt: r.attempt()})
+		return
+	}
+	s.refuseRequest(r, outcome.RefusedCallerGone)
 }
 
-func (s *State) release(r *request) {
-	r.upstream.running--
+// release frees the slot of an attempt that ended.
+func (s *State) release(r *request, facts outcome.Facts) {
+	u := r.upstream
+	s.countCrossing(r, facts)
+	s.endTransfer(r)
+	if r.trial {
+		u.health.AbandonTrial()
+		r.trial = false
+	}
+	u.running--
+	if r.group.long {
+		u.long--
+	}
 	r.upstream = nil
 }
 
 // refuseRequest ends a request that cannot be sent (again). It is reported as
 // not run only when no earlier attempt may have run it.
 func (s *State) refuseRequest(r *request, reason outcome.Refusal) {
+	if r.held {
+		s.passLast(r, r.heldUpstream, true)
+		return
+	}
 	if r.mayHaveRun {
 		s.fail(r, r.failure)
 		return
 	}
 	s.forget(r)
-	s.refuse(r.id, reason, r.service.config.Name)
+	s.refuse(Refuse{Request: r.id, Reason: reason, Service: r.service.config.Name, GaveUp: r.attempts > 0})
 }
 
-func (s *State) refuse(id RequestID, reason outcome.Refusal, service string) {
-	s.count(CounterRefusals, string(reason))
-	s.out.add(Refuse{Request: id, Reason: reason, Service: service})
+func (s *State) refuse(refusal Refuse) {
+	s.count(CounterRefusals, string(refusal.Reason))
+	s.out.add(refusal)
 }
 
 func (s *State) fail(r *request, reason outcome.Failure) {
@@ -258,5 +325,6 @@
 }
 
 func (s *State) forget(r *request) {
+	s.leaveQueue(r)
 	delete(s.requests, r.id)
 }
--- /dev/null
+++ b/core/retry.go
@@ -0,0 +1,132 @@
+package core
+
+import (
+	"time"
+
+	"wisteriapond/health"
+	"wisteriapond/outcome"
+)
+
+const (
+	// retryPause is the longest wait before the second attempt; it doubles for
+	// the third. The wait is random, so that requests which failed together do
+	// not come back together.
+	retryPause = 4 * time.Millisecond
+	// maxRetryAfter caps the wait that a backend server may ask for.
+	maxRetryAfter = time.Second
+	// firstError and firstServerError are the lowest statuses of their kind.
+	firstError       = 400
+	firstServerError = 500
+)
+
+// retryReason returns why another attempt follows one that ended with these
+// facts, or RetryNone. It takes the retry out of the budget.
+func (s *State) retryReason(r *request, facts outcome.Facts, class outcome.Class) outcome.Retry {
+	reason := outcome.RetryReason(facts, class, r.idempotent)
+	if reason == outcome.RetryNone || r.gone {
+		return outcome.RetryNone
+	}
+	if withheld := s.withheld(r, facts); withheld != "" {
+		r.withheld = true
+		s.count(CounterRetriesWithheld, string(withheld))
+		return outcome.RetryNone
+	}
+	return reason
+}
+
+func (s *State) pauseBeforeRetry(r *request, reason outcome.Retry) {
+	s.count(CounterRetries, string(reason))
+	longest := retryPause << (r.attempts - 1)
+	s.setTimer(&r.alarm, s.now.Add(time.Duration(s.random.below(int(longest)))))
+}
+
+// withheld returns the reason why a retry that the outcome would allow is not
+// made. The budget comes last, so that only retries that are made use it.
+func (s *State) withheld(r *request, facts outcome.Facts) outcome.Withheld {
+	switch {
+	case r.attempts >= maxAttempts:
+		return outcome.WithheldAttempts
+	case outcome.NeedsBody(facts) && !r.bodyKept:
+		return outcome.WithheldBody
+	case s.lateAfter(r, 0):
+		return outcome.WithheldDeadline
+	case !r.service.retries.Withdraw():
+		return outcome.WithheldBudget
+	}
+	return ""
+}
+
+// noteHints takes what a backend server says about itself in an answer.
+func (s *State) noteHints(u *upstream, facts outcome.Facts) {
+	if facts.Load >= 0 && facts.Status != 0 {
+		u.load = facts.Load
+		u.loadAt = s.now
+	}
+	if facts.RetryAfter > 0 && facts.Status >= firstError {
+		s.holdOff(u, min(facts.RetryAfter, maxRetryAfter))
+	}
+	if facts.Draining {
+		s.markLeaving(u.config.Host)
+	}
+}
+
+// holdOff sends nothing to an upstream for a while.
+func (s *State) holdOff(u *upstream, wait time.Duration) {
+	u.notBefore = max(u.notBefore, s.now.Add(wait))
+	if u.service.waiting > 0 {
+		s.checkQueueBy(u.service, u.notBefore)
+	}
+}
+
+// noteResult updates the statistics of an upstream after an attempt.
+func (s *State) noteResult(r *request, facts outcome.Facts, class outcome.Class) {
+	u, svc := r.upstream, r.service
+	if class == outcome.NotRun && facts.Wrote {
+		s.noteShed(u)
+	}
+	took := s.now.Sub(r.startedAt)
+	usual := svc.usualFor(r.group.long)
+	if class == outcome.Answered || facts.Cause == outcome.CauseTimeout {
+		// A timeout took at least as long.
+		usual.occupy.Add(took)
+		if !r.streaming {
+			usual.respond.Add(took)
+		}
+	}
+	if u.removed {
+		return
+	}
+	verdict := health.Unchanged
+	at := time.Duration(s.now)
+	switch judged := outcome.HealthOf(facts, class); {
+	case judged == outcome.HealthBad:
+		verdict = svc.health.Failed(&u.health, at, s.failureTime(r, took), usual.respond.Value())
+	case judged == outcome.HealthGood && (r.group.long || r.streaming):
+		svc.health.Responded(&u.health)
+	case judged == outcome.HealthGood:
+		verdict = svc.health.Succeeded(&u.health, at, took)
+	}
+	if verdict != health.Unchanged {
+		s.count(CounterHealth, string(verdict))
+	}
+}
+
+// failureTime is the time that a failure counts with. The duration of a long
+// request says nothing about response times.
+func (s *State) failureTime(r *request, took time.Duration) time.Duration {
+	if r.group.long || r.streaming {
+		return 0
+	}
+	return took
+}
+
+// noteShed holds off an upstream whose slots are taken by other hosts until
+// one is likely to be free. The wait is random, so that hosts which were
+// refused together do not come back together.
+func (s *State) noteShed(u *upstream) {
+	s.count(CounterShed, u.service.config.Name)
+	occupy := u.service.usualFor(false).occupy.Value()
+	if occupy > 0 {
+		s.holdOff(u, occupy/4+time.Duration(s.random.below(int(occupy/2+1))))
+	}
+}
--- a/core/service.go
+++ b/core/service.go
@@ -1,54 +1,239 @@
 package core
 
-import "wisteriapond/config"
+import (
+	"slices"
+	"strings"
+	"time"
 
-// service is the changing state of a service.
+	"wisteriapond/budget"
+	"wisteriapond/config"
+	"wisteriapond/health"
+	"wisteriapond/outcome"
+	"wisteriapond/pick"
+	"wisteriapond/queue"
+)
+
+// service is the changing state of a service. It stays the same object when
+// its configuration changes, so that requests in flight keep their place.
 type service struct {
 	config    *config.CompiledService
 	upstreams []*upstream
+	health    health.Group
+	retries   budget.Retries
+	usual     [requestClasses]usualTimes
+	// shared says that long and short requests use the same upstreams.
+	shared bool
+	groups groupCache
+	// waitingGroups are the groups with waiting requests, and waiting is the
+	// number of requests in them.
+	waitingGroups []*group
+	waiting       int
+	alarm         queue.Item[timer]
+}
+
+// requestClasses is the number of classes of requests, short and long.
+const requestClasses = 2
+
+// usualTimes follows the usual durations of one class of requests.
+type usualTimes struct {
+	// respond is the time until the answer, or the head of a long one, is in.
+	respond health.Median
+	// occupy is the time for which a slot is taken.
+	occupy health.Median
+}
+
+func classIndex(long bool) int {
+	if long {
+		return 1
+	}
+	return 0
+}
+
+func (svc *service) usualFor(long bool) *usualTimes {
+	return &svc.usual[classIndex(long)]
 }
 
 // upstream is the changing state of an upstream as this host sees it.
 type upstream struct {
-	config  *config.CompiledUpstream
+	config   *config.CompiledUpstream
+	service  *service
+	health   health.Upstream
+	locality pick.Locality
+	// running counts the requests of this host, and long those of them that
+	// are long.
 	running int
+	long    int
+	// leased says that the number of slots this host may use is held slots of
+	// a lease. Both are set by the holder of the leases.
+	leased  bool
+	held    int
+	leaving bool
+	removed bool
+	// load is the last reported load, known since loadAt.
+	load   int
+	loadAt Instant
+	// notBefore is the end of the wait that the backend server asked for.
+	notBefore Instant
+	// received and sent are the labels of the counter of bytes that crossed
+	// regions; empty in the own region.
+	received string
+	sent     string
+}
+
+// limit returns the number of requests that this host may run on the upstream
+// now. Without a lease it is half of the slots, rounded up: other hosts use
+// them as well.
+func (u *upstream) limit() int {
+	if u.leased {
+		return u.held
+	}
+	return (u.config.Slots + 1) / 2
+}
+
+// longLimit returns how many long requests of this host may run on an upstream
+// that is shared with short ones: one slot stays free of them. An upstream with
+// a single slot has none to spare.
+func (u *upstream) longLimit() int {
+	return max(1, u.config.Slots-1)
+}
+
+// allowed is the limit while the upstream warms up.
+func (s *State) allowed(svc *service, u *upstream) int {
+	ramp := u.health.Slots(time.Duration(s.now), u.config.Slots, svc.config.ColdStart)
+	return min(u.limit(), ramp)
 }
 
 // updateServices carries the state of services and upstreams over to the
 // table in force. Requests in flight keep pointing at the upstream they use.
 func (s *State) updateServices() {
+	first := len(s.services) == 0
 	services := make(map[string]*service, len(s.table.Services()))
 	for _, compiled := range s.table.Services() {
-		services[compiled.Name] = s.updateService(compiled)
+		svc := s.services[compiled.Name]
+		if svc == nil {
+			svc = &service{}
+			svc.alarm.Value.service = svc
+		}
+		services[compiled.Name] = svc
 	}
+	s.removeServices(services)
 	s.services = services
+	for _, compiled := range s.table.Services() {
+		s.updateService(services[compiled.Name], compiled, first)
+	}
 }
 
-func (s *State) updateService(compiled *config.CompiledService) *service {
-	old := s.services[compiled.Name]
-	if old != nil && old.config == compiled {
-		return old
-	}
-	svc := &service{config: compiled}
-	for _, u := range compiled.Upstreams {
-		state := old.find(u.Name)
-		if state == nil || state.config.Address != u.Address {
-			state = &upstream{}
+func (s *State) removeServices(kept map[string]*service) {
+	for _, name := range sortedKeys(s.services) {
+		svc := s.services[name]
+		if kept[name] != nil {
+			continue
+		}
+		for _, u := range svc.upstreams {
+			s.removeUpstream(u)
 		}
-		state.config = u
-		svc.upstreams = append(svc.upstreams, state)
+		svc.upstreams = nil
+		svc.groups.clear()
+		s.refuseWaiting(svc, outcome.RefusedNoService)
 	}
-	return svc
 }
 
-func (svc *service) find(name string) *upstream {
-	if svc == nil {
-		return nil
+func (s *State) updateService(svc *service, compiled *config.CompiledService, first bool) {
+	if svc.config == compiled {
+		return
 	}
+	old := make(map[string]*upstream, len(svc.upstreams))
 	for _, u := range svc.upstreams {
-		if u.config.Name == name {
-			return u
+		old[u.config.Name] = u
+	}
+	warm := first || svc.config == nil
+	svc.config = compiled
+	svc.shared = !alwaysLong(compiled)
+	svc.upstreams = nil
+	for _, u := range compiled.Upstreams {
+		svc.upstreams = append(svc.upstreams, s.updateUpstream(svc, old, u, warm))
+		delete(old, u.Name)
+	}
+	for _, name := range sortedKeys(old) {
+		s.removeUpstream(old[name])
+	}
+	members := make([]*health.Upstream, 0, len(svc.upstreams))
+	for _, u := range svc.upstreams {
+		members = append(members, &u.health)
+	}
+	svc.health.SetMembers(members)
+	svc.regroup()
+	s.drainQueue(svc)
+}
+
+// alwaysLong reports whether every request of the service is long. Its
+// upstreams then need no slot for short ones.
+func alwaysLong(compiled *config.CompiledService) bool {
+	return slices.ContainsFunc(compiled.LongWhen, func(selector string) bool {
+		return strings.TrimSpace(selector) == ""
+	})
+}
+
+// updateUpstream returns the state of an upstream. One that was added to a
+// running service starts cold. Those of the first configuration do not: a
+// restart of this host says nothing about them.
+func (s *State) updateUpstream(svc *service, old map[string]*upstream, compiled *config.CompiledUpstream, warm bool) *upstream {
+	u := old[compiled.Name]
+	if u != nil && u.config.Address == compiled.Address && u.config.Host == compiled.Host {
+		u.config = compiled
+		s.locate(u)
+		return u
+	}
+	if u != nil {
+		s.removeUpstream(u)
+	}
+	u = &upstream{config: compiled, service: svc, load: -1, leaving: s.leaving(compiled.Host)}
+	s.locate(u)
+	if !warm {
+		u.health.BeginRamp(time.Duration(s.now))
+	}
+	s.upstreamsOf[compiled.Host] = append(s.upstreamsOf[compiled.Host], u)
+	return u
+}
+
+func (s *State) locate(u *upstream) {
+	own, other := s.self.Region, u.config.Region
+	u.sent, u.received = "", ""
+	switch {
+	case other != own:
+		u.locality = pick.OtherRegion
+		u.sent = own + ">" + other
+		u.received = other + ">" + own
+	case u.config.FailureDomain != s.self.FailureDomain:
+		u.locality = pick.SameRegion
+	default:
+		u.locality = pick.SameDomain
+	}
+}
+
+func (s *State) removeUpstream(u *upstream) {
+	u.removed = true
+	host := u.config.Host
+	rest := slices.DeleteFunc(s.upstreamsOf[host], func(other *upstream) bool { return other == u })
+	if len(rest) == 0 {
+		delete(s.upstreamsOf, host)
+		return
+	}
+	s.upstreamsOf[host] = rest
+}
+
+// hostChanged takes over the leaving mark of a host. Requests that waited for
+// it go elsewhere, and a host that came back starts cold.
+func (s *State) hostChanged(host string) {
+	leaving := s.leaving(host)
+	for _, u := range s.upstreamsOf[host] {
+		if u.leaving == leaving {
+			continue
+		}
+		u.leaving = leaving
+		if !leaving {
+			u.health.BeginRamp(time.Duration(s.now))
 		}
+		s.drainQueue(u.service)
 	}
-	return nil
 }
--- a/core/state.go
+++ b/core/state.go
@@ -24,16 +24,19 @@
 	ready    bool
 	stop     stopState
 	out      *Effects
+	traffic
 }
 
 // New returns an empty state. Its first event must be Start.
 func New() *State {
-	return &State{
+	s := &State{
 		services: make(map[string]*service),
 		requests: make(map[RequestID]*request),
 		hosts:    make(map[string]HostEntry),
 		parts:    make(map[config.Hash]*config.CompiledService),
 	}
+	s.traffic.init(s)
+	return s
 }
 
 // Step applies one event at the given instant and appends its effects to out.
@@ -85,6 +88,7 @@
 }
 
 func (s *State) tick() {
+	s.fireTimers()
 	s.checkStop()
 }
 
--- a/core/status.go
+++ b/core/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"wisteriapond/config"
 )
@@ -26,11 +27,17 @@
 
 // UpstreamStatus reports one upstream.
 type UpstreamStatus struct {
-	Name    string
-	Host    string
-	Slots   int
+	Name  string
+	Host  string
+	Slots int
+	// Limit is the number of requests that this host may run on it now.
+	Limit   int
 	Running int
 	Leaving bool
+	// Ejected says that only trial requests go to the upstream.
+	Ejected bool
+	// Latency is the usual response time; 0 when it is not known.
+	Latency time.Duration
 }
 
 func (s *State) status() Status {
@@ -50,7 +57,7 @@
 }
 
 func (s *State) serviceStatus(svc *service) ServiceStatus {
-	status := ServiceStatus{Name: svc.config.Name}
+	status := ServiceStatus{Name: svc.config.Name, Waiting: svc.waiting}
 	for _, u := range svc.upstreams {
 		status.Running += u.running
 		status.Upstreams = append(status.Upstreams, UpstreamStatus{
@@ -58,7 +65,10 @@
 			Host:    u.config.Host,
 			Slots:   u.config.Slots,
 			Running: u.running,
+			Limit:   s.allowed(svc, u),
 			Leaving: s.leaving(u.config.Host),
+			Ejected: u.health.Ejected(),
+			Latency: u.health.Latency(0),
 		})
 	}
 	return status
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -22,6 +22,13 @@
 	core.CounterRetries:        "reason",
 	core.CounterAttempts:       "class",
 	core.CounterConfigurations: "verdict",
+
+	core.CounterRetriesWithheld:  "reason",
+	core.CounterQueued:           "service",
+	core.CounterShed:             "service",
+	core.CounterHealth:           "verdict",
+	core.CounterTrials:           "service",
+	core.CounterCrossRegionBytes: "regions",
 }
 
 // Set is the metrics of one process. Several can live in one test.
@@ -39,6 +46,12 @@
 	for _, reason := range outcome.Failures() {
 		s.Add(core.CounterFailures, string(reason), 0)
 	}
+	for _, reason := range outcome.Retries() {
+		s.Add(core.CounterRetries, string(reason), 0)
+	}
+	for _, reason := range outcome.AllWithheld() {
+		s.Add(core.CounterRetriesWithheld, string(reason), 0)
+	}
 	return s
 }
 
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -133,11 +133,16 @@
 	FailedMalformed Failure = "malformed"
 	FailedCanceled  Failure = "canceled"
 	FailedBody      Failure = "request_body"
+	// FailedBackend means that the backend server answered with an error and
+	// that no later attempt did better.
+	FailedBackend Failure = "backend_error"
 )
 
 // Failures lists every failure reason.
 func Failures() []Failure {
-	return []Failure{FailedReset, FailedTimeout, FailedTruncated, FailedMalformed, FailedCanceled, FailedBody}
+	return []Failure{
+		FailedReset, FailedTimeout, FailedTruncated, FailedMalformed, FailedCanceled, FailedBody, FailedBackend,
+	}
 }
 
 // FailureOf returns the failure reason of an attempt whose class is Unknown.
--- /dev/null
+++ b/pick/pick.go
@@ -0,0 +1,81 @@
+// Package pick chooses one of the upstreams that can run a request now.
+package pick
+
+import "time"
+
+// Locality says how far an upstream is from this host. A nearer one is always
+// preferred when it has a free slot.
+type Locality uint8
+
+// The localities, nearest first.
+const (
+	SameDomain Locality = iota
+	SameRegion
+	OtherRegion
+	localities
+)
+
+// Candidate is an upstream with a free slot, as this host sees it.
+type Candidate struct {
+	// Index is the position of the upstream in the caller's own list.
+	Index int
+	// Leased says that this host holds its slots on the upstream exclusively.
+	Leased bool
+	// Limit is the number of requests that this host may run on it, at least 1.
+	Limit int
+	// Running is the number of requests that this host runs on it.
+	Running int
+	// Load is the last load that the upstream reported, in requests running;
+	// -1 when it reported none lately.
+	Load int
+	// Latency is the usual response time of the upstream.
+	Latency time.Duration
+}
+
+// Draw returns a random number from 0 to n-1.
+type Draw func(n int) int
+
+// Policy returns the position of the chosen candidate. free is never empty,
+// and a policy may reorder it.
+type Policy func(free []Candidate, draw Draw) int
+
+// Choice collects the candidates of one decision. It is reused, so that a
+// decision allocates nothing.
+type Choice struct {
+	tiers [localities][]Candidate
+}
+
+// Reset removes all candidates and keeps the memory.
+func (c *Choice) Reset() {
+	for i := range c.tiers {
+		c.tiers[i] = c.tiers[i][:0]
+	}
+}
+
+// Add adds a candidate that has a free slot.
+func (c *Choice) Add(l Locality, candidate Candidate) {
+	c.tiers[l] = append(c.tiers[l], candidate)
+}
+
+// Near reports whether a candidate in the own region was added.
+func (c *Choice) Near() bool {
+	return len(c.tiers[SameDomain])+len(c.tiers[SameRegion]) > 0
+}
+
+// Far reports whether a candidate in another region was added.
+func (c *Choice) Far() bool { return len(c.tiers[OtherRegion]) > 0 }
+
+// Pick applies the policy to the nearest candidates. Those in another region
+// are considered only when far is set. It returns the Index of the chosen
+// candidate, or false when there is none.
+func (c *Choice) Pick(policy Policy, far bool, draw Draw) (int, bool) {
+	for l := range c.tiers {
+		if Locality(l) == OtherRegion && !far {
+			break
+		}
+		if free := c.tiers[l]; len(free) > 0 {
+			return free[policy(free, draw)].Index, true
+		}
+	}
+	return 0, false
+}
