--- a/core/hosts.go
+++ b/core/hosts.go
@@ -56,6 +56,7 @@
 		s.count(CounterLeavingMarks, "host_list")
 		news = append(news, markOf(entry))
 	}
+	s.drainHosts(news)
 	peers := s.fanout()
 	if !s.marks.listed {
 		peers = s.members.Sample(1)
@@ -85,7 +86,9 @@
 	entry.Leaving = true
 	if s.setHost(entry) {
 		s.count(CounterLeavingMarks, "backend")
-		s.spreadMarks([]HostEntry{markOf(entry)}, s.fanout())
+		news := []HostEntry{markOf(entry)}
+		s.drainHosts(news)
+		s.spreadMarks(news, s.fanout())
 	}
 }
 
@@ -105,6 +108,7 @@
 			news = append(news, mark)
 		}
 	}
+	s.drainHosts(news)
 	if s.members.Live() > maxDirectPeers {
 		s.spreadMarks(news, s.members.Sample(fanoutPeers))
 		return
@@ -112,8 +116,19 @@
 	s.spreadMarks(news, nil)
 }
 
+// drainHosts lets the requests that wait for upstreams of the changed hosts go
+// elsewhere. It runs after all marks of an event are taken, since a queued
+// request must not be started on a host that the same event marks as leaving.
+func (s *State) drainHosts(changed []HostEntry) {
+	for _, entry := range changed {
+		for _, u := range s.upstreamsOf[entry.Host] {
+			s.drainQueue(u.service)
+		}
+	}
+}
+
 // setHost is the only writer of the host table. It reports whether the leaving
-// mark of the host changed.
+// mark of the host changed; drainHosts must follow.
 func (s *State) setHost(entry HostEntry) bool {
 	known, ok := s.hosts[entry.Host]
 	if !ok && len(s.hosts) >= maxHosts {
@@ -211,15 +226,8 @@
 }
 
 func (s *State) closeIdleOf(host string) {
-	if s.table == nil {
-		return
-	}
-	for _, compiled := range s.table.Services() {
-		for _, u := range compiled.Upstreams {
-			if u.Host == host {
-				s.out.add(CloseIdle{Address: u.Address})
-			}
-		}
+	for _, u := range s.upstreamsOf[host] {
+		s.out.add(CloseIdle{Address: u.config.Address})
 	}
 }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -62,6 +62,12 @@
 	for _, reason := range outcome.Failures() {
 		s.Add(core.CounterFailures, string(reason), 0)
 	}
+	for _, reason := range outcome.Retries() {
+		s.Add(core.CounterRetries, string(reason), 0)
+	}
+	for _, reason := range outcome.AllWithheld() {
+		s.Add(core.CounterRetriesWithheld, string(reason), 0)
+	}
 	return s
 }
 
