--- a/proof/oracle_test.go
+++ b/proof/oracle_test.go
@@ -68,6 +68,35 @@
 	}
 }
 
+// pauseNoticed is the gap between two events from which on a host must have
+// noticed that it was paused, and confirmTime the time after which it may go
+// on without an answer.
+const (
+	pauseNoticed = 610 * time.Millisecond
+	confirmTime  = time.Second
+)
+
+func (h *entryHost) notePause(now core.Instant) {
+	if now.Sub(h.lastStep) >= pauseNoticed {
+		h.unconfirmedUntil = now.Add(confirmTime)
+	}
+	h.lastStep = now
+}
+
+// answered notes that a peer or the platform is about to answer the host.
+func (h *entryHost) answered(now core.Instant) {
+	h.notePause(now)
+	h.unconfirmedUntil = 0
+}
+
+// checkConfirmed guards against orders that are started on old facts: a host
+// that was paused may have been replaced meanwhile.
+func (w *world) checkConfirmed(h *entryHost, c *call) {
+	if !c.idempotent && w.now < h.unconfirmedUntil {
+		w.t.Fatalf("%s started call %d right after a pause, with nobody's answer", h.name, c.number)
+	}
+}
+
 // checkVersion guards invariant I7: the version in force never goes down.
 func (w *world) checkVersion(h *entryHost, v config.Version) {
 	if v.Less(h.inForce) {
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -69,6 +69,9 @@
 // which may be an older one than the newest.
 func (w *world) readManifest(h *entryHost, generation int, from string) {
 	d := w.documents[generation-1]
+	if from == "" {
+		h.answered(w.now)
+	}
 	w.step(h, core.ManifestRead{Version: d.version, Manifest: d.manifest, Raw: raw(d.version.Hash), From: from})
 }
 
@@ -117,6 +120,7 @@
 		list = w.oldLists[len(w.oldLists)-lag]
 	}
 	h.learn(w.now, list)
+	h.answered(w.now)
 	w.step(h, core.HostListRead{Hosts: slices.Clone(list)})
 }
 
@@ -137,6 +141,9 @@
 			continue
 		}
 		h.learn(w.now, p.message.Hosts)
+		if p.message.Reply != 0 {
+			h.answered(w.now)
+		}
 		w.step(h, core.PeerMessage{From: p.from.name, Address: p.from.address, Message: p.message})
 	}
 }
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -67,6 +67,11 @@
 	attempts []*attempt
 	inForce  config.Version
 	reads    []core.ReadPart
+	// lastStep is the instant of the last event, and unconfirmedUntil the end
+	// of the time for which a host that was paused starts no non-idempotent
+	// request unless someone has answered it.
+	lastStep         core.Instant
+	unconfirmedUntil core.Instant
 	// leavingSince is the instant at which this run of the host was first told
 	// that a backend host is leaving.
 	leavingSince map[string]core.Instant
@@ -139,6 +144,7 @@
 	h.attempts, h.reads = nil, nil
 	h.paused, h.exited, h.stopping, h.ready = false, false, false, false
 	h.wakeAt, h.lastTick = 0, w.now
+	h.lastStep, h.unconfirmedUntil = w.now, 0
 	h.inForce = config.Version{}
 	var peers []string
 	for i, other := range w.hosts {
@@ -157,6 +163,7 @@
 	if h.exited {
 		return
 	}
+	h.notePause(w.now)
 	h.state.Step(w.now, event, &h.effects)
 	effects := append([]core.Effect(nil), h.effects.All()...)
 	h.effects.Reset()
@@ -170,6 +177,7 @@
 	case core.StartAttempt:
 		w.checkLeaving(h, e.Address)
 		c := h.calls[e.Attempt.Request]
+		w.checkConfirmed(h, c)
 		c.attempts = e.Attempt.Number
 		h.attempts = append(h.attempts, &attempt{call: c, command: e, host: h, run: h.run})
 	case core.CancelAttempt:
