core: test the request life cycle, random events and picking policies

The walk over random events knows which attempts may have run.

Found by the tests and fixed: a wait that a backend server asked for could end up to 100 ms late; requests with equal deadlines were not counted as ahead; a trial answered in no time counted as slow.

--- a/core/queueing.go
+++ b/core/queueing.go
@@ -28,7 +28,7 @@
 	s.count(CounterQueued, svc.config.Name)
 	s.enqueue(r)
 	s.setTimer(&r.alarm, r.deadline)
-	s.checkQueueBy(svc, s.now.Add(TickInterval))
+	s.checkQueueBy(svc, s.nextCheck(svc))
 	s.wantSlots(svc)
 }
 
@@ -42,7 +42,7 @@
 	limit := r.service.waiting
 	ahead := 0
 	for _, g := range r.service.waitingGroups {
-		ahead += g.waiting.CountBefore(int64(r.deadline), limit-ahead)
+		ahead += g.waiting.CountUntil(int64(r.deadline), limit-ahead)
 	}
 	return occupy * time.Duration(ahead+1) / time.Duration(max(1, capacity))
 }
@@ -205,10 +205,21 @@
 	s.setTimer(&svc.alarm, at)
 }
 
+// nextCheck returns when the queue of a service has to be looked at again.
+func (s *State) nextCheck(svc *service) Instant {
+	next := s.now.Add(TickInterval)
+	for _, u := range svc.upstreams {
+		if s.now.Before(u.notBefore) {
+			next = min(next, u.notBefore)
+		}
+	}
+	return next
+}
+
 func (s *State) serviceDue(svc *service) {
 	s.drainQueue(svc)
 	if svc.waiting > 0 {
-		s.checkQueueBy(svc, s.now.Add(TickInterval))
+		s.checkQueueBy(svc, s.nextCheck(svc))
 		s.wantSlots(svc)
 	}
 }
--- a/core/retry.go
+++ b/core/retry.go
@@ -63,7 +63,7 @@
 		u.loadAt = s.now
 	}
 	if facts.RetryAfter > 0 && facts.Status >= firstError {
-		s.holdOff(u, min(facts.RetryAfter, maxRetryAfter))
+		s.holdOff(u, min(facts.RetryAfter, s.retryAfterCap))
 	}
 	if facts.Draining {
 		s.markLeaving(u.config.Host)
--- a/core/traffic.go
+++ b/core/traffic.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"wisteriapond/pick"
 	"wisteriapond/queue"
 )
@@ -13,6 +15,8 @@
 	policy      pick.Policy
 	choice      pick.Choice
 	draw        pick.Draw
+	// retryAfterCap is the longest wait that a backend server may ask for.
+	retryAfterCap time.Duration
 	// transfers are the long answers under way from each other region.
 	transfers map[string][]*request
 }
@@ -22,6 +26,7 @@
 	t.transfers = make(map[string][]*request)
 	t.policy = pick.Held
 	t.draw = s.random.below
+	t.retryAfterCap = maxRetryAfter
 }
 
 // timer is something that has to happen at an instant: the end of a request's
--- /dev/null
+++ b/core/walk_test.go
@@ -0,0 +1,149 @@
+package core
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
+	"wisteriapond/outcome"
+)
+
+// walk plays random events against one reducer and knows which runs happened.
+type walk struct {
+	*bench
+	random  *rand.Rand
+	running map[AttemptID]StartAttempt
+	order   []AttemptID
+	orders  map[RequestID]bool // non-idempotent
+	ran     map[RequestID]int
+	ended   map[RequestID]bool
+	leaving map[string]bool
+}
+
+// Guards against a request without exactly one final answer, against "not run"
+// for one that may have run, against a second run of a non-idempotent request,
+// against exceeded slots, and against new work on leaving hosts.
+var _ = ginkgo.Describe("random events", func() {
+	for seed := range uint64(10) {
+		ginkgo.It("keep the promises to callers", func() { newWalk(seed).run(2000) })
+	}
+})
+
+func newWalk(seed uint64) *walk {
+	return &walk{
+		bench:   newBench(only("a", "b", "c", "d")),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		running: make(map[AttemptID]StartAttempt),
+		orders:  make(map[RequestID]bool),
+		ran:     make(map[RequestID]int),
+		ended:   make(map[RequestID]bool),
+		leaving: make(map[string]bool),
+	}
+}
+
+func (w *walk) run(steps int) {
+	for range steps {
+		w.now = w.now.Add(time.Duration(w.random.IntN(10)) * time.Millisecond)
+		w.check(w.next())
+	}
+	for rounds := 0; len(w.state.requests) > 0; rounds++ {
+		Expect(rounds).To(BeNumerically("<", 100), "requests that never end")
+		w.now = w.now.Add(TickInterval)
+		w.check(w.step(Tick{}))
+		for len(w.order) > 0 {
+			w.check(w.endAttempt())
+		}
+	}
+	Expect(w.ended).To(HaveLen(int(w.lastID)))
+	Expect(w.state.services["orders"].waiting).To(BeZero())
+	for _, u := range w.state.services["orders"].upstreams {
+		Expect(u.running).To(BeZero())
+	}
+}
+
+func (w *walk) next() []Effect {
+	switch n := w.random.IntN(100); {
+	case n < 40:
+		method := []string{"GET", "POST"}[w.random.IntN(2)]
+		w.orders[w.lastID+1] = method == "POST"
+		kind := []string{"", "long", "x"}[w.random.IntN(3)]
+		return w.send(method, kind, func(e *RequestArrived) {
+			e.BodyKept = w.random.IntN(4) > 0
+			e.Timeout = time.Duration(1+w.random.IntN(300)) * time.Millisecond
+		})
+	case n < 85 && len(w.order) > 0:
+		return w.endAttempt()
+	case n < 90 && w.lastID > 0:
+		return w.step(CallerGone{ID: RequestID(1 + w.random.IntN(int(w.lastID)))})
+	case n == 90:
+		return w.changeHost()
+	case n == 91:
+		return w.configure(w.state.inForce().Generation+1, func(s *config.Service) {
+			only("a", "b", "c", "d", "e")(s)
+			s.Upstreams = s.Upstreams[w.random.IntN(2):]
+		})
+	}
+	return w.step(Tick{})
+}
+
+// changeHost toggles the leaving mark of a host.
+func (w *walk) changeHost() []Effect {
+	host := "host-" + string(rune('a'+w.random.IntN(4)))
+	epoch := w.state.hosts[host].Epoch + 1
+	w.leaving[host] = !w.leaving[host]
+	return w.step(HostListRead{Hosts: []HostEntry{{Host: host, Epoch: epoch, Leaving: w.leaving[host]}}})
+}
+
+func (w *walk) endAttempt() []Effect {
+	i := w.random.IntN(len(w.order))
+	id := w.order[i]
+	w.order = append(w.order[:i], w.order[i+1:]...)
+	delete(w.running, id)
+	choices := []outcome.Facts{ok, ok, ok, shed, plain503, reset, dial}
+	facts := choices[w.random.IntN(len(choices))]
+	if facts.Wrote && !facts.NotRunHeader {
+		w.ran[id.Request]++
+	}
+	if facts.Cause == outcome.CauseNone && w.random.IntN(4) == 0 {
+		effects := w.step(AnswerBegun{Attempt: id, Facts: facts})
+		if first[PassAnswer](effects).Attempt == id {
+			effects = append(effects[:len(effects):len(effects)], w.step(AnswerDelivered{Attempt: id, Whole: true, Facts: facts})...)
+		}
+		return effects
+	}
+	return w.step(AttemptFinished{Attempt: id, Facts: facts})
+}
+
+func (w *walk) check(effects []Effect) {
+	for _, effect := range effects {
+		switch e := effect.(type) {
+		case StartAttempt:
+			id := e.Attempt.Request
+			Expect(w.ended).NotTo(HaveKey(id))
+			Expect(w.leaving["host-"+e.Upstream]).To(BeFalse(), "attempt on a leaving host")
+			if w.orders[id] {
+				Expect(w.ran[id]).To(BeZero(), "a non-idempotent request may run twice")
+			}
+			w.running[e.Attempt] = e
+			w.order = append(w.order, e.Attempt)
+		case PassAnswer:
+			w.end(e.Attempt.Request)
+		case Fail:
+			w.end(e.Request)
+		case Refuse:
+			w.end(e.Request)
+			Expect(w.ran[e.Request]).To(BeZero(), "refused as not run after a run")
+		}
+	}
+	for _, u := range w.state.services["orders"].upstreams {
+		Expect(u.running).To(BeNumerically("<=", u.limit()), "slots exceeded")
+	}
+}
+
+func (w *walk) end(id RequestID) {
+	Expect(w.ended).NotTo(HaveKey(id), "a second final answer")
+	w.ended[id] = true
+}
--- a/health/group.go
+++ b/health/group.go
@@ -80,7 +80,7 @@
 // slowFactor. When all are slow, none is.
 func (g *Group) slow(u *Upstream, latency time.Duration) bool {
 	return g.most(u, func(other *Upstream) bool {
-		return other.samples >= minSamples && other.latency*slowFactor <= latency
+		return other.samples >= minSamples && other.latency*slowFactor < latency
 	})
 }
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -67,19 +67,19 @@
 	i.in = false
 }
 
-// CountBefore returns the number of items with an At below the given one, at
-// most limit. It visits no more than 2 × limit + 1 items.
-func (q *Queue[T]) CountBefore(at int64, limit int) int {
-	return q.countBefore(0, at, limit)
+// CountUntil returns the number of items that an item with the given At would
+// wait for, at most limit. It visits no more than 2 × limit + 1 items.
+func (q *Queue[T]) CountUntil(at int64, limit int) int {
+	return q.countUntil(0, at, limit)
 }
 
-func (q *Queue[T]) countBefore(i int, at int64, limit int) int {
-	if limit <= 0 || i >= len(q.items) || q.items[i].At >= at {
+func (q *Queue[T]) countUntil(i int, at int64, limit int) int {
+	if limit <= 0 || i >= len(q.items) || q.items[i].At > at {
 		return 0
 	}
 	n := 1
-	n += q.countBefore(2*i+1, at, limit-n)
-	n += q.countBefore(2*i+2, at, limit-n)
+	n += q.countUntil(2*i+1, at, limit-n)
+	n += q.countUntil(2*i+2, at, limit-n)
 	return n
 }
 
