--- /dev/null
+++ b/budget/retry_test.go
@@ -0,0 +1,26 @@
+package budget_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/budget"
+)
+
+// Guards against retries that add more than a tenth to the load, and against
+// a burst larger than ten.
+var _ = Describe("the retry budget", func() {
+	It("starts empty, earns a tenth per request and holds ten", func() {
+		var r budget.Retries
+		Expect(r.Withdraw()).To(BeFalse())
+		for range 10 {
+			r.Deposit()
+		}
+		Expect(r.Withdraw()).To(BeTrue())
+		Expect(r.Withdraw()).To(BeFalse())
+		for range 1000 {
+			r.Deposit()
+		}
+		Expect(r.Tokens()).To(Equal(10))
+	})
+})
--- /dev/null
+++ b/core/decision_test.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
+	"wisteriapond/outcome"
+)
+
+const upstreamsPerService = 25
+
+// newSized returns a reducer with the given number of upstreams in services of
+// 25 each.
+func newSized(upstreams int) (s *State, services int) {
+	s = New()
+	var effects Effects
+	s.Step(0, Start{Region: "mtl", FailureDomain: "mtl-a", Seed: 1}, &effects)
+	services = (upstreams + upstreamsPerService - 1) / upstreamsPerService
+	manifest := &config.Manifest{Generation: 1, EntryHosts: 15, Links: config.Links{LongPercent: 50}}
+	for i := range services {
+		hash := config.Hash(fmt.Sprintf("%064d", i))
+		manifest.Services = append(manifest.Services, config.ServiceRef{Name: fmt.Sprintf("s%04d", i), Hash: hash})
+	}
+	s.Step(0, ManifestRead{Version: config.Version{Generation: 1}, Manifest: manifest}, &effects)
+	for i, ref := range manifest.Services {
+		s.Step(0, PartRead{Hash: ref.Hash, Service: sizedPart(i, min(upstreamsPerService, upstreams))}, &effects)
+	}
+	return s, services
+}
+
+func sizedPart(number, upstreams int) *config.Service {
+	part := &config.Service{
+		Name:      fmt.Sprintf("s%04d", number),
+		Match:     []config.Match{{PathPrefix: fmt.Sprintf("/s%04d/", number)}},
+		Labels:    []config.LabelRule{{Label: "tier", FromHeader: "x-tier"}},
+		Selectors: []config.SelectorRule{{When: "tier=gold", Hosts: "region in (mtl,qc)"}},
+		Timeout:   10 * time.Second,
+		Queue:     128,
+	}
+	for i := range upstreams {
+		u := upstreamNamed(fmt.Sprintf("s%04d-%02d", number, i), 4)
+		u.FailureDomain = []string{"mtl-a", "mtl-b"}[i%2]
+		part.Upstreams = append(part.Upstreams, u)
+	}
+	return part
+}
+
+// decide runs both decisions on one request: the start and the end of its only
+// attempt. The events are boxed beforehand, as the runtime does it.
+type decider struct {
+	state   *State
+	effects Effects
+	arrived []Event
+	at      Instant
+}
+
+func newDecider(upstreams int) *decider {
+	s, services := newSized(upstreams)
+	d := &decider{state: s}
+	for i := range services {
+		d.arrived = append(d.arrived, RequestArrived{ID: 1, BodyKept: true, Request: config.Request{
+			Method: "GET", Host: "shop.example", Path: fmt.Sprintf("/s%04d/urn-7", i),
+			Headers: []config.Header{{Name: "x-tier", Value: "gold"}},
+		}})
+	}
+	return d
+}
+
+var finished Event = AttemptFinished{Attempt: AttemptID{Request: 1, Number: 1}, Facts: outcome.Facts{Wrote: true, Status: 200, Load: 1}}
+
+func (d *decider) run(i int) {
+	d.at = d.at.Add(time.Millisecond)
+	d.state.Step(d.at, d.arrived[i%len(d.arrived)], &d.effects)
+	d.effects.Reset()
+	d.at = d.at.Add(time.Millisecond)
+	d.state.Step(d.at, finished, &d.effects)
+	d.effects.Reset()
+}
+
+// The target is a decision in the order of a microsecond. An allocation costs
+// about 50 ns with its share of the collector's work, and no more than half of
+// the time of the two decisions on a request may go there: 20 allocations.
+const maxAllocationsPerRequest = 20
+
+// Guards against decisions that allocate in proportion to the upstreams or to
+// the services.
+var _ = ginkgo.Describe("a decision", func() {
+	ginkgo.It("allocates little, whatever the number of services", func() {
+		for _, upstreams := range []int{50, 1000, 37_000} {
+			d := newDecider(upstreams)
+			n := 0
+			for range 2 * len(d.arrived) {
+				d.run(n)
+				n++
+			}
+			allocations := testing.AllocsPerRun(1000, func() { d.run(n); n++ })
+			ginkgo.GinkgoWriter.Println(upstreams, "upstreams:", allocations, "allocations per request")
+			Expect(allocations).To(BeNumerically("<=", maxAllocationsPerRequest))
+		}
+	})
+})
+
+func BenchmarkRequest(b *testing.B) {
+	for _, upstreams := range []int{50, 1000, 37_000} {
+		b.Run(fmt.Sprint(upstreams, "-upstreams"), func(b *testing.B) {
+			d := newDecider(upstreams)
+			for i := range 2 * len(d.arrived) {
+				d.run(i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				d.run(i)
+			}
+		})
+	}
+}
+
+// BenchmarkPick measures the choice alone, among 25 upstreams with free slots.
+func BenchmarkPick(b *testing.B) {
+	RegisterTestingT(b)
+	d := newDecider(25)
+	d.run(0)
+	svc := d.state.services["s0000"]
+	r := &request{service: svc, group: svc.groups.byLabels[svc.groups.keys[0]], idempotent: true, bodyKept: true}
+	for b.Loop() {
+		d.state.choose(r)
+	}
+}
--- /dev/null
+++ b/health/health_test.go
@@ -0,0 +1,125 @@
+package health_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/health"
+)
+
+const usual = 10 * time.Millisecond
+
+func newGroup(n int) (*health.Group, []*health.Upstream) {
+	upstreams := make([]*health.Upstream, n)
+	for i := range upstreams {
+		upstreams[i] = &health.Upstream{}
+	}
+	g := &health.Group{}
+	g.SetMembers(upstreams)
+	return g, upstreams
+}
+
+func repeat(n int, do func()) {
+	for range n {
+		do()
+	}
+}
+
+var _ = Describe("ejection", func() {
+	// Guards against ejecting more than a third, or any of one or two.
+	DescribeTable("is capped", func(upstreams, failing, ejected int) {
+		g, us := newGroup(upstreams)
+		for _, u := range us[:failing] {
+			repeat(10, func() { g.Failed(u, 0, 0, usual) })
+		}
+		Expect(g.Ejected()).To(Equal(ejected))
+	},
+		Entry("one upstream", 1, 1, 0), Entry("one of two", 2, 1, 0), Entry("one of three", 3, 1, 1),
+		Entry("two of six", 6, 2, 2), Entry("three of six", 6, 3, 2), Entry("four of six: most fail", 6, 4, 0),
+		Entry("all of six", 6, 6, 0), Entry("five of fourteen", 14, 5, 4),
+	)
+
+	// Guards against ejecting servers because all of them became slow.
+	It("takes a slow upstream only when most others are fast", func() {
+		g, us := newGroup(6)
+		repeat(100, func() {
+			for _, u := range us {
+				g.Succeeded(u, 0, usual)
+			}
+		})
+		repeat(100, func() { g.Succeeded(us[0], 0, 20*usual) })
+		Expect(us[0].Ejected()).To(BeTrue())
+
+		g, us = newGroup(6)
+		repeat(100, func() {
+			for _, u := range us {
+				g.Succeeded(u, 0, usual)
+			}
+		})
+		repeat(100, func() {
+			for _, u := range us {
+				g.Succeeded(u, 0, 20*usual)
+			}
+		})
+		Expect(g.Ejected()).To(BeZero())
+	})
+
+	// Guards against a half-failing server that never fails five times in a row.
+	It("takes an upstream whose failure share stands out", func() {
+		g, us := newGroup(3)
+		for i := 0; i < 200 && !us[0].Ejected(); i++ {
+			g.Succeeded(us[1], 0, usual)
+			if i%4 == 0 {
+				g.Succeeded(us[0], 0, usual)
+			} else {
+				g.Failed(us[0], 0, 0, usual)
+			}
+		}
+		Expect(us[0].Ejected()).To(BeTrue())
+	})
+
+	// Guards against trials that come too often, never, or several at once.
+	It("ends by a trial, with waits that double up to 30 s", func() {
+		g, us := newGroup(3)
+		repeat(5, func() { g.Failed(us[0], 0, 0, usual) })
+		now := time.Duration(0)
+		for _, wait := range []time.Duration{1, 2, 4, 8, 16, 30, 30} {
+			Expect(us[0].TrialDue(now + wait*time.Second - 1)).To(BeFalse())
+			now += wait * time.Second
+			Expect(us[0].TrialDue(now)).To(BeTrue())
+			us[0].BeginTrial()
+			Expect(us[0].TrialDue(now)).To(BeFalse())
+			g.Failed(us[0], now, 0, usual)
+		}
+		now += 30 * time.Second
+		us[0].BeginTrial()
+		Expect(g.Succeeded(us[0], now, usual)).To(Equal(health.Reinstated))
+		Expect(us[0].Slots(now, 4, 3*time.Second)).To(Equal(1))
+		Expect(us[0].Slots(now+time.Second, 4, 3*time.Second)).To(Equal(2))
+		Expect(us[0].Slots(now+3*time.Second, 4, 3*time.Second)).To(Equal(4))
+	})
+
+	// Guards against a server that fails in microseconds and looks fast.
+	It("counts a fast failure as slow", func() {
+		g, us := newGroup(1)
+		g.Failed(us[0], 0, time.Microsecond, usual)
+		Expect(us[0].Latency(usual)).To(BeNumerically(">", usual))
+	})
+})
+
+// Guards against an estimate that a few long requests move.
+var _ = Describe("the median", func() {
+	It("follows the usual value", func() {
+		var m health.Median
+		for i := range 1000 {
+			x := usual
+			if i%10 == 0 {
+				x = time.Minute
+			}
+			m.Add(x)
+		}
+		Expect(m.Value()).To(BeNumerically("~", usual, usual/10))
+	})
+})
--- /dev/null
+++ b/pick/pick_test.go
@@ -0,0 +1,63 @@
+package pick_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/pick"
+)
+
+func draw() pick.Draw { return rand.New(rand.NewPCG(1, 2)).IntN }
+
+// shares returns how often a policy chooses each candidate in 10,000 decisions.
+func shares(policy pick.Policy, candidates ...pick.Candidate) []int {
+	counts := make([]int, len(candidates))
+	d := draw()
+	for range 10_000 {
+		free := append([]pick.Candidate(nil), candidates...)
+		counts[free[policy(free, d)].Index]++
+	}
+	return counts
+}
+
+var _ = Describe("the policies", func() {
+	// Guards against a policy that ignores what it is meant to look at.
+	DescribeTable("prefer the better candidate", func(policy pick.Policy, worse, better pick.Candidate) {
+		worse.Index, better.Index = 0, 1
+		Expect(shares(policy, worse, better)).To(Equal([]int{0, 10_000}))
+	},
+		Entry("two choices: own count", pick.TwoChoices, pick.Candidate{Running: 2}, pick.Candidate{Running: 1}),
+		Entry("load reports: reported load", pick.LoadReports, pick.Candidate{Load: 3}, pick.Candidate{Load: 2}),
+		Entry("load reports: own count above a stale report", pick.LoadReports, pick.Candidate{Running: 2, Load: -1}, pick.Candidate{Load: 1}),
+		Entry("held: a lease", pick.Held, pick.Candidate{Limit: 1, Latency: 1}, pick.Candidate{Limit: 1, Latency: time.Second, Leased: true}),
+		Entry("held: latency", pick.Held, pick.Candidate{Limit: 1, Latency: 2}, pick.Candidate{Limit: 1, Latency: 1}),
+		Entry("held: free part of the limit", pick.Held, pick.Candidate{Limit: 1, Latency: 2}, pick.Candidate{Limit: 3, Latency: 2}),
+	)
+
+	// Guards against a policy that sends all requests to one of equal servers.
+	DescribeTable("spread over equal candidates", func(policy pick.Policy) {
+		for _, n := range shares(policy, pick.Candidate{Index: 0, Limit: 1}, pick.Candidate{Index: 1, Limit: 1}, pick.Candidate{Index: 2, Limit: 1}) {
+			Expect(n).To(BeNumerically("~", 3333, 333))
+		}
+	},
+		Entry("random", pick.Random), Entry("two choices", pick.TwoChoices),
+		Entry("load reports", pick.LoadReports), Entry("held", pick.Held),
+	)
+})
+
+// Guards against crossing failure domains or regions without need.
+var _ = Describe("a choice", func() {
+	It("takes the nearest candidates, and another region only when told", func() {
+		var c pick.Choice
+		for _, l := range []pick.Locality{pick.OtherRegion, pick.SameRegion, pick.SameDomain} {
+			_, ok := c.Pick(pick.Random, false, draw())
+			Expect(ok).To(Equal(l < pick.SameRegion))
+			c.Add(l, pick.Candidate{Index: int(l)})
+			index, _ := c.Pick(pick.Random, true, draw())
+			Expect(index).To(Equal(int(l)))
+		}
+	})
+})
