--- a/core/picking.go
+++ b/core/picking.go
@@ -34,6 +34,9 @@
 	if usableCount == 0 {
 		return nil, false
 	}
+	if !r.idempotent && s.confirming() {
+		return nil, true
+	}
 	far := !s.choice.Near() && s.choice.Far() && s.goFar(r, capacity)
 	index, ok := s.choice.Pick(s.policy, far, s.draw)
 	if !ok {
--- a/core/queueing.go
+++ b/core/queueing.go
@@ -115,6 +115,26 @@
 	}
 }
 
+// drainLater looks at the queue of a service when the step ends. One event may
+// carry news of several hosts, and no request may start on a host of which the
+// same event says that it is leaving.
+func (s *State) drainLater(svc *service) {
+	if !svc.drainDue {
+		svc.drainDue = true
+		s.drains = append(s.drains, svc)
+	}
+}
+
+// drainDue looks at the queues that a step changed.
+func (s *State) drainDue() {
+	for _, svc := range s.drains {
+		svc.drainDue = false
+		s.drainQueue(svc)
+	}
+	clear(s.drains)
+	s.drains = s.drains[:0]
+}
+
 // drainUpstream starts waiting requests after a slot of u became free.
 func (s *State) drainUpstream(u *upstream) {
 	for u.service.waiting > 0 && s.startWaiting(u.service, u) {
--- a/core/request.go
+++ b/core/request.go
@@ -153,12 +153,19 @@
 		Deadline:    r.deadline,
 		Depth:       r.depth + 1,
 		Fresh:       !r.idempotent,
+		Connections: s.connectionShare(u),
 		HoldBytes:   HoldBytes,
 		Rate:        r.rate,
 		NotRun:      r.service.config.NotRun,
 	})
 }
 
+// connectionShare returns this host's part of the connections that an upstream
+// accepts from all entry hosts together.
+func (s *State) connectionShare(u *upstream) int {
+	return max(1, u.config.Connections/max(1, s.table.Manifest.EntryHosts))
+}
+
 func (r *request) attempt() AttemptID {
 	return AttemptID{Request: r.id, Number: r.attempts}
 }
--- a/core/request_test.go
+++ b/core/request_test.go
@@ -237,7 +237,7 @@
 	ginkgo.It("reports the outcome as unknown when a later attempt is refused", func() {
 		b := newBench(only("a")).earnRetries()
 		b.finish(first[StartAttempt](b.get()), reset)
-		b.state.markLeavingForTest("host-a")
+		b.state.MarkLeaving(b.now, "host-a", &Effects{})
 		effects := b.after(100 * time.Millisecond)
 		Expect(refusal(effects)).To(BeZero())
 		Expect(first[Fail](effects).Reason).To(Equal(outcome.FailedReset))
@@ -248,7 +248,7 @@
 		b := newBench(only("a")).earnRetries()
 		a := first[StartAttempt](b.get())
 		Expect(first[PassAnswer](b.finish(a, plain503))).To(BeZero())
-		b.state.markLeavingForTest("host-a")
+		b.state.MarkLeaving(b.now, "host-a", &Effects{})
 		Expect(first[PassAnswer](b.after(100 * time.Millisecond))).To(Equal(PassAnswer{Attempt: a.Attempt, Upstream: "a", GaveUp: true}))
 		marked := plain503
 		marked.GaveUp = true
@@ -307,6 +307,20 @@
 		}
 	})
 
+	// Guards against a start on a host that the same event declares leaving.
+	ginkgo.It("starts waiting requests only when all news of an event are in", func() {
+		b := newBench(only("a", "b"))
+		mark := func(epoch uint64, leaving bool) HostEntry {
+			return HostEntry{Host: "host-a", Epoch: epoch, Leaving: leaving}
+		}
+		b.step(HostListRead{Hosts: []HostEntry{mark(1, true)}})
+		b.get()
+		b.get()
+		Expect(b.state.services["orders"].waiting).To(Equal(1))
+		Expect(first[StartAttempt](b.step(HostListRead{Hosts: []HostEntry{mark(2, false), mark(3, true)}}))).To(BeZero())
+		Expect(first[StartAttempt](b.step(HostListRead{Hosts: []HostEntry{mark(4, false)}})).Upstream).To(Equal("a"))
+	})
+
 	// Guards against an asked wait that blocks other upstreams or never ends.
 	ginkgo.It("keeps to an asked wait for that upstream, at most one second", func() {
 		b := newBench(only("a")).earnRetries()
@@ -354,11 +368,6 @@
 	})
 })
 
-func (s *State) markLeavingForTest(host string) {
-	s.out = &Effects{}
-	s.markLeaving(host)
-}
-
 var _ = ginkgo.Describe("other regions", func() {
 	far := func(s *config.Service) {
 		only("a", "b", "c")(s)
--- a/core/retry.go
+++ b/core/retry.go
@@ -46,7 +46,7 @@
 	switch {
 	case r.attempts >= maxAttempts:
 		return outcome.WithheldAttempts
-	case outcome.NeedsBody(facts) && !r.bodyKept:
+	case outcome.BodyLost(facts, r.bodyKept):
 		return outcome.WithheldBody
 	case s.lateAfter(r, 0):
 		return outcome.WithheldDeadline
--- a/core/service.go
+++ b/core/service.go
@@ -29,6 +29,8 @@
 	waitingGroups []*group
 	waiting       int
 	alarm         queue.Item[timer]
+	// drainDue is set while the service is listed in State.drains.
+	drainDue bool
 }
 
 // requestClasses is the number of classes of requests, short and long.
@@ -163,7 +165,7 @@
 	}
 	svc.health.SetMembers(members)
 	svc.regroup()
-	s.drainQueue(svc)
+	s.drainLater(svc)
 }
 
 // alwaysLong reports whether every request of the service is long. Its
@@ -234,6 +236,6 @@
 		if !leaving {
 			u.health.BeginRamp(time.Duration(s.now))
 		}
-		s.drainQueue(u.service)
+		s.drainLater(u.service)
 	}
 }
--- a/core/state.go
+++ b/core/state.go
@@ -25,6 +25,7 @@
 	stop     stopState
 	out      *Effects
 	traffic
+	coordination
 }
 
 // New returns an empty state. Its first event must be Start.
@@ -36,6 +37,7 @@
 		parts:    make(map[config.Hash]*config.CompiledService),
 	}
 	s.traffic.init(s)
+	s.coordination.init(s)
 	return s
 }
 
@@ -43,6 +45,7 @@
 func (s *State) Step(at Instant, event Event, out *Effects) {
 	s.now = max(s.now, at)
 	s.out = out
+	s.notePause()
 	switch e := event.(type) {
 	case Start:
 		s.start(e)
@@ -73,22 +76,28 @@
 	case PeerMessage:
 		s.peerMessage(e)
 	case PeerUnreachable:
+		s.peerUnreachable(e)
 	case ProbeFinished:
+		s.probeFinished(e)
 	case StatusRequested:
 		s.out.add(ReportStatus{ID: e.ID, Status: s.status()})
+	case ExplainRequested:
+		s.explain(e)
 	}
+	s.drainDue()
+	s.settle(event)
 	s.out = nil
 }
 
 func (s *State) start(e Start) {
 	s.self = e
 	s.random.state = e.Seed
-	s.out.add(ReadHostList{})
-	s.out.add(WatchManifest{})
+	s.startCoordination(e)
 }
 
 func (s *State) tick() {
 	s.fireTimers()
+	s.tickCoordination()
 	s.checkStop()
 }
 
--- a/core/traffic.go
+++ b/core/traffic.go
@@ -17,6 +17,8 @@
 	draw        pick.Draw
 	// retryAfterCap is the longest wait that a backend server may ask for.
 	retryAfterCap time.Duration
+	// drains lists the services whose queue is looked at when the step ends.
+	drains []*service
 	// transfers are the long answers under way from each other region.
 	transfers map[string][]*request
 }
@@ -42,7 +44,7 @@
 	alarm.At = int64(at)
 	s.timers.Add(alarm)
 	if s.timers.First() == alarm && at.Before(s.now.Add(TickInterval)) {
-		s.out.add(WakeAt{At: at})
+		s.wake(at)
 	}
 }
 
@@ -61,6 +63,6 @@
 		}
 	}
 	if first := s.timers.First(); first != nil && Instant(first.At).Before(s.now.Add(TickInterval)) {
-		s.out.add(WakeAt{At: Instant(first.At)})
+		s.wake(Instant(first.At))
 	}
 }
--- a/core/walk_test.go
+++ b/core/walk_test.go
@@ -89,12 +89,15 @@
 	return w.step(Tick{})
 }
 
-// changeHost toggles the leaving mark of a host.
+// changeHost toggles the leaving marks of two hosts in one event.
 func (w *walk) changeHost() []Effect {
-	host := "host-" + string(rune('a'+w.random.IntN(4)))
-	epoch := w.state.hosts[host].Epoch + 1
-	w.leaving[host] = !w.leaving[host]
-	return w.step(HostListRead{Hosts: []HostEntry{{Host: host, Epoch: epoch, Leaving: w.leaving[host]}}})
+	var list []HostEntry
+	for _, i := range w.random.Perm(4)[:2] {
+		host := "host-" + string(rune('a'+i))
+		w.leaving[host] = !w.leaving[host]
+		list = append(list, HostEntry{Host: host, Epoch: w.state.hosts[host].Epoch + 1, Leaving: w.leaving[host]})
+	}
+	return w.step(HostListRead{Hosts: list})
 }
 
 func (w *walk) endAttempt() []Effect {
--- /dev/null
+++ b/metrics/describe.go
@@ -0,0 +1,185 @@
+package metrics
+
+import "wisteriapond/core"
+
+// Kind tells the kinds of metrics apart.
+type Kind string
+
+// The kinds of metrics.
+const (
+	KindCounter   Kind = "counter"
+	KindHistogram Kind = "histogram"
+)
+
+// Description says what a metric means. docs/metrics.md lists the same.
+type Description struct {
+	// Name is the name without the prefix "wisteriapond_".
+	Name string
+	Kind Kind
+	// Labels are the names of the labels, in order.
+	Labels  []string
+	Unit    string
+	Meaning string
+}
+
+const (
+	requestSeconds = "request_seconds"
+	stepSeconds    = "step_seconds"
+)
+
+var descriptions = []Description{
+	{
+		string(core.CounterRequests), KindCounter,
+		[]string{"service"},
+		"requests",
+		"Requests that arrived and belong to the service.",
+	},
+	{
+		string(core.CounterRefusals), KindCounter,
+		[]string{"reason"},
+		"requests",
+		"Requests refused as not run.",
+	},
+	{
+		string(core.CounterFailures), KindCounter,
+		[]string{"reason"},
+		"requests",
+		"Requests whose outcome is unknown to the caller.",
+	},
+	{
+		string(core.CounterRetries), KindCounter,
+		[]string{"reason"},
+		"attempts",
+		"Attempts after the first one of a request, by the end of the attempt before.",
+	},
+	{
+		string(core.CounterRetriesWithheld), KindCounter,
+		[]string{"reason"},
+		"attempts",
+		"Retries that were possible and not made: `attempts` (already three), `budget`, `body` (not kept) or `deadline`.",
+	},
+	{
+		string(core.CounterQueued), KindCounter,
+		[]string{"service"},
+		"requests",
+		"Requests that had to wait for a slot.",
+	},
+	{
+		string(core.CounterShed), KindCounter,
+		[]string{"service"},
+		"attempts",
+		"Attempts that a backend server refused as not run.",
+	},
+	{
+		string(core.CounterHealth), KindCounter,
+		[]string{"verdict"},
+		"upstreams",
+		"Changes of ejections: `failures` and `slow` begin one; `reinstated` (a trial went well) and `released` (most upstreams fail) end one.",
+	},
+	{
+		string(core.CounterTrials), KindCounter,
+		[]string{"service"},
+		"attempts",
+		"Trial requests to ejected upstreams.",
+	},
+	{
+		string(core.CounterCrossRegionBytes), KindCounter,
+		[]string{"regions"},
+		"bytes",
+		"Bytes of request and answer bodies that crossed regions, as `from>to`.",
+	},
+	{
+		string(core.CounterAttempts), KindCounter,
+		[]string{"class"},
+		"attempts",
+		"Attempts that ended: `not_run`, `unknown` or `answered`.",
+	},
+	{
+		string(core.CounterConfigurations), KindCounter,
+		[]string{"verdict"},
+		"documents",
+		"Configurations by verdict: `accepted` or `refused`.",
+	},
+	{
+		string(core.CounterMembers), KindCounter,
+		[]string{"state"},
+		"hosts",
+		"Changes of entry hosts, by the new state: `alive`, `suspect`, `dead` or `left`.",
+	},
+	{
+		string(core.CounterPeerUnreachable), KindCounter,
+		nil,
+		"messages",
+		"Messages to other entry hosts that could not be sent.",
+	},
+	{
+		string(core.CounterLeavingMarks), KindCounter,
+		[]string{"source"},
+		"marks",
+		"Changes of leaving marks, by where they came from: `host_list`, `backend` or `peer`; `table_full` counts marks that were dropped.",
+	},
+	{
+		string(core.CounterMarkExchanges), KindCounter,
+		nil,
+		"exchanges",
+		"Full exchanges of leaving marks with an entry host that knew other ones.",
+	},
+	{
+		string(core.CounterPartRequests), KindCounter,
+		[]string{"source"},
+		"documents",
+		"Requests for service parts, by whom they went to: `peer` or `service`.",
+	},
+	{
+		string(core.CounterPlatformFailures), KindCounter,
+		nil,
+		"calls",
+		"Reads and watches of the platform that failed.",
+	},
+	{
+		string(core.CounterLeases), KindCounter,
+		[]string{"change"},
+		"upstreams",
+		"Upstreams that changed between slot leases (`leased`) and own counts (`lapsed`).",
+	},
+	{
+		string(core.CounterLeaseMessages), KindCounter,
+		[]string{"kind"},
+		"messages",
+		"Lease messages sent: `ask` or `answer`.",
+	},
+	{
+		string(core.CounterProbes), KindCounter,
+		[]string{"verdict"},
+		"probes",
+		"Probes by what became of them: `started`, `answered`, `failed`, `expired`; `from_peer` counts results that a peer shared.",
+	},
+	{
+		string(core.CounterProbeBytes), KindCounter,
+		nil,
+		"bytes",
+		"Bytes charged to the measuring budget, at the worst case of each probe.",
+	},
+	{
+		string(core.CounterPauses), KindCounter,
+		nil,
+		"pauses",
+		"Pauses of the process that the control goroutine noticed by a late tick.",
+	},
+	{
+		requestSeconds, KindHistogram,
+		[]string{"service", "outcome"},
+		"seconds",
+		"Time from the arrival of a request until its answer is handed to the caller's connection; for a long answer, until its head is.",
+	},
+	{
+		stepSeconds, KindHistogram, nil, "seconds",
+		"Time that the control goroutine takes for one event: the step of the reducer and its effects.",
+	},
+}
+
+// Descriptions lists every metric of the system.
+func Descriptions() []Description { return descriptions }
+
+// FullName returns the name under which /metrics shows the metric.
+func (d *Description) FullName() string { return prefix + d.Name }
