--- a/budget/retry.go
+++ b/budget/retry.go
@@ -9,25 +9,26 @@
 
 // Retries is the retry budget of one service. Each arriving request adds a
 // tenth of a token, up to 10 tokens; each retry takes one. Retries thus add at
-// most a tenth to the load, whatever fails. The zero Retries is empty, so that
-// a restart loop gains nothing.
+// most a tenth to the load, whatever fails. The zero Retries is full: a site
+// with few requests must be able to retry its first one, and a restart adds no
+// more than 10 retries.
 type Retries struct {
-	tenths int
+	spentTenths int
 }
 
 // Deposit adds the share of one arriving request.
 func (r *Retries) Deposit() {
-	r.tenths = min(r.tenths+depositTenths, capTenths)
+	r.spentTenths = max(r.spentTenths-depositTenths, 0)
 }
 
 // Withdraw takes one token, or reports that there is none.
 func (r *Retries) Withdraw() bool {
-	if r.tenths < withdrawTenths {
+	if r.Tokens() == 0 {
 		return false
 	}
-	r.tenths -= withdrawTenths
+	r.spentTenths += withdrawTenths
 	return true
 }
 
 // Tokens returns the number of retries that the budget allows now.
-func (r *Retries) Tokens() int { return r.tenths / withdrawTenths }
+func (r *Retries) Tokens() int { return (capTenths - r.spentTenths) / withdrawTenths }
--- a/core/hosts.go
+++ b/core/hosts.go
@@ -85,7 +85,8 @@
 	entry.Leaving = true
 	if s.setHost(entry) {
 		s.count(CounterLeavingMarks, "backend")
-		s.spreadMarks([]HostEntry{markOf(entry)}, s.fanout())
+		news := []HostEntry{markOf(entry)}
+		s.spreadMarks(news, s.fanout())
 	}
 }
 
--- a/core/state.go
+++ b/core/state.go
@@ -24,8 +24,8 @@
 	ready    bool
 	stop     stopState
 	out      *Effects
-	traffic
 	coordination
+	traffic
 }
 
 // New returns an empty state. Its first event must be Start.
@@ -36,8 +36,8 @@
 		hosts:    make(map[string]HostEntry),
 		parts:    make(map[config.Hash]*config.CompiledService),
 	}
-	s.traffic.init(s)
 	s.coordination.init(s)
+	s.traffic.init(s)
 	return s
 }
 
@@ -96,8 +96,8 @@
 }
 
 func (s *State) tick() {
-	s.fireTimers()
 	s.tickCoordination()
+	s.fireTimers()
 	s.checkStop()
 }
 
--- a/core/status.go
+++ b/core/status.go
@@ -77,14 +77,14 @@
 	Limit   int
 	Running int
 	Leaving bool
-	// Ejected says that only trial requests go to the upstream.
-	Ejected bool
-	// Latency is the usual response time; 0 when it is not known.
-	Latency time.Duration
 	// Leased says that this host may use Held slots of the upstream. Otherwise
 	// it relies on its own counts.
 	Leased bool
 	Held   int
+	// Ejected says that only trial requests go to the upstream.
+	Ejected bool
+	// Latency is the usual response time; 0 when it is not known.
+	Latency time.Duration
 }
 
 func (s *State) status() Status {
@@ -137,10 +137,10 @@
 			Running: u.running,
 			Limit:   s.allowed(svc, u),
 			Leaving: s.leaving(u.config.Host),
-			Ejected: u.health.Ejected(),
-			Latency: u.health.Latency(0),
 			Leased:  u.leased,
 			Held:    u.held,
+			Ejected: u.health.Ejected(),
+			Latency: u.health.Latency(0),
 		})
 	}
 	return status
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -151,7 +151,8 @@
 // Failures lists every failure reason.
 func Failures() []Failure {
 	return []Failure{
-		FailedReset, FailedTimeout, FailedTruncated, FailedMalformed, FailedCanceled, FailedBody, FailedInternal, FailedBackend,
+		FailedReset, FailedTimeout, FailedTruncated, FailedMalformed, FailedCanceled, FailedBody, FailedInternal,
+		FailedBackend,
 	}
 }
 
