--- a/core/hosts.go
+++ b/core/hosts.go
@@ -56,7 +56,6 @@
 		s.count(CounterLeavingMarks, "host_list")
 		news = append(news, markOf(entry))
 	}
-	s.drainHosts(news)
 	peers := s.fanout()
 	if !s.marks.listed {
 		peers = s.members.Sample(1)
@@ -87,7 +86,6 @@
 	if s.setHost(entry) {
 		s.count(CounterLeavingMarks, "backend")
 		news := []HostEntry{markOf(entry)}
-		s.drainHosts(news)
 		s.spreadMarks(news, s.fanout())
 	}
 }
@@ -108,7 +106,6 @@
 			news = append(news, mark)
 		}
 	}
-	s.drainHosts(news)
 	if s.members.Live() > maxDirectPeers {
 		s.spreadMarks(news, s.members.Sample(fanoutPeers))
 		return
@@ -116,19 +113,8 @@
 	s.spreadMarks(news, nil)
 }
 
-// drainHosts lets the requests that wait for upstreams of the changed hosts go
-// elsewhere. It runs after all marks of an event are taken, since a queued
-// request must not be started on a host that the same event marks as leaving.
-func (s *State) drainHosts(changed []HostEntry) {
-	for _, entry := range changed {
-		for _, u := range s.upstreamsOf[entry.Host] {
-			s.drainQueue(u.service)
-		}
-	}
-}
-
 // setHost is the only writer of the host table. It reports whether the leaving
-// mark of the host changed; drainHosts must follow.
+// mark of the host changed.
 func (s *State) setHost(entry HostEntry) bool {
 	known, ok := s.hosts[entry.Host]
 	if !ok && len(s.hosts) >= maxHosts {
--- a/core/service.go
+++ b/core/service.go
@@ -29,6 +29,8 @@
 	waitingGroups []*group
 	waiting       int
 	alarm         queue.Item[timer]
+	// drainDue is set while the service is listed in State.drains.
+	drainDue bool
 }
 
 // requestClasses is the number of classes of requests, short and long.
@@ -163,7 +165,7 @@
 	}
 	svc.health.SetMembers(members)
 	svc.regroup()
-	s.drainQueue(svc)
+	s.drainLater(svc)
 }
 
 // alwaysLong reports whether every request of the service is long. Its
@@ -222,8 +224,8 @@
 	s.upstreamsOf[host] = rest
 }
 
-// hostChanged takes over the leaving mark of a host. A host that came back
-// starts cold.
+// hostChanged takes over the leaving mark of a host. Requests that waited for
+// it go elsewhere, and a host that came back starts cold.
 func (s *State) hostChanged(host string) {
 	leaving := s.leaving(host)
 	for _, u := range s.upstreamsOf[host] {
@@ -234,5 +236,6 @@
 		if !leaving {
 			u.health.BeginRamp(time.Duration(s.now))
 		}
+		s.drainLater(u.service)
 	}
 }
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -56,7 +56,7 @@
 		string(core.CounterRetriesWithheld), KindCounter,
 		[]string{"reason"},
 		"attempts",
-		"Retries that the outcome allowed and that were not made: `attempts`, `body`, `deadline` or `budget`.",
+		"Retries that were possible and not made: `attempts` (already three), `budget`, `body` (not kept) or `deadline`.",
 	},
 	{
 		string(core.CounterQueued), KindCounter,
@@ -74,19 +74,19 @@
 		string(core.CounterHealth), KindCounter,
 		[]string{"verdict"},
 		"upstreams",
-		"Ejections of upstreams and their ends.",
+		"Changes of ejections: `failures` and `slow` begin one; `reinstated` (a trial went well) and `released` (most upstreams fail) end one.",
 	},
 	{
 		string(core.CounterTrials), KindCounter,
 		[]string{"service"},
-		"requests",
+		"attempts",
 		"Trial requests to ejected upstreams.",
 	},
 	{
 		string(core.CounterCrossRegionBytes), KindCounter,
 		[]string{"regions"},
 		"bytes",
-		"Bytes of bodies that crossed regions, as `from>to`.",
+		"Bytes of request and answer bodies that crossed regions, as `from>to`.",
 	},
 	{
 		string(core.CounterAttempts), KindCounter,
