--- a/caller/call.go
+++ b/caller/call.go
@@ -19,6 +19,10 @@
 	conn    *conn
 	request *backend.Request
 	ticket  *runtime.Ticket
+	begun   core.Instant
+	// last is the last command, and started the service of the last attempt.
+	last    core.Effect
+	started string
 	// exchange is the last attempt.
 	exchange *backend.Exchange
 	// running names the attempt whose end the reducer has not been told.
@@ -56,8 +60,10 @@
 // follow carries out commands until the request is over.
 func (x *call) follow() {
 	for command := range x.ticket.Commands {
+		x.last = command
 		switch c := command.(type) {
 		case core.StartAttempt:
+			x.started = c.Service
 			x.attempt(c)
 		case core.PassAnswer:
 			x.passing = true
@@ -179,6 +185,7 @@
 
 // end runs when the handler returns.
 func (x *call) end() {
+	x.observe()
 	if x.server.loop.View().Closing {
 		x.ctx.SetConnectionClose()
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -33,6 +33,8 @@
 	pool *backend.Pool
 	log  log.Interface
 	http *fasthttp.Server
+	// Observe, when set, is told the latency of each request.
+	Observe func(service, outcome string, took time.Duration)
 }
 
 // NewServer returns a server that submits requests to the loop.
@@ -79,7 +81,7 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	c := ctx.Conn().(*conn)
-	x := &call{server: s, ctx: ctx, conn: c}
+	x := &call{server: s, ctx: ctx, conn: c, begun: s.loop.Now()}
 	defer x.end()
 	defer x.recover()
 	arrival, err := readArrival(&ctx.Request.Header, ctx.Path(), s.loop.View().HeaderNames)
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -1,7 +1,6 @@
 package entryhost
 
 import (
-	"context"
 	"errors"
 	"net"
 	"time"
@@ -14,8 +13,6 @@
 )
 
 const (
-	manifestKey = "manifest"
-	partPrefix  = "services/"
 	// retryPlatform is the wait after a failed call. It bounds the calls of a
 	// host while the platform is down.
 	retryPlatform = time.Second
@@ -42,10 +39,15 @@
 	case core.StopAccepting:
 		h.callerListener.Close()
 	case core.ReportStatus:
-		h.deliverStatus(e)
+		h.statuses.answer(e.ID, e.Status)
+	case core.ReportExplanation:
+		h.explanations.answer(e.ID, e.Explanation)
 	}
 }
 
+// ObserveStep records the time of one step.
+func (h *Host) ObserveStep(took time.Duration) { h.metrics.ObserveStep(took) }
+
 func (h *Host) writeLog(e core.Log) {
 	fields := make(log.Fields, len(e.Fields))
 	for _, field := range e.Fields {
@@ -78,7 +80,7 @@
 		switch {
 		case errors.Is(err, platform.ErrUnchanged):
 		case err != nil:
-			h.platformFailed(manifestKey, err)
+			h.platformFailed(document.ManifestKey, err)
 			h.sleep(retryPlatform)
 		default:
 			etag = value.ETag
@@ -89,22 +91,22 @@
 
 func (h *Host) nextManifest(etag string) (platform.Value, error) {
 	if etag == "" {
-		return h.platform.Read(h.ctx, manifestKey)
+		return h.platform.Read(h.ctx, document.ManifestKey)
 	}
-	return h.platform.Watch(h.ctx, manifestKey, etag)
+	return h.platform.Watch(h.ctx, document.ManifestKey, etag)
 }
 
 func (h *Host) manifestRead(raw []byte) {
-	version, manifest, err := document.Manifest(manifestKey, raw)
+	version, manifest, err := document.Manifest(document.FileOf(document.ManifestKey), raw)
 	if err != nil {
-		h.loop.Send(core.DocumentRefused{Key: manifestKey, Problems: []string{err.Error()}})
+		h.loop.Send(core.DocumentRefused{Key: document.ManifestKey, Problems: document.TextsOf(err)})
 		return
 	}
 	h.loop.Send(core.ManifestRead{Version: version, Manifest: manifest, Raw: raw})
 }
 
 func (h *Host) readPart(e core.ReadPart) {
-	key := partPrefix + e.Service
+	key := document.PartKey(e.Service)
 	for h.ctx.Err() == nil {
 		value, err := h.platform.Read(h.ctx, key)
 		if err != nil {
@@ -113,9 +115,9 @@
 			continue
 		}
 		hash := document.HashOf(value.Raw)
-		service, err := document.Service(key, value.Raw)
+		service, err := document.Service(document.FileOf(key), value.Raw)
 		if err != nil {
-			h.loop.Send(core.DocumentRefused{Key: key, Problems: []string{err.Error()}})
+			h.loop.Send(core.DocumentRefused{Key: key, Problems: document.TextsOf(err)})
 			return
 		}
 		h.loop.Send(core.PartRead{Hash: hash, Service: service, Raw: value.Raw})
@@ -130,7 +132,7 @@
 		if err != nil {
 			h.platformFailed("hosts", err)
 		} else if hosts, err := document.HostList("hosts", raw); err != nil {
-			h.loop.Send(core.DocumentRefused{Key: "hosts", Problems: []string{err.Error()}})
+			h.loop.Send(core.DocumentRefused{Key: "hosts", Problems: document.TextsOf(err)})
 		} else {
 			h.loop.Send(core.HostListRead{Hosts: hosts})
 		}
@@ -159,35 +161,6 @@
 	}
 }
 
-// Status asks the control goroutine for a report.
-func (h *Host) Status(ctx context.Context) (core.Status, error) {
-	id := h.statusID.Add(1)
-	reply := make(chan core.Status, 1)
-	h.statusMu.Lock()
-	h.statuses[id] = reply
-	h.statusMu.Unlock()
-	h.loop.Send(core.StatusRequested{ID: id})
-	select {
-	case status := <-reply:
-		return status, nil
-	case <-ctx.Done():
-		h.statusMu.Lock()
-		delete(h.statuses, id)
-		h.statusMu.Unlock()
-		return core.Status{}, ctx.Err()
-	}
-}
-
-func (h *Host) deliverStatus(e core.ReportStatus) {
-	h.statusMu.Lock()
-	reply := h.statuses[e.ID]
-	delete(h.statuses, e.ID)
-	h.statusMu.Unlock()
-	if reply != nil {
-		reply <- e.Status
-	}
-}
-
 func isClosed(err error) bool {
 	return err == nil || errors.Is(err, net.ErrClosed)
 }
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -21,6 +21,12 @@
 	Handle(effect core.Effect)
 }
 
+// StepObserver is a Handler that also wants to know how long each step took,
+// effects included. It runs on the control goroutine and must not block.
+type StepObserver interface {
+	ObserveStep(took time.Duration)
+}
+
 // Loop owns the control state. Run is the control goroutine.
 type Loop struct {
 	mailbox *mailbox
@@ -28,6 +34,7 @@
 	effects core.Effects
 	tickets map[core.RequestID]*Ticket
 	handler Handler
+	observe StepObserver
 	origin  time.Time
 	nextID  atomic.Uint64
 	view    atomic.Pointer[core.View]
@@ -51,6 +58,7 @@
 		done:    make(chan struct{}),
 	}
 	l.tickAt = l.Now().Add(core.TickInterval)
+	l.observe, _ = handler.(StepObserver)
 	l.view.Store(&core.View{})
 	return l
 }
@@ -141,7 +149,8 @@
 	if begun, ok := i.event.(core.AnswerBegun); ok {
 		l.setStreaming(begun.Attempt.Request, true)
 	}
-	l.state.Step(l.Now(), i.event, &l.effects)
+	begin := l.Now()
+	l.state.Step(begin, i.event, &l.effects)
 	for _, effect := range l.effects.All() {
 		l.carryOut(effect)
 	}
@@ -150,6 +159,9 @@
 		delete(l.tickets, delivered.Attempt.Request)
 	}
 	l.open.Store(int64(len(l.tickets)))
+	if l.observe != nil {
+		l.observe.ObserveStep(l.Now().Sub(begin))
+	}
 }
 
 func (l *Loop) setStreaming(id core.RequestID, streaming bool) {
