caller: count refusals that the reducer never sees

Cause: malformed and oversized requests, and those refused by a full mailbox, did not appear in refusals_total.

Change: the server reports their reasons to the metrics. Tests check the reason of each, that callers that read nothing hold up nobody, and that no goroutine of a request is left whatever way it ends.

--- a/caller/answers.go
+++ b/caller/answers.go
@@ -53,7 +53,9 @@
 
 // refuseMalformed answers a request that reached no backend server because of
 // its form.
-func refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+	s.refused(outcome.RefusedMalformed)
+	ctx.SetConnectionClose()
 	writeAnswer(ctx, fasthttp.StatusBadRequest, answerBody{
 		Outcome: outcomeNotRun,
 		Reason:  string(outcome.RefusedMalformed),
@@ -62,7 +64,7 @@
 }
 
 // refuseUnread answers a request that the library could not read.
-func refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+func (s *Server) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
 	var large *fasthttp.ErrSmallBuffer
 	status, reason := fasthttp.StatusBadRequest, outcome.RefusedMalformed
 	switch {
@@ -71,6 +73,7 @@
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status, reason = fasthttp.StatusRequestEntityTooLarge, outcome.RefusedTooLarge
 	}
+	s.refused(reason)
 	if c, ok := ctx.Conn().(*conn); ok {
 		c.lingerOnClose()
 	}
--- a/caller/call.go
+++ b/caller/call.go
@@ -39,7 +39,9 @@
 func (x *call) submit(arrival core.RequestArrived) {
 	x.ticket = x.server.loop.Submit(arrival)
 	if x.ticket == nil {
-		writeRefusal(x.ctx, core.Refuse{Reason: x.notTaken()})
+		reason := x.notTaken()
+		x.server.refused(reason)
+		writeRefusal(x.ctx, core.Refuse{Reason: reason})
 		return
 	}
 	id := x.ticket.ID
--- /dev/null
+++ b/caller/load_test.go
@@ -0,0 +1,115 @@
+package caller_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	goruntime "runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("many callers", func() {
+	// Guards against head-of-line blocking: downloads whose callers read
+	// nothing must not hold up lookups.
+	It("do not wait for those that read slowly", func() {
+		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
+			for {
+				request := s.read(r)
+				if request == nil {
+					return
+				}
+				if strings.HasPrefix(request.RequestURI, "/files/") {
+					sendDownload(c)
+					continue
+				}
+				io.WriteString(c, plain)
+			}
+		})
+		config := service(s.address())
+		config.Upstreams[0].Slots = 64
+		sys := start(config)
+		for range 10 {
+			slow := sys.dial()
+			slow.send("GET /files/proof HTTP/1.1\r\nHost: h\r\n\r\n")
+			_, err := slow.reader.Peek(1)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		c := sys.dial()
+		for range 200 {
+			c.send(lead + "\r\n")
+			_, body := c.answer("GET")
+			Expect(body).To(Equal("urns"))
+		}
+		Expect(sys.loop.Open()).To(BeNumerically(">=", 10))
+	})
+
+	// Guards against goroutines and requests that stay behind,
+	// whatever way requests end.
+	It("leave nothing behind", func() {
+		s := serve(func(_ *fake, c net.Conn, r *bufio.Reader) {
+			for {
+				request, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, request.Body); err != nil {
+					return
+				}
+				switch request.RequestURI {
+				case "/broken":
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nurns")
+					return
+				case "/reset":
+					return
+				case "/silent":
+					r.ReadByte()
+					return
+				case "/long":
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n"+long)
+					return
+				}
+				io.WriteString(c, plain)
+			}
+		})
+		config := service(s.address())
+		config.Upstreams[0].Slots = 64
+		sys := start(config)
+		for _, target := range []string{"/", "/broken", "/reset", "/silent", "/long"} {
+			for i := range 8 {
+				c := sys.dial()
+				body := strings.Repeat("urns", 1+i%2*50000)
+				go io.WriteString(c, "POST "+target+" HTTP/1.1\r\nHost: h\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+				if target != "/silent" {
+					c.reader.ReadByte()
+				} else {
+					time.Sleep(time.Millisecond)
+				}
+				c.Close()
+			}
+		}
+		Eventually(sys.loop.Open).WithTimeout(patience).Should(BeZero())
+		Eventually(busyGoroutines).WithTimeout(patience).Should(BeEmpty())
+	})
+})
+
+// busyGoroutines returns which goroutines of a request are left.
+func busyGoroutines() (left []string) {
+	dump := stacks()
+	for _, name := range []string{"caller.(*call)", "caller.(*conn).readAhead", "backend.(*Exchange)", "backend.sendStream", "backend.(*Body)"} {
+		if strings.Contains(dump, name) {
+			left = append(left, name)
+		}
+	}
+	return left
+}
+
+func stacks() string {
+	buffer := make([]byte, 4<<20)
+	return string(buffer[:goruntime.Stack(buffer, true)])
+}
--- a/caller/request_test.go
+++ b/caller/request_test.go
@@ -31,6 +31,7 @@
 		Expect(response.Close).To(BeTrue())
 		Expect(body).To(MatchRegexp(`^\{"outcome":"not-run","reason":"` + reason + `","message":".+"\}$`))
 		Expect(s.accepted.Load()).To(BeZero())
+		Expect(sys.refused).To(Receive(BeEquivalentTo(reason)))
 	},
 	Entry("with length and coding", order+"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, "malformed"),
 	Entry("with coding and length", order+"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n", 400, "malformed"),
--- a/caller/server.go
+++ b/caller/server.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriapond/backend"
+	"wisteriapond/outcome"
 	"wisteriapond/runtime"
 )
 
@@ -35,6 +36,8 @@
 	http *fasthttp.Server
 	// Observe, when set, is told the latency of each request.
 	Observe func(service, outcome string, took time.Duration)
+	// Refused, when set, is told each refusal that the reducer never saw.
+	Refused func(reason outcome.Refusal)
 }
 
 // NewServer returns a server that submits requests to the loop.
@@ -42,7 +45,7 @@
 	s := &Server{loop: loop, pool: pool, log: logger}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
-		ErrorHandler:                 refuseUnread,
+		ErrorHandler:                 s.refuseUnread,
 		Logger:                       libraryLog{logger},
 		ReadBufferSize:               maxHeaderBytes,
 		WriteBufferSize:              writeBufferBytes,
@@ -79,6 +82,12 @@
 	l.log.WithField("library", "fasthttp").Warn(fmt.Sprintf(format, args...))
 }
 
+func (s *Server) refused(reason outcome.Refusal) {
+	if s.Refused != nil {
+		s.Refused(reason)
+	}
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	c := ctx.Conn().(*conn)
 	x := &call{server: s, ctx: ctx, conn: c, begun: s.loop.Now()}
@@ -86,14 +95,12 @@
 	defer x.recover()
 	arrival, err := readArrival(&ctx.Request.Header, ctx.Path(), s.loop.View().HeaderNames)
 	if err != nil {
-		ctx.SetConnectionClose()
-		refuseMalformed(ctx, err)
+		s.refuseMalformed(ctx, err)
 		return
 	}
 	x.request = requests.Get().(*backend.Request)
 	if err := prepare(x.request, ctx, c); err != nil {
-		ctx.SetConnectionClose()
-		refuseMalformed(ctx, err)
+		s.refuseMalformed(ctx, err)
 		return
 	}
 	arrival.BodyKept = x.request.Stream == nil
--- a/caller/suite_test.go
+++ b/caller/suite_test.go
@@ -22,6 +22,7 @@
 	"wisteriapond/caller"
 	"wisteriapond/config"
 	"wisteriapond/core"
+	"wisteriapond/outcome"
 	"wisteriapond/runtime"
 )
 
@@ -49,6 +50,8 @@
 	address string
 	loop    *runtime.Loop
 	pool    *backend.Pool
+	// refused gets the reasons of refusals that the reducer never saw.
+	refused chan outcome.Refusal
 	// ended is closed when a planned stop is over.
 	ended chan struct{}
 }
@@ -77,9 +80,10 @@
 	GinkgoHelper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	sys := &system{address: l.Addr().String(), pool: backend.NewPool(), ended: make(chan struct{})}
+	sys := &system{address: l.Addr().String(), pool: backend.NewPool(), ended: make(chan struct{}), refused: make(chan outcome.Refusal, 16)}
 	sys.loop = runtime.NewLoop(&ignore{stopAccepting: func() { l.Close() }})
 	server := caller.NewServer(sys.loop, sys.pool, &log.Logger{Handler: discard.New()})
+	server.Refused = func(reason outcome.Refusal) { sys.refused <- reason }
 	sys.loop.Send(core.Start{Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a", Seed: 1})
 	hash := config.Hash(strings.Repeat("a", 64))
 	sys.loop.Send(core.ManifestRead{
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -17,6 +17,7 @@
 	"wisteriapond/config"
 	"wisteriapond/core"
 	"wisteriapond/metrics"
+	"wisteriapond/outcome"
 	"wisteriapond/platform"
 	"wisteriapond/runtime"
 	"wisteriapond/settings"
@@ -56,6 +57,9 @@
 	h.loop = runtime.NewLoop(h)
 	h.caller = caller.NewServer(h.loop, h.pool, h.log)
 	h.caller.Observe = h.metrics.ObserveRequest
+	h.caller.Refused = func(reason outcome.Refusal) {
+		h.metrics.Add(core.CounterRefusals, string(reason), 1)
+	}
 	h.admin = admin.NewServer(h, h.metrics, admin.Options{Profiling: s.Profiling})
 	var err error
 	if h.callerListener, err = net.Listen("tcp", s.Listen); err != nil {
