peer: carry messages between entry hosts over QUIC

Entry hosts need a transport that proves who speaks and that never holds up the control goroutine.

One UDP socket serves both directions. Handshakes need TLS 1.3 and a certificate of the deployment's CA on both sides, checked in VerifyConnection so that refusals can be counted and logged with their reason. Each peer has a bounded queue and a goroutine; small messages go as datagrams, larger ones as one stream each. Connections are reused from either side, checked again when the keys change, closed after malformed messages or silence, and dialed again after a back-off.

--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"errors"
+	"reflect"
+	"strings"
+	"unicode"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"wisteriapond/codec"
+	"wisteriapond/core"
+	"wisteriapond/document"
+)
+
+// MaxMessage is the largest encoded message: one document of the largest size
+// and room for the other fields.
+const MaxMessage = document.MaxBytes + 64<<10
+
+var errTooLarge = errors.New("message is too large")
+
+// kindUnknown stands for fields that only a newer release knows.
+const kindUnknown = "unknown"
+
+var (
+	messageType  = reflect.TypeFor[core.Message]()
+	messageCodec = codec.For(messageType)
+	kinds        = kindNames()
+)
+
+// Encode returns the encoding of a message.
+func Encode(m *core.Message) ([]byte, error) {
+	raw, err := messageCodec.Encode(reflect.ValueOf(m).Elem())
+	if err != nil {
+		return nil, err
+	}
+	if len(raw) > MaxMessage {
+		return nil, errTooLarge
+	}
+	return raw, nil
+}
+
+// Decode reads a message.
+func Decode(raw []byte) (core.Message, error) {
+	var m core.Message
+	if len(raw) > MaxMessage {
+		return m, errTooLarge
+	}
+	err := messageCodec.Decode(raw, reflect.ValueOf(&m).Elem())
+	return m, err
+}
+
+// Kinds lists the kinds of messages. Each field of core.Message is one; a
+// message with several fields counts towards several kinds.
+func Kinds() []string { return kinds }
+
+func kindNames() []string {
+	names := make([]string, messageType.NumField())
+	for i := range names {
+		names[i] = snakeCase(messageType.Field(i).Name)
+	}
+	return names
+}
+
+func snakeCase(name string) string {
+	var b strings.Builder
+	for i, r := range name {
+		if unicode.IsUpper(r) && i > 0 {
+			b.WriteByte('_')
+		}
+		b.WriteRune(unicode.ToLower(r))
+	}
+	return b.String()
+}
+
+// bytesByKind calls count with the bytes that each field of a message takes.
+func bytesByKind(m *core.Message, raw []byte, count func(kind string, n int64)) {
+	if kind, ok := onlyKind(m); ok {
+		count(kind, int64(len(raw)))
+		return
+	}
+	var fields map[int]cbor.RawMessage
+	if err := cbor.Unmarshal(raw, &fields); err != nil {
+		return
+	}
+	for number, value := range fields {
+		count(kindOf(number), int64(len(value))+1)
+	}
+}
+
+// onlyKind returns the kind of a message with exactly one field set, which
+// most messages have.
+func onlyKind(m *core.Message) (string, bool) {
+	value := reflect.ValueOf(m).Elem()
+	kind := ""
+	for i := range value.NumField() {
+		if value.Field(i).IsZero() {
+			continue
+		}
+		if kind != "" {
+			return "", false
+		}
+		kind = kinds[i]
+	}
+	return kind, kind != ""
+}
+
+func kindOf(number int) string {
+	if number < 1 || number > len(kinds) {
+		return kindUnknown
+	}
+	return kinds[number-1]
+}
--- /dev/null
+++ b/peer/message_test.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"net/netip"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
+	"wisteriapond/core"
+)
+
+func testAddress(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.3"), uint16(port))
+}
+
+var _ = Describe("a message", func() {
+	whole := core.Message{
+		Accepted: &config.Version{Generation: 7, Hash: "ab"},
+		Hosts:    []core.HostEntry{{Host: "entry-1", Epoch: 3}},
+		Manifest: []byte("m"),
+		Part:     []byte("p"),
+	}
+
+	// Guards against fields lost on the way and against bytes that no counter
+	// shows.
+	It("is decoded as it was encoded, and each byte belongs to a kind", func() {
+		raw, err := Encode(&whole)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(Decode(raw)).To(Equal(whole))
+		total := 0
+		seen := make(map[string]bool)
+		bytesByKind(&whole, raw, func(kind string, n int64) {
+			total += int(n)
+			seen[kind] = true
+		})
+		const mapHeader = 1
+		Expect(total).To(Equal(len(raw) - mapHeader))
+		Expect(seen).To(HaveLen(4))
+		Expect(Kinds()).To(ContainElements("accepted", "hosts", "manifest", "part"))
+	})
+
+	// Guards against messages beyond the limit.
+	It("is refused when it is too large", func() {
+		_, err := Encode(&core.Message{Part: make([]byte, MaxMessage)})
+		Expect(err).To(MatchError(errTooLarge))
+		_, err = Decode(make([]byte, MaxMessage+1))
+		Expect(err).To(MatchError(errTooLarge))
+	})
+})
+
+// FuzzDecode guards against messages that crash the decoder, or that it reads
+// as something else than what it would write itself.
+func FuzzDecode(f *testing.F) {
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		message, err := Decode(raw)
+		if err != nil {
+			return
+		}
+		again, err := Encode(&message)
+		if err != nil {
+			t.Fatalf("decoded message cannot be encoded: %v", err)
+		}
+		second, err := Decode(again)
+		if err != nil {
+			t.Fatalf("encoded message cannot be decoded: %v", err)
+		}
+		third, err := Encode(&second)
+		if err != nil || string(third) != string(again) {
+			t.Fatalf("encoding is not stable: %x and %x", again, third)
+		}
+	})
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,217 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/quic-go/quic-go"
+
+	"wisteriapond/core"
+	"wisteriapond/document"
+	"wisteriapond/keys"
+)
+
+const anyPort = "127.0.0.1:0"
+
+var _ = Describe("two hosts", func() {
+	var (
+		ca       keys.Pair
+		one, two *testHost
+	)
+
+	BeforeEach(func() {
+		ca = newCA("deployment")
+		one = startHost(anyPort, ca.Certificate, newKey(ca, "entry-1", validity))
+		two = startHost(anyPort, ca.Certificate, newKey(ca, "entry-2", validity))
+	})
+
+	// Guards against messages that arrive changed or without their sender's
+	// proven name and address, and against a connection per message.
+	It("exchange small and large messages over one connection", func() {
+		sendUntil(one, two, "a")
+		document := core.Message{Part: bytes.Repeat([]byte{7}, document.MaxBytes)}
+		one.Send(two.Address(), document)
+		Eventually(two.messages).WithTimeout(patience).Should(ContainElement(HaveField("Message", document)))
+		sendUntil(two, one, "b")
+
+		Expect(two.messages()[0].From).To(Equal("entry-1"))
+		Expect(two.messages()[0].Address).To(Equal(one.Address()))
+		Expect(one.messages()[0].From).To(Equal("entry-2"))
+		Expect(one.counted(CounterHandshakes, handshakeDialed)()).To(Equal(int64(1)))
+		Expect(two.counted(CounterHandshakes, handshakeDialed)()).To(BeZero())
+		Expect(two.counted(CounterBytesIn, "part")()).To(BeNumerically(">", len(document.Part)))
+		Expect(one.counted(CounterBytesOut, "part")()).To(Equal(two.counted(CounterBytesIn, "part")()))
+		Expect(one.counted(CounterMessagesOut, wayStream)()).To(Equal(int64(1)))
+	})
+
+	// Guards against a host that never reaches a peer again after the peer was
+	// down or restarted.
+	It("find each other again after a restart", func() {
+		sendUntil(one, two, "a")
+		address := two.Address()
+		two.stop()
+		down := func() []core.Event {
+			one.Send(address, hostMessage("b"))
+			return one.received()
+		}
+		Eventually(down).WithTimeout(patience).WithPolling(50 * time.Millisecond).
+			Should(ContainElement(core.PeerUnreachable{Address: address}))
+		again := startHost(address, ca.Certificate, newKey(ca, "entry-2", validity))
+		sendUntil(one, again, "c")
+	})
+
+	// Guards against a rotation that needs a restart or cuts the hosts off
+	// from each other, and against an old key that stays good.
+	It("go over to a new CA and leave the old one behind", func() {
+		sendUntil(one, two, "a")
+		next := newCA("next")
+		both := slices.Concat(ca.Certificate, next.Certificate)
+		hangups := make(map[*testHost]chan struct{})
+		for host, name := range map[*testHost]string{one: "entry-1", two: "entry-2"} {
+			hangup := make(chan struct{})
+			hangups[host] = hangup
+			ctx, cancel := context.WithCancel(context.Background())
+			go host.store.Watch(ctx, time.Hour, hangup)
+			DeferCleanup(cancel)
+			writeKey(host.files, both, newKey(next, name, validity))
+			hangup <- struct{}{}
+		}
+		sendUntil(one, two, "b")
+		old := startHost(anyPort, both, newKey(ca, "entry-3", validity))
+		sendUntil(old, one, "c")
+
+		for host, name := range map[*testHost]string{one: "entry-1", two: "entry-2"} {
+			writeKey(host.files, next.Certificate, newKey(next, name, validity))
+			hangups[host] <- struct{}{}
+		}
+		Eventually(one.counted(CounterClosed, closedKey)).WithTimeout(patience).Should(BeNumerically(">", 0))
+		sendUntil(two, one, "d")
+		refused := func() int64 {
+			old.Send(one.Address(), hostMessage("e"))
+			return old.counted(CounterHandshakes, handshakeRefusedBy)()
+		}
+		Eventually(refused).WithTimeout(patience).WithPolling(50 * time.Millisecond).Should(BeNumerically(">", 0))
+		Expect(one.messages()).NotTo(ContainElement(HaveField("Message", hostMessage("e"))))
+	})
+
+	// Guards against a key holder that floods a host with what it cannot read
+	// or with more than it wants to keep.
+	It("drop malformed and oversized messages and close the connection", func() {
+		key := newKey(ca, "entry-3", validity)
+		conn, err := rawClient(one.Address(), &key)
+		Expect(err).NotTo(HaveOccurred())
+		stream, err := conn.OpenUniStream()
+		Expect(err).NotTo(HaveOccurred())
+		go func() {
+			stream.Write(make([]byte, MaxMessage+2))
+			stream.Close()
+		}()
+		Eventually(one.counted(CounterMalformed, wayStream)).WithTimeout(patience).Should(Equal(int64(1)))
+		garbage := func() error {
+			conn.SendDatagram([]byte{0xff})
+			return conn.Context().Err()
+		}
+		Eventually(garbage).WithTimeout(patience).Should(HaveOccurred())
+		Expect(one.counted(CounterClosed, closedMalformed)()).To(Equal(int64(1)))
+		Expect(one.messages()).To(BeEmpty())
+		one.Send(two.Address(), core.Message{Part: make([]byte, MaxMessage)})
+		Eventually(one.counted(CounterDropped, droppedTooLarge)).WithTimeout(patience).Should(Equal(int64(1)))
+	})
+
+	// Guards against a peer that reads nothing and thereby holds up the
+	// control goroutine or the messages to other peers.
+	It("do not wait for a slow peer", func() {
+		slow := startSlowPeer(newKey(ca, "slow", validity))
+		part := make([]byte, document.MaxBytes)
+		for range 10 * sendQueue {
+			one.Send(slow, core.Message{Part: part})
+		}
+		Eventually(one.counted(CounterDropped, droppedQueue)).WithTimeout(patience).Should(BeNumerically(">", 0))
+		sendUntil(one, two, "a")
+	})
+
+	// Guards against a table of peers that grows without bound, and against
+	// addresses that cannot be used.
+	It("bound the number of peers", func() {
+		one.Transport.mu.Lock()
+		for port := range maxPeers {
+			one.Transport.peers[testAddress(port)] = &peer{queue: make(chan *outgoing, 1)}
+		}
+		one.Transport.mu.Unlock()
+		one.Send(two.Address(), hostMessage("a"))
+		Expect(one.counted(CounterDropped, droppedPeers)()).To(Equal(int64(1)))
+		one.Send("nonsense", hostMessage("a"))
+		one.Send(one.Address(), hostMessage("a"))
+		Expect(one.counted(CounterDropped, droppedAddress)()).To(Equal(int64(2)))
+		Eventually(one.received).WithTimeout(patience).Should(ContainElement(core.PeerUnreachable{Address: two.Address()}))
+	})
+})
+
+var _ = Describe("a host without a valid key", func() {
+	var (
+		ca  keys.Pair
+		one *testHost
+	)
+
+	BeforeEach(func() {
+		ca = newCA("deployment")
+		one = startHost(anyPort, ca.Certificate, newKey(ca, "entry-1", validity))
+	})
+
+	// Guards against outsiders that learn or change anything, and against
+	// refusals whose reason operators cannot see.
+	DescribeTable("is refused", func(key func() *keys.Pair, reason string) {
+		conn, err := rawClient(one.Address(), key())
+		if err == nil {
+			raw, _ := Encode(&core.Message{Part: []byte("x")})
+			conn.SendDatagram(raw)
+			Eventually(conn.Context().Done()).WithTimeout(patience).Should(BeClosed())
+			_, err = conn.ReceiveDatagram(context.Background())
+		}
+		Expect(err).To(HaveOccurred())
+		Eventually(one.counted(CounterHandshakes, handshakeRefused)).WithTimeout(patience).Should(Equal(int64(1)))
+		Eventually(one.reasons).WithTimeout(patience).Should(ContainElement(ContainSubstring(reason)))
+		Expect(one.counted(CounterHandshakes, handshakeAccepted)()).To(BeZero())
+		Expect(one.received()).To(BeEmpty())
+	},
+		Entry("no key", func() *keys.Pair { return nil }, "no certificate"),
+		Entry("an expired key", func() *keys.Pair {
+			key := newKey(ca, "entry-2", -time.Minute)
+			return &key
+		}, "expired"),
+		Entry("a key of another CA with the same name", func() *keys.Pair {
+			key := newKey(newCA("deployment"), "entry-2", validity)
+			return &key
+		}, "unknown authority"),
+	)
+
+	// Guards against a host that hands its messages to an impostor at a
+	// peer's address.
+	It("gets no message from a host that dials it", func() {
+		other := newCA("deployment")
+		impostor := startHost(anyPort, other.Certificate, newKey(other, "entry-2", validity))
+		one.Send(impostor.Address(), hostMessage("a"))
+		Eventually(one.received).WithTimeout(patience).
+			Should(ContainElement(core.PeerUnreachable{Address: impostor.Address()}))
+		Expect(one.counted(CounterHandshakes, handshakeRefused)()).To(BeNumerically(">", 0))
+		Expect(impostor.messages()).To(BeEmpty())
+	})
+})
+
+// startSlowPeer accepts connections and reads nothing.
+func startSlowPeer(pair keys.Pair) string {
+	certificate, err := tls.X509KeyPair(pair.Certificate, pair.Key)
+	Expect(err).NotTo(HaveOccurred())
+	listener, err := quic.ListenAddr(anyPort, &tls.Config{
+		Certificates: []tls.Certificate{certificate},
+		NextProtos:   []string{protocol},
+	}, quicConfig())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	return listener.Addr().String()
+}
--- /dev/null
+++ b/peer/send.go
@@ -0,0 +1,300 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"wisteriapond/core"
+)
+
+const (
+	// sendQueue bounds the messages that wait for one peer.
+	sendQueue = 128
+	// sendExpiry bounds the time for which a message waits. An older one would
+	// carry stale facts.
+	sendExpiry = time.Second
+	// A failed dial is followed by a wait that doubles from minBackOff to
+	// maxBackOff.
+	minBackOff = 100 * time.Millisecond
+	maxBackOff = 2 * time.Second
+	// settledAfter is the age from which a connection counts as a success. A
+	// peer that refuses this host closes it within a round trip.
+	settledAfter = 2 * time.Second
+	// peerIdle is the time without messages after which the queue of a peer is
+	// given up. Its connection stays until it is idle itself.
+	peerIdle = time.Minute
+)
+
+var errTooManyLinks = errors.New("too many connections")
+
+// outgoing is a message on its way to a peer.
+type outgoing struct {
+	message core.Message
+	at      time.Time
+}
+
+// peer is the queue towards one address. Its goroutine encodes and sends.
+type peer struct {
+	t       *Transport
+	address netip.AddrPort
+	queue   chan *outgoing
+	// wake holds a token after the peer has opened a connection itself.
+	wake chan struct{}
+
+	// The following belong to the peer's goroutine.
+	link     *link
+	failures int
+	retryAt  time.Time
+}
+
+// Send queues a message. It never blocks: a message that finds no place is
+// dropped and counted. The message must not change afterwards.
+func (t *Transport) Send(address string, message core.Message) {
+	parsed, err := netip.ParseAddrPort(address)
+	parsed = unmapped(parsed)
+	if err != nil || parsed == t.own {
+		t.drop(droppedAddress, address)
+		return
+	}
+	t.mu.Lock()
+	p := t.peerAt(parsed)
+	full := false
+	if p != nil {
+		select {
+		case p.queue <- &outgoing{message: message, at: time.Now()}:
+		default:
+			full = true
+		}
+	}
+	t.mu.Unlock()
+	switch {
+	case p == nil:
+		t.drop(droppedPeers, address)
+	case full:
+		t.config.Count(CounterDropped, droppedQueue, 1)
+	}
+}
+
+// peerAt returns the peer at an address and begins to serve a new one. It
+// returns nil when there are too many. The lock is held.
+func (t *Transport) peerAt(address netip.AddrPort) *peer {
+	if p := t.peers[address]; p != nil {
+		return p
+	}
+	if t.ctx.Err() != nil || len(t.peers) >= maxPeers {
+		return nil
+	}
+	p := &peer{
+		t:       t,
+		address: address,
+		queue:   make(chan *outgoing, sendQueue),
+		wake:    make(chan struct{}, 1),
+	}
+	t.peers[address] = p
+	t.group.Go(p.run)
+	return p
+}
+
+// drop counts a message that cannot be sent and reports its address.
+func (t *Transport) drop(reason, address string) {
+	t.config.Count(CounterDropped, reason, 1)
+	select {
+	case t.reports <- address:
+	default:
+	}
+}
+
+func (p *peer) run() {
+	idle := time.NewTimer(peerIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case <-p.t.ctx.Done():
+			return
+		case o := <-p.queue:
+			p.send(o)
+			idle.Reset(peerIdle)
+		case <-idle.C:
+			if p.retire() {
+				return
+			}
+			idle.Reset(peerIdle)
+		}
+	}
+}
+
+// retire gives up the queue when it is empty.
+func (p *peer) retire() bool {
+	p.t.mu.Lock()
+	defer p.t.mu.Unlock()
+	if len(p.queue) > 0 {
+		return false
+	}
+	delete(p.t.peers, p.address)
+	return true
+}
+
+// linked says that a connection to the peer's address has come into use.
+func (p *peer) linked() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *peer) send(o *outgoing) {
+	l := p.connection()
+	if l == nil {
+		p.unreachable()
+		return
+	}
+	if time.Since(o.at) > sendExpiry {
+		p.t.config.Count(CounterDropped, droppedExpired, 1)
+		return
+	}
+	raw, err := Encode(&o.message)
+	if err != nil {
+		p.t.config.Count(CounterDropped, droppedTooLarge, 1)
+		p.t.config.Log.WithField("address", p.address.String()).WithError(err).Error("message to peer dropped")
+		return
+	}
+	way, dropped := l.write(raw)
+	if dropped != "" {
+		p.t.config.Count(CounterDropped, dropped, 1)
+		return
+	}
+	p.t.config.Count(CounterMessagesOut, way, 1)
+	bytesByKind(&o.message, raw, func(kind string, n int64) { p.t.config.Count(CounterBytesOut, kind, n) })
+}
+
+// unreachable drops the message at hand and those that wait. They have one
+// report: the reducer asks elsewhere once, not once per message.
+func (p *peer) unreachable() {
+	if p.t.ctx.Err() != nil {
+		return
+	}
+	dropped := int64(1)
+	for len(p.queue) > 0 {
+		<-p.queue
+		dropped++
+	}
+	p.t.config.Count(CounterDropped, droppedUnreachable, dropped)
+	p.t.config.Receive(core.PeerUnreachable{Address: p.address.String()})
+}
+
+// connection returns a live connection to the peer, its own or one that the
+// peer opened, and dials after the back-off when there is none.
+func (p *peer) connection() *link {
+	if l := p.current(); l != nil {
+		return l
+	}
+	if !p.waitBackOff() {
+		return nil
+	}
+	if l := p.current(); l != nil {
+		return l
+	}
+	l, err := p.dial()
+	if err != nil {
+		p.noteFailure()
+		return nil
+	}
+	p.link = l
+	return l
+}
+
+func (p *peer) current() *link {
+	l := p.t.route(p.address)
+	if l != nil && l.silent(time.Now()) {
+		l.close(codeSilent, closedSilent)
+		l = nil
+	}
+	if l != nil && !l.dead() {
+		return l
+	}
+	p.noteEnd()
+	return nil
+}
+
+// noteEnd judges the last connection that this host opened.
+func (p *peer) noteEnd() {
+	if p.link == nil {
+		return
+	}
+	if time.Since(p.link.since) >= settledAfter {
+		p.failures = 0
+		p.retryAt = time.Time{}
+	} else {
+		p.noteFailure()
+	}
+	p.link = nil
+}
+
+// noteFailure sets the next dial off, with jitter so that hosts that lost the
+// same peer do not return in step.
+func (p *peer) noteFailure() {
+	wait := min(minBackOff<<min(p.failures, 10), maxBackOff)
+	p.failures++
+	p.retryAt = time.Now().Add(wait/2 + rand.N(wait/2))
+}
+
+// waitBackOff waits until the next dial is due or the peer has opened a
+// connection. It reports false when the transport ends.
+func (p *peer) waitBackOff() bool {
+	timer := time.NewTimer(time.Until(p.retryAt))
+	defer timer.Stop()
+	select {
+	case <-p.t.ctx.Done():
+		return false
+	case <-p.wake:
+	case <-timer.C:
+	}
+	return true
+}
+
+func (p *peer) dial() (*link, error) {
+	ctx, cancel := context.WithTimeout(p.t.ctx, handshakeTimeout)
+	defer cancel()
+	ip := net.IP(p.address.Addr().AsSlice())
+	var refusal error
+	conn, err := p.t.quic.Dial(ctx, net.UDPAddrFromAddrPort(p.address), p.t.dialConfig(ip, &refusal), quicConfig())
+	if err != nil {
+		p.noteDialError(err, refusal)
+		return nil, err
+	}
+	host, err := p.t.config.Keys.Current().VerifyPeer(conn.ConnectionState().TLS.PeerCertificates, ip, time.Now())
+	if err != nil {
+		p.noteDialError(err, err)
+		conn.CloseWithError(codeKey, "key is not valid")
+		return nil, err
+	}
+	p.t.config.Count(CounterHandshakes, handshakeDialed, 1)
+	l := newLink(p.t, conn, host, ip)
+	if !p.t.add(l) {
+		return nil, errTooManyLinks
+	}
+	return l, nil
+}
+
+func (p *peer) noteDialError(err, refusal error) {
+	if p.t.ctx.Err() != nil {
+		return
+	}
+	var failure *quic.TransportError
+	switch {
+	case refusal != nil:
+		p.t.config.Count(CounterHandshakes, handshakeRefused, 1)
+		p.t.refusals.warn("peer refused", p.address.String(), refusal.Error())
+	case errors.As(err, &failure) && failure.ErrorCode.IsCryptoError():
+		p.t.config.Count(CounterHandshakes, handshakeRefusedBy, 1)
+		p.t.refusals.warn("peer refused this host", p.address.String(), failure.Error())
+	default:
+		p.t.config.Count(CounterHandshakes, handshakeFailed, 1)
+	}
+}
--- /dev/null
+++ b/peer/tls.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"wisteriapond/keys"
+)
+
+// protocol names the protocol between entry hosts in the TLS handshake. The
+// number changes when messages change in a way that older releases misread.
+const protocol = "wisteriapond/1"
+
+// handshake follows one connection that a peer opens, from its first packet.
+type handshake struct {
+	remote   string
+	refusal  atomic.Pointer[string]
+	accepted atomic.Bool
+}
+
+type handshakeKey struct{}
+
+// baseConfig resumes no session: a resumed one would be accepted without a
+// look at the certificate.
+func baseConfig(bundle *keys.Bundle) *tls.Config {
+	return &tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		NextProtos:             []string{protocol},
+		Certificates:           []tls.Certificate{bundle.Certificate},
+		SessionTicketsDisabled: true,
+	}
+}
+
+// serverConfig picks the key in force for each handshake, so that a rotation
+// needs no restart.
+func (t *Transport) serverConfig() *tls.Config {
+	config := baseConfig(t.config.Keys.Current())
+	config.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		return t.configFor(hello.Context()), nil
+	}
+	return config
+}
+
+// configFor requests the certificate without letting crypto/tls judge it:
+// crypto/tls reports a refusal to the peer alone, and operators need its
+// reason. VerifyConnection runs in every handshake, with or without a
+// certificate, and its error ends the handshake.
+func (t *Transport) configFor(ctx context.Context) *tls.Config {
+	bundle := t.config.Keys.Current()
+	config := baseConfig(bundle)
+	config.ClientAuth = tls.RequestClientCert
+	h, _ := ctx.Value(handshakeKey{}).(*handshake)
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		_, err := bundle.VerifyPeer(state.PeerCertificates, nil, time.Now())
+		if err != nil && h != nil {
+			reason := err.Error()
+			h.refusal.Store(&reason)
+		}
+		return err
+	}
+	return config
+}
+
+// dialConfig verifies the peer with the deployment's CAs in VerifyConnection,
+// which takes the place of the check by server name: peers are dialed by
+// address, and the certificate must hold for it.
+func (t *Transport) dialConfig(address net.IP, refusal *error) *tls.Config {
+	bundle := t.config.Keys.Current()
+	config := baseConfig(bundle)
+	config.ServerName = address.String()
+	config.InsecureSkipVerify = true
+	config.VerifyConnection = func(state tls.ConnectionState) error {
+		_, err := bundle.VerifyPeer(state.PeerCertificates, address, time.Now())
+		*refusal = err
+		return err
+	}
+	return config
+}
