--- a/settings/peers.go
+++ b/settings/peers.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 	"net"
 
@@ -35,42 +34,41 @@
 
 // checkPeers checks what a process needs to talk to other entry hosts. A
 // process without peer_listen runs alone.
-func (s *Settings) checkPeers() error {
+func (s *Settings) checkPeers(source *document.Source) {
 	if s.PeerListen == "" {
 		if len(s.Peers) > 0 || s.Keys != (Keys{}) {
-			return errors.New("peer_listen: is needed with peers or keys")
-		}
-		return nil
-	}
-	if err := checkHostAddress(s.PeerListen); err != nil {
-		return fmt.Errorf("peer_listen: %w", err)
-	}
-	for name, file := range map[string]string{"ca": s.Keys.CA, "certificate": s.Keys.Certificate, "key": s.Keys.Key} {
-		if file == "" {
-			return fmt.Errorf("keys.%s: is needed with peer_listen", name)
+			source.Report("peer_listen", "is needed with peers or keys")
 		}
+		return
 	}
+	checkHostAddress(source, "peer_listen", s.PeerListen)
+	checkFile(source, "keys.ca", s.Keys.CA)
+	checkFile(source, "keys.certificate", s.Keys.Certificate)
+	checkFile(source, "keys.key", s.Keys.Key)
 	if len(s.Peers) > maxPeers {
-		return fmt.Errorf("peers: more than %d", maxPeers)
+		source.Report("peers", fmt.Sprintf("at most %d peers", maxPeers))
 	}
 	for i, address := range s.Peers {
-		if err := checkHostAddress(address); err != nil {
-			return fmt.Errorf("peers[%d]: %w", i, err)
-		}
+		checkHostAddress(source, fmt.Sprintf("peers[%d]", i), address)
+	}
+}
+
+func checkFile(source *document.Source, field, file string) {
+	if file == "" {
+		source.Report(field, "is needed with peer_listen")
 	}
-	return nil
 }
 
 // checkHostAddress demands an IP address that other hosts can reach: the
 // address is told to them, and certificates name addresses, not names.
-func checkHostAddress(address string) error {
+func checkHostAddress(source *document.Source, field, address string) {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
-		return err
+		source.Report(field, err.Error())
+		return
 	}
 	ip := net.ParseIP(host)
 	if ip == nil || ip.IsUnspecified() {
-		return fmt.Errorf("%q must be the IP address of one host", host)
+		source.Report(field, fmt.Sprintf("must be ADDRESS:PORT with the IP address of one host, got %q", address))
 	}
-	return nil
 }
