--- /dev/null
+++ b/eventlog/suite_test.go
@@ -0,0 +1,13 @@
+package eventlog
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestEventLog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "eventlog")
+}
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -27,6 +27,11 @@
 	ObserveStep(took time.Duration)
 }
 
+// Recorder takes each event with its instant and the effects that followed from
+// it, before they are carried out. It runs on the control goroutine and must
+// not block. The effects are valid during the call; events never change.
+type Recorder func(at core.Instant, event core.Event, effects []core.Effect)
+
 // Loop owns the control state. Run is the control goroutine.
 type Loop struct {
 	mailbox *mailbox
@@ -35,6 +40,7 @@
 	tickets map[core.RequestID]*Ticket
 	handler Handler
 	observe StepObserver
+	record  Recorder
 	origin  time.Time
 	nextID  atomic.Uint64
 	view    atomic.Pointer[core.View]
@@ -63,6 +69,9 @@
 	return l
 }
 
+// Record sets what takes the events. It must be set before Run.
+func (l *Loop) Record(record Recorder) { l.record = record }
+
 // Now returns the current instant of the process's monotonic clock.
 func (l *Loop) Now() core.Instant {
 	return core.Instant(time.Since(l.origin))
@@ -151,6 +160,9 @@
 	}
 	begin := l.Now()
 	l.state.Step(begin, i.event, &l.effects)
+	if l.record != nil {
+		l.record(begin, i.event, l.effects.All())
+	}
 	for _, effect := range l.effects.All() {
 		l.carryOut(effect)
 	}
