entryhost: carry out the effects between processes

The reducer asks for messages to peers, for documents and for probes, and nothing carried them out, or did so with a goroutine for each.

SendPeer goes to the peer transport. Reads run once each on 4 workers, parses on 2, probes on 8, all with bounded queues; the reducer decides on repeats. Every call is counted. SIGHUP reloads the keys. Events are recorded when the settings ask for it, and a test compares the replay of a real run with its live effects, byte for byte.

Counters of peers, platform calls and recordings are described in the metrics table.

--- a/cli/serve.go
+++ b/cli/serve.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"wisteriapond/entryhost"
 	"wisteriapond/settings"
@@ -15,7 +18,7 @@
 func (*serveCommand) Help() string {
 	return `SIGTERM or an interrupt starts a planned stop: the host says that it is not
 ready, goes on accepting for the time accept_for, lets every request in flight
-end, and exits.
+end, and exits. SIGHUP looks at the key files at once.
 
 Example:
   wisteriapond serve --settings examples/boisclair/settings.json`
@@ -32,5 +35,27 @@
 		return err
 	}
 	context.AfterFunc(ctx, host.Stop)
+	defer onHangup(host.ReloadKeys)()
 	return host.Run(context.WithoutCancel(ctx))
 }
+
+// onHangup calls reload at each SIGHUP until the returned function is called.
+func onHangup(reload func()) (stop func()) {
+	hangups := make(chan os.Signal, 1)
+	ended := make(chan struct{})
+	signal.Notify(hangups, syscall.SIGHUP)
+	go func() {
+		for {
+			select {
+			case <-hangups:
+				reload()
+			case <-ended:
+				return
+			}
+		}
+	}()
+	return func() {
+		signal.Stop(hangups)
+		close(ended)
+	}
+}
--- /dev/null
+++ b/entryhost/documents.go
@@ -0,0 +1,57 @@
+package entryhost
+
+import (
+	"wisteriapond/core"
+	"wisteriapond/document"
+	"wisteriapond/metrics"
+)
+
+const (
+	parseWorkers = 2
+	// maxParses holds one document for each service part.
+	maxParses = 4096
+)
+
+// parseManifest and parsePart read documents that came from a peer. The bytes
+// are bounded by the size of messages.
+func (h *Host) parseManifest(e core.ParseManifest) {
+	h.parse(kindManifest, func() { h.manifestRead(e.Raw, e.From) })
+}
+
+func (h *Host) parsePart(e core.ParsePart) {
+	h.parse(kindPart, func() { h.partRead("", e.Raw, e.From) })
+}
+
+// parse drops a document when too many wait. The reducer asks again for what
+// does not come.
+func (h *Host) parse(kind string, task func()) {
+	if !h.parses.submit(task) {
+		h.metrics.Add(metrics.PlatformUnserved, kind, 1)
+	}
+}
+
+func (h *Host) manifestRead(raw []byte, from string) {
+	key := document.ManifestKey
+	version, manifest, err := document.Manifest(document.FileOf(key), raw)
+	if err != nil {
+		h.loop.Send(core.DocumentRefused{Key: key, Problems: document.TextsOf(err), From: from})
+		return
+	}
+	h.loop.Send(core.ManifestRead{Version: version, Manifest: manifest, Raw: raw, From: from})
+}
+
+// partRead takes a part. A part from a peer has no key: its bytes say which
+// service it is, and its hash whether it is the one that was wanted.
+func (h *Host) partRead(key string, raw []byte, from string) {
+	hash := document.HashOf(raw)
+	file := document.FileOf(key)
+	if key == "" {
+		file = "part " + string(hash)
+	}
+	service, err := document.Service(file, raw)
+	if err != nil {
+		h.loop.Send(core.DocumentRefused{Key: key, Problems: document.TextsOf(err), From: from})
+		return
+	}
+	h.loop.Send(core.PartRead{Hash: hash, Service: service, Raw: raw, From: from})
+}
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -16,7 +18,10 @@
 	"wisteriapond/caller"
 	"wisteriapond/config"
 	"wisteriapond/core"
+	"wisteriapond/eventlog"
+	"wisteriapond/keys"
 	"wisteriapond/metrics"
+	"wisteriapond/peer"
 	"wisteriapond/platform"
 	"wisteriapond/runtime"
 	"wisteriapond/settings"
@@ -36,6 +41,20 @@
 	callerListener net.Listener
 	adminListener  net.Listener
 
+	// peers and keys are nil for a host that runs alone, recorder for one that
+	// records no events.
+	peers    *peer.Transport
+	keys     *keys.Store
+	hangup   chan struct{}
+	recorder *eventlog.Recorder
+
+	gate    *gate
+	reads   *workers
+	reading sync.Map
+	parses  *workers
+	probes  *workers
+	later   chan core.Event
+
 	ctx      context.Context
 	group    *errgroup.Group
 	endWatch context.CancelFunc
@@ -52,20 +71,49 @@
 		pool:     backend.NewPool(),
 		metrics:  metrics.New(),
 		platform: platform.NewClient(s.Platform),
+		hangup:   make(chan struct{}, 1),
+		gate:     newGate(),
+		reads:    newWorkers(platformWorkers, maxReads),
+		parses:   newWorkers(parseWorkers, maxParses),
+		probes:   newWorkers(probeWorkers, maxProbes),
+		later:    make(chan core.Event, maxLater),
 	}
 	h.loop = runtime.NewLoop(h)
 	h.caller = caller.NewServer(h.loop, h.pool, h.log)
 	h.caller.Observe = h.metrics.ObserveRequest
 	h.admin = admin.NewServer(h, h.metrics, admin.Options{Profiling: s.Profiling})
+	if err := h.open(); err != nil {
+		h.close()
+		return nil, err
+	}
+	return h, nil
+}
+
+func (h *Host) open() error {
 	var err error
-	if h.callerListener, err = net.Listen("tcp", s.Listen); err != nil {
-		return nil, fmt.Errorf("listen for callers: %w", err)
+	if h.callerListener, err = net.Listen("tcp", h.settings.Listen); err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	if h.adminListener, err = net.Listen("tcp", h.settings.Admin); err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	if err := h.openPeers(); err != nil {
+		return err
 	}
-	if h.adminListener, err = net.Listen("tcp", s.Admin); err != nil {
+	return h.openRecording()
+}
+
+// close undoes open.
+func (h *Host) close() {
+	if h.callerListener != nil {
 		h.callerListener.Close()
-		return nil, fmt.Errorf("listen for operators: %w", err)
 	}
-	return h, nil
+	if h.adminListener != nil {
+		h.adminListener.Close()
+	}
+	if h.peers != nil {
+		h.peers.Close()
+	}
 }
 
 // Address returns the address for callers.
@@ -85,21 +133,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.group, h.ctx = errgroup.WithContext(ctx)
-	h.loop.Send(core.Start{
-		Host:          h.settings.Host,
-		Address:       h.Address(),
-		Region:        h.settings.Region,
-		FailureDomain: h.settings.FailureDomain,
-		Seed:          uint64(time.Now().UnixNano()),
-		Incarnation:   uint64(time.Now().UnixMilli()),
-		AcceptFor:     time.Duration(h.settings.AcceptFor),
-		StopTimeout:   time.Duration(h.settings.StopTimeout),
-	})
+	h.loop.Send(h.startEvent())
+	h.startWorkers()
+	h.runPeers(h.ctx)
+	recording, endRecording := context.WithCancel(context.WithoutCancel(ctx))
+	h.runRecording(recording)
 	h.group.Go(func() error { return h.admin.Serve(h.adminListener) })
 	h.group.Go(func() error { return h.serveCallers() })
 	h.group.Go(func() error {
 		defer cancel()
 		err := h.loop.Run(h.ctx)
+		endRecording()
 		h.finishCallers()
 		h.admin.Close()
 		return err
@@ -107,6 +151,37 @@
 	return h.group.Wait()
 }
 
+func (h *Host) startWorkers() {
+	run := func(work func()) { h.group.Go(func() error { work(); return nil }) }
+	h.reads.start(h.ctx, run)
+	h.parses.start(h.ctx, run)
+	h.probes.start(h.ctx, run)
+	run(h.reportEvents)
+}
+
+// startEvent tells the reducer who this host is. The incarnation comes from
+// the wall clock, since a host without a disk remembers none.
+func (h *Host) startEvent() core.Start {
+	now := time.Now()
+	start := core.Start{
+		Host:          h.settings.Host,
+		Address:       h.Address(),
+		Region:        h.settings.Region,
+		FailureDomain: h.settings.FailureDomain,
+		Seed:          uint64(now.UnixNano()),
+		Incarnation:   uint64(now.UnixMilli()),
+		AcceptFor:     time.Duration(h.settings.AcceptFor),
+		StopTimeout:   time.Duration(h.settings.StopTimeout),
+	}
+	if h.peers != nil {
+		start.Address = h.PeerAddress()
+		start.Peers = slices.DeleteFunc(slices.Clone(h.settings.Peers), func(address string) bool {
+			return address == start.Address
+		})
+	}
+	return start
+}
+
 // finishCallers waits until the last bytes of every answer are written: the
 // reducer counts an answer as delivered once its connection has taken it.
 func (h *Host) finishCallers() {
--- /dev/null
+++ b/entryhost/export_test.go
@@ -0,0 +1,17 @@
+package entryhost
+
+import (
+	"wisteriapond/core"
+	"wisteriapond/runtime"
+)
+
+// OnStep calls observe for each step beside the recording of the host. It must
+// be called before Run.
+func (h *Host) OnStep(observe runtime.Recorder) {
+	h.loop.Record(func(at core.Instant, event core.Event, effects []core.Effect) {
+		observe(at, event, effects)
+		if h.recorder != nil {
+			h.recorder.Record(at, event)
+		}
+	})
+}
--- /dev/null
+++ b/entryhost/platform.go
@@ -0,0 +1,143 @@
+package entryhost
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"wisteriapond/core"
+	"wisteriapond/document"
+	"wisteriapond/metrics"
+	"wisteriapond/platform"
+)
+
+const (
+	platformWorkers = 4
+	// maxReads holds one read for each service part.
+	maxReads = 4096
+	// hostListJitter spreads the reads of hosts that started together.
+	hostListJitter = 200 * time.Millisecond
+	hostListKey    = "hosts"
+)
+
+// Kinds of calls to the platform, as metrics name them.
+const (
+	kindManifest = "manifest"
+	kindWatch    = "watch"
+	kindPart     = "part"
+	kindHosts    = "hosts"
+)
+
+// read runs a read of a key once. Another read of the same key that waits
+// already suffices. The reducer decides whether a failed read is repeated.
+func (h *Host) read(kind, key string, read func()) {
+	if _, waits := h.reading.LoadOrStore(key, true); waits {
+		return
+	}
+	accepted := h.reads.submit(func() {
+		h.reading.Delete(key)
+		read()
+	})
+	if accepted {
+		return
+	}
+	h.reading.Delete(key)
+	h.metrics.Add(metrics.PlatformUnserved, kind, 1)
+	h.reportLater(core.PlatformFailed{Key: key, Reason: "too many reads wait"})
+}
+
+func (h *Host) readManifest() {
+	h.read(kindManifest, document.ManifestKey, func() {
+		value, err := h.callValue(h.ctx, kindManifest, document.ManifestKey, "")
+		if err != nil {
+			h.platformFailed(document.ManifestKey, err)
+			return
+		}
+		h.manifestRead(value.Raw, "")
+	})
+}
+
+func (h *Host) readPart(e core.ReadPart) {
+	key := document.PartKey(e.Service)
+	h.read(kindPart, key, func() {
+		value, err := h.callValue(h.ctx, kindPart, key, "")
+		if err != nil {
+			h.platformFailed(key, err)
+			return
+		}
+		h.partRead(key, value.Raw, "")
+	})
+}
+
+func (h *Host) readHostList() {
+	h.read(kindHosts, hostListKey, func() {
+		h.sleep(h.ctx, rand.N(hostListJitter))
+		raw, err := h.callHosts()
+		if err != nil {
+			h.platformFailed(hostListKey, err)
+			return
+		}
+		hosts, err := document.HostList(hostListKey, raw)
+		if err != nil {
+			h.loop.Send(core.DocumentRefused{Key: hostListKey, Problems: document.TextsOf(err)})
+			return
+		}
+		h.loop.Send(core.HostListRead{Hosts: hosts})
+	})
+}
+
+// callValue reads a value, or watches it when an ETag is given.
+func (h *Host) callValue(ctx context.Context, kind, key, etag string) (platform.Value, error) {
+	if err := h.gate.wait(ctx); err != nil {
+		return platform.Value{}, err
+	}
+	h.metrics.Add(metrics.PlatformCalls, kind, 1)
+	var value platform.Value
+	var err error
+	if etag == "" {
+		value, err = h.platform.Read(ctx, key)
+	} else {
+		value, err = h.platform.Watch(ctx, key, etag)
+	}
+	h.noteCall(ctx, err)
+	return value, err
+}
+
+func (h *Host) callHosts() ([]byte, error) {
+	if err := h.gate.wait(h.ctx); err != nil {
+		return nil, err
+	}
+	h.metrics.Add(metrics.PlatformCalls, kindHosts, 1)
+	raw, err := h.platform.Hosts(h.ctx)
+	h.noteCall(h.ctx, err)
+	return raw, err
+}
+
+// noteCall tells a platform that is down from one that answers, be it that it
+// does not know the key.
+func (h *Host) noteCall(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	var failure *platform.Error
+	answered := errors.As(err, &failure) && failure.Status != 0 && failure.Status < http.StatusInternalServerError
+	h.gate.note(err == nil || errors.Is(err, platform.ErrUnchanged) || answered)
+}
+
+func (h *Host) platformFailed(key string, err error) {
+	if h.ctx.Err() != nil {
+		return
+	}
+	h.loop.Send(core.PlatformFailed{Key: key, Reason: err.Error()})
+}
+
+func (h *Host) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/entryhost/probes.go
@@ -0,0 +1,26 @@
+package entryhost
+
+import (
+	"wisteriapond/core"
+	"wisteriapond/outcome"
+)
+
+const (
+	probeWorkers = 8
+	// maxProbes is small, since the commands of probes expire.
+	maxProbes = 64
+)
+
+// startProbe measures a backend server. A probe that finds no place ends as
+// expired, without a byte sent.
+func (h *Host) startProbe(e core.StartProbe) {
+	accepted := h.probes.submit(func() {
+		facts, took := h.pool.Probe(h.ctx, h.loop, e)
+		h.loop.Send(core.ProbeFinished{Service: e.Service, Upstream: e.Upstream, Facts: facts, Took: took})
+	})
+	if accepted {
+		return
+	}
+	facts := outcome.Facts{Cause: outcome.CauseExpired, Load: -1}
+	h.reportLater(core.ProbeFinished{Service: e.Service, Upstream: e.Upstream, Facts: facts})
+}
--- /dev/null
+++ b/entryhost/recording.go
@@ -0,0 +1,29 @@
+package entryhost
+
+import (
+	"context"
+
+	"wisteriapond/core"
+	"wisteriapond/eventlog"
+)
+
+// openRecording begins the recording of events when the settings ask for it.
+func (h *Host) openRecording() error {
+	if h.settings.Record.File == "" {
+		return nil
+	}
+	recorder, err := eventlog.Create(h.settings.Record.File, int64(h.settings.Record.MaxSize), h.log, h.metrics.Add)
+	if err != nil {
+		return err
+	}
+	h.recorder = recorder
+	h.loop.Record(func(at core.Instant, event core.Event, _ []core.Effect) { recorder.Record(at, event) })
+	return nil
+}
+
+// runRecording writes events until ctx is done.
+func (h *Host) runRecording(ctx context.Context) {
+	if h.recorder != nil {
+		h.group.Go(func() error { return h.recorder.Run(ctx) })
+	}
+}
--- a/eventlog/writer.go
+++ b/eventlog/writer.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 
 	"wisteriapond/core"
+	"wisteriapond/metrics"
 )
 
 // pendingLimit bounds the events that wait to be written.
@@ -19,7 +20,7 @@
 
 // CounterEvents counts recorded events by result: "written" for events in the
 // log, "dropped" for recordings that were given up.
-const CounterEvents core.Counter = "recorded_events_total"
+const CounterEvents = metrics.RecordedEvents
 
 // pending is an event on its way to the log.
 type pending struct {
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -1,6 +1,10 @@
 package metrics
 
-import "wisteriapond/core"
+import (
+	"slices"
+
+	"wisteriapond/core"
+)
 
 // Kind tells the kinds of metrics apart.
 type Kind string
@@ -9,6 +13,7 @@
 const (
 	KindCounter   Kind = "counter"
 	KindHistogram Kind = "histogram"
+	KindGauge     Kind = "gauge"
 )
 
 // Description says what a metric means. docs/metrics.md lists the same.
@@ -27,7 +32,7 @@
 	stepSeconds    = "step_seconds"
 )
 
-var descriptions = []Description{
+var trafficDescriptions = []Description{
 	{
 		string(core.CounterRequests), KindCounter,
 		[]string{"service"},
@@ -142,6 +147,8 @@
 	},
 }
 
+var descriptions = slices.Concat(trafficDescriptions, transportDescriptions)
+
 // Descriptions lists every metric of the system.
 func Descriptions() []Description { return descriptions }
 
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -80,6 +80,11 @@
 	series.AddInt64(n)
 }
 
+// Gauge registers a gauge that is read when the metrics are written.
+func (s *Set) Gauge(name string, read func() float64) {
+	s.set.NewGauge(prefix+name, read)
+}
+
 // ObserveRequest records the latency of a request. The service is empty for a
 // request that belongs to none.
 func (s *Set) ObserveRequest(service, outcome string, took time.Duration) {
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -1,25 +1,25 @@
 package peer
 
-import "wisteriapond/core"
+import "wisteriapond/metrics"
 
 // The counters of the transport. The label of each is given in parentheses.
 const (
 	// CounterBytesOut counts encoded bytes sent (kind).
-	CounterBytesOut core.Counter = "peer_bytes_out_total"
+	CounterBytesOut = metrics.PeerBytesOut
 	// CounterBytesIn counts encoded bytes received (kind).
-	CounterBytesIn core.Counter = "peer_bytes_in_total"
+	CounterBytesIn = metrics.PeerBytesIn
 	// CounterMessagesOut counts messages sent (way: datagram or stream).
-	CounterMessagesOut core.Counter = "peer_messages_out_total"
+	CounterMessagesOut = metrics.PeerMessagesOut
 	// CounterMessagesIn counts messages received (way).
-	CounterMessagesIn core.Counter = "peer_messages_in_total"
+	CounterMessagesIn = metrics.PeerMessagesIn
 	// CounterDropped counts messages that were not sent (reason).
-	CounterDropped core.Counter = "peer_messages_dropped_total"
+	CounterDropped = metrics.PeerDropped
 	// CounterMalformed counts messages that could not be decoded (way).
-	CounterMalformed core.Counter = "peer_messages_malformed_total"
+	CounterMalformed = metrics.PeerMalformed
 	// CounterHandshakes counts connections that were tried (result).
-	CounterHandshakes core.Counter = "peer_handshakes_total"
+	CounterHandshakes = metrics.PeerHandshakes
 	// CounterClosed counts connections that the host closed (reason).
-	CounterClosed core.Counter = "peer_connections_closed_total"
+	CounterClosed = metrics.PeerClosed
 )
 
 // The two ways of a message.
--- a/settings/peers.go
+++ b/settings/peers.go
@@ -10,6 +10,8 @@
 // DefaultRecordSize bounds a recording of events.
 const DefaultRecordSize = 64 << 20
 
+const minRecordSize = 64 << 10
+
 // maxPeers bounds the list of peers.
 const maxPeers = 4096
 
@@ -72,3 +74,10 @@
 		source.Report(field, fmt.Sprintf("must be ADDRESS:PORT with the IP address of one host, got %q", address))
 	}
 }
+
+// checkRecord refuses a recording that could hold nothing.
+func (s *Settings) checkRecord(source *document.Source) {
+	if s.Record.File != "" && s.Record.MaxSize < minRecordSize {
+		source.Report("record.max_size", fmt.Sprintf("must be at least %d bytes", minRecordSize))
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -103,6 +103,7 @@
 	checkDuration(source, "accept_for", s.AcceptFor, maxAcceptFor)
 	checkDuration(source, "stop_timeout", s.StopTimeout, maxStopTimeout)
 	s.checkPeers(source)
+	s.checkRecord(source)
 }
 
 func checkName(source *document.Source, field, name string) {
