codec: pack hashes and test zero fields at less cost

Hexadecimal hashes took 66 bytes where 34 hold them, in every message that names a version, and the library's zero test ran for every field.

Text of named string types that is the hexadecimal form of bytes is written as bytes. Only structs and arrays use the dearer test for zero fields.

--- a/codec/codec_test.go
+++ b/codec/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -9,6 +10,8 @@
 	"wisteriapond/codec"
 )
 
+type hash string
+
 type inner struct {
 	Name string
 	Size int
@@ -56,6 +59,21 @@
 		Expect(encode(newer{})).To(Equal([]byte{0xa0}))
 	})
 
+	// Guards against hashes that change on the way, and against text that is
+	// taken for one.
+	DescribeTable("packs hexadecimal text of named types", func(text hash, size int) {
+		type value struct{ Hash hash }
+		raw := encode(value{text})
+		Expect(raw).To(HaveLen(size))
+		Expect(decode[value](raw)).To(Equal(value{text}))
+	},
+		Entry("a hash", hash(strings.Repeat("0af9", 16)), 36),
+		Entry("upper case", hash(strings.Repeat("0AF9", 16)), 68),
+		Entry("an odd length", hash(strings.Repeat("a", 63)), 67),
+		Entry("short text", hash("abcd"), 7),
+		Entry("other text", hash(strings.Repeat("xy", 16)), 36),
+	)
+
 	// Guards against hosts of two releases that refuse each other's messages
 	// during a rolling upgrade.
 	It("ignores fields that it does not know", func() {
--- a/codec/wire.go
+++ b/codec/wire.go
@@ -23,7 +23,12 @@
 		return reflect.SliceOf(wireType(typ.Elem(), way))
 	case reflect.Array:
 		return reflect.ArrayOf(typ.Len(), wireType(typ.Elem(), way))
-	case reflect.Bool, reflect.String,
+	case reflect.String:
+		if typ.PkgPath() != "" {
+			return packedType
+		}
+		return typ
+	case reflect.Bool,
 		reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64,
 		reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64,
 		reflect.Float32, reflect.Float64:
@@ -42,12 +47,21 @@
 		fields = append(fields, reflect.StructField{
 			Name: field.Name,
 			Type: wireType(field.Type, way),
-			Tag:  reflect.StructTag(fmt.Sprintf(`cbor:"%d,keyasint,omitempty,omitzero"`, i+1)),
+			Tag:  reflect.StructTag(fmt.Sprintf(`cbor:"%d,keyasint,%s"`, i+1, omission(field.Type))),
 		})
 	}
 	return reflect.StructOf(fields)
 }
 
+// omission returns the option that leaves out zero fields. The library's test
+// for empty values is cheaper and does not know structs and arrays.
+func omission(typ reflect.Type) string {
+	if typ.Kind() == reflect.Struct || typ.Kind() == reflect.Array {
+		return "omitzero"
+	}
+	return "omitempty"
+}
+
 // copyValue copies between a type and its wire type, in either direction.
 func copyValue(to, from reflect.Value) {
 	if to.Type() == from.Type() {
@@ -55,6 +69,8 @@
 		return
 	}
 	switch from.Kind() {
+	case reflect.String:
+		to.SetString(from.String())
 	case reflect.Struct:
 		for i := range from.NumField() {
 			copyValue(to.Field(i), from.Field(i))
