peer: measure messages and leave out probes for larger packets

A connection took 16 to 18 KB before it carried anything of use, most of it probes of path MTU discovery, while nearly all messages fit into the smallest packet.

A test keeps the numbers of message fields across releases.

--- /dev/null
+++ b/peer/measure_test.go
@@ -0,0 +1,192 @@
+package peer
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
+	"wisteriapond/core"
+	"wisteriapond/document"
+	"wisteriapond/lease"
+	"wisteriapond/membership"
+)
+
+// measureVariable turns on measurements, which are no part of the verdict.
+const measureVariable = "WISTERIAPOND_MEASURE"
+
+func sampleVersion(n int) *config.Version {
+	return &config.Version{Generation: 41_000 + uint64(n), Hash: document.HashOf([]byte{byte(n)})}
+}
+
+func sampleUpdate(n int) membership.Update {
+	return membership.Update{
+		Member: membership.Member{
+			Name:          fmt.Sprintf("entry-mtl-a-%d", n),
+			Address:       fmt.Sprintf("10.1.1.%d:7000", 200+n),
+			Region:        "mtl",
+			FailureDomain: "mtl-a",
+		},
+		Incarnation: 1_796_383_240_000 + uint64(n),
+		Status:      membership.Status(n % 2),
+	}
+}
+
+func sampleUpdates(n int) []membership.Update {
+	updates := make([]membership.Update, n)
+	for i := range updates {
+		updates[i] = sampleUpdate(i)
+	}
+	return updates
+}
+
+func sampleSlots(n int) []lease.Slots {
+	slots := make([]lease.Slots, n)
+	for i := range slots {
+		slots[i] = lease.Slots{Upstream: fmt.Sprintf("catalogue-%d", i), Count: 1 + i%3}
+	}
+	return slots
+}
+
+// samples are messages as a deployment of 15 entry hosts sends them.
+func samples() []struct {
+	name    string
+	message core.Message
+} {
+	unit := lease.Unit{Service: "catalogue", Region: "mtl"}
+	ping := membership.Message{Kind: membership.Ping, Sequence: 90_000, Sender: sampleUpdate(1)}
+	gossip := ping
+	gossip.Updates = sampleUpdates(6)
+	var marks []core.HostEntry
+	var measured []core.Measurement
+	for i := range 10 {
+		marks = append(marks, core.HostEntry{
+			Host: fmt.Sprintf("backend-%d", i), Address: fmt.Sprintf("10.1.2.%d:8080", i),
+			Region: "mtl", FailureDomain: "mtl-b", Epoch: 7, Leaving: true,
+		})
+		measured = append(measured, core.Measurement{
+			Service: "catalogue", Upstream: fmt.Sprintf("catalogue-%d", i), Age: time.Millisecond, Took: 1_234_567, Load: 2,
+		})
+	}
+	return []struct {
+		name    string
+		message core.Message
+	}{
+		{"membership ping or ack", core.Message{Membership: &ping, MarksDigest: 1 << 60, Accepted: sampleVersion(1)}},
+		{"membership ping with 6 updates", core.Message{Membership: &gossip, MarksDigest: 1 << 60, Accepted: sampleVersion(1)}},
+		{"lease ask, 1 unit, 7 upstreams", core.Message{Ask: &lease.Ask{
+			Session: 1_796_383_240_000, Sequence: 4_000, Seen: 3_999,
+			Units: []lease.UnitAsk{{Unit: unit, Claims: sampleSlots(7), Wanted: 2}},
+		}}},
+		{"lease answer, 1 unit, 7 upstreams", core.Message{Answer: &lease.Answer{
+			Session: 1_796_383_240_000, Asked: 4_000, Sequence: 4_100, For: lease.Longest,
+			Units: []lease.UnitAnswer{{Unit: unit, Grants: sampleSlots(7)}},
+		}}},
+		{"accepted version", core.Message{Accepted: sampleVersion(1)}},
+		{"request for 3 parts", core.Message{WantParts: []config.Hash{
+			document.HashOf([]byte{1}), document.HashOf([]byte{2}), document.HashOf([]byte{3}),
+		}}},
+		{"10 leaving marks", core.Message{Hosts: marks}},
+		{"10 results of probes", core.Message{Measured: measured}},
+		{"part of 5 KB", core.Message{Part: make([]byte, 5_000)}},
+	}
+}
+
+// Measures the bytes of messages and compares them with the encoding that the
+// library chooses for the same structs.
+var _ = It("measures messages", func() {
+	if os.Getenv(measureVariable) == "" {
+		Skip("set " + measureVariable + "=1 to measure")
+	}
+	for _, sample := range samples() {
+		raw, err := Encode(&sample.message)
+		Expect(err).NotTo(HaveOccurred())
+		plain, err := cbor.Marshal(sample.message)
+		Expect(err).NotTo(HaveOccurred())
+		GinkgoWriter.Printf("| %s | %d | %d | %.2f |\n", sample.name, len(plain), len(raw), float64(len(raw))/float64(len(plain)))
+	}
+})
+
+// Measures the bytes that a connection takes beside its messages.
+var _ = It("measures a connection", func() {
+	if os.Getenv(measureVariable) == "" {
+		Skip("set " + measureVariable + "=1 to measure")
+	}
+	ca := newCA("deployment")
+	one := startHost(anyPort, ca.Certificate, newKey(ca, "entry-1", validity))
+	two := startHost(anyPort, ca.Certificate, newKey(ca, "entry-2", validity))
+	sendUntil(one, two, "a")
+	stats := func() (sent, received uint64) {
+		for _, l := range one.allLinks() {
+			s := l.conn.ConnectionStats()
+			return s.BytesSent, s.BytesReceived
+		}
+		return 0, 0
+	}
+	time.Sleep(time.Second)
+	sent, received := stats()
+	GinkgoWriter.Printf("handshake and first message: %d bytes out, %d bytes in\n", sent, received)
+	const n = 200
+	size := 0
+	for range n {
+		raw, err := Encode(&samples()[0].message)
+		Expect(err).NotTo(HaveOccurred())
+		size = len(raw)
+		one.Send(two.Address(), samples()[0].message)
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	sentAfter, receivedAfter := stats()
+	GinkgoWriter.Printf("message of %d bytes, one at a time: %.1f bytes out, %.1f bytes back\n",
+		size, float64(sentAfter-sent)/n, float64(receivedAfter-received)/n)
+})
+
+func BenchmarkEncode(b *testing.B) {
+	for _, sample := range samples() {
+		b.Run(sample.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Encode(&sample.message); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	for _, sample := range samples() {
+		raw, err := Encode(&sample.message)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(sample.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Decode(raw); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPlain encodes the same structs as the library would by itself.
+func BenchmarkPlain(b *testing.B) {
+	for _, sample := range samples() {
+		b.Run(sample.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := cbor.Marshal(reflect.ValueOf(&sample.message).Elem().Interface()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/peer/message_test.go
+++ b/peer/message_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/netip"
+	"os"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"wisteriapond/codec"
 	"wisteriapond/config"
 	"wisteriapond/core"
 )
@@ -41,6 +44,22 @@
 		Expect(Kinds()).To(ContainElements("accepted", "hosts", "manifest", "part"))
 	})
 
+	// Guards against a rolling upgrade in which hosts of two releases take one
+	// field of a message for another. Released fields keep their numbers; new
+	// ones are added to the list with WISTERIAPOND_UPDATE=1.
+	It("keeps the numbers of its fields", func() {
+		const list = "testdata/fields.txt"
+		fields := codec.Fields(messageType)
+		if os.Getenv("WISTERIAPOND_UPDATE") != "" {
+			Expect(os.WriteFile(list, []byte(strings.Join(fields, "\n")+"\n"), 0o644)).To(Succeed())
+		}
+		released, err := os.ReadFile(list)
+		Expect(err).NotTo(HaveOccurred())
+		for line := range strings.Lines(string(released)) {
+			Expect(fields).To(ContainElement(strings.TrimSpace(line)))
+		}
+	})
+
 	// Guards against messages beyond the limit.
 	It("is refused when it is too large", func() {
 		_, err := Encode(&core.Message{Part: make([]byte, MaxMessage)})
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -31,7 +31,7 @@
 	maxPerHost = 8
 	// idleTimeout is long enough that a host which pings one random peer a
 	// second finds most of 200 peers still connected; a handshake costs about
-	// a hundred times the bytes of a ping.
+	// forty times the bytes of a ping.
 	idleTimeout      = 5 * time.Minute
 	handshakeTimeout = 2 * time.Second
 	connectionIDSize = 8
@@ -139,6 +139,9 @@
 		MaxIncomingStreams:             -1,
 		MaxIncomingUniStreams:          maxStreams,
 		EnableDatagrams:                true,
+		// Probes for larger packets more than double the bytes of a connection,
+		// and nearly all messages fit into the smallest packet.
+		DisablePathMTUDiscovery: true,
 	}
 }
 
