--- a/core/status.go
+++ b/core/status.go
@@ -70,15 +70,21 @@
 
 // UpstreamStatus reports one upstream.
 type UpstreamStatus struct {
-	Name    string
-	Host    string
-	Slots   int
+	Name  string
+	Host  string
+	Slots int
+	// Limit is the number of requests that this host may run on it now.
+	Limit   int
 	Running int
 	Leaving bool
 	// Leased says that this host may use Held slots of the upstream. Otherwise
 	// it relies on its own counts.
 	Leased bool
 	Held   int
+	// Ejected says that only trial requests go to the upstream.
+	Ejected bool
+	// Latency is the usual response time; 0 when it is not known.
+	Latency time.Duration
 }
 
 func (s *State) status() Status {
@@ -121,7 +127,7 @@
 }
 
 func (s *State) serviceStatus(svc *service) ServiceStatus {
-	status := ServiceStatus{Name: svc.config.Name}
+	status := ServiceStatus{Name: svc.config.Name, Waiting: svc.waiting}
 	for _, u := range svc.upstreams {
 		status.Running += u.running
 		status.Upstreams = append(status.Upstreams, UpstreamStatus{
@@ -129,9 +135,12 @@
 			Host:    u.config.Host,
 			Slots:   u.config.Slots,
 			Running: u.running,
+			Limit:   s.allowed(svc, u),
 			Leaving: s.leaving(u.config.Host),
 			Leased:  u.leased,
 			Held:    u.held,
+			Ejected: u.health.Ejected(),
+			Latency: u.health.Latency(0),
 		})
 	}
 	return status
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -57,6 +57,42 @@
 		"attempts",
 		"Attempts after the first one of a request, by the end of the attempt before.",
 	},
+	{
+		string(core.CounterRetriesWithheld), KindCounter,
+		[]string{"reason"},
+		"attempts",
+		"Retries that the outcome allowed and that were not made: `attempts`, `body`, `deadline` or `budget`.",
+	},
+	{
+		string(core.CounterQueued), KindCounter,
+		[]string{"service"},
+		"requests",
+		"Requests that had to wait for a slot.",
+	},
+	{
+		string(core.CounterShed), KindCounter,
+		[]string{"service"},
+		"attempts",
+		"Attempts that a backend server refused as not run.",
+	},
+	{
+		string(core.CounterHealth), KindCounter,
+		[]string{"verdict"},
+		"upstreams",
+		"Ejections of upstreams and their ends.",
+	},
+	{
+		string(core.CounterTrials), KindCounter,
+		[]string{"service"},
+		"requests",
+		"Trial requests to ejected upstreams.",
+	},
+	{
+		string(core.CounterCrossRegionBytes), KindCounter,
+		[]string{"regions"},
+		"bytes",
+		"Bytes of bodies that crossed regions, as `from>to`.",
+	},
 	{
 		string(core.CounterAttempts), KindCounter,
 		[]string{"class"},
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -143,11 +143,17 @@
 	FailedCanceled  Failure = "canceled"
 	FailedBody      Failure = "request_body"
 	FailedInternal  Failure = "internal"
+	// FailedBackend means that the backend server answered with an error and
+	// that no later attempt did better.
+	FailedBackend Failure = "backend_error"
 )
 
 // Failures lists every failure reason.
 func Failures() []Failure {
-	return []Failure{FailedReset, FailedTimeout, FailedTruncated, FailedMalformed, FailedCanceled, FailedBody, FailedInternal}
+	return []Failure{
+		FailedReset, FailedTimeout, FailedTruncated, FailedMalformed, FailedCanceled, FailedBody, FailedInternal,
+		FailedBackend,
+	}
 }
 
 // FailureOf returns the failure reason of an attempt whose class is Unknown.
