config: refuse a not-run form without a value, and system labels

A label rule named method could hide the method from selectors, and a region with a comma or space could not be named by any. Change: not_run.value is needed; the labels method, host, region and failure_domain cannot be set; regions and failure domains must be label values.

--- a/config/table.go
+++ b/config/table.go
@@ -91,16 +91,27 @@
 	return selectors
 }
 
-// compileUpstream adds the built-in labels "host", "region" and
-// "failure_domain" to the operator's.
+// Labels that the system sets. Operators cannot set them.
+const (
+	methodLabel        = "method"
+	hostLabel          = "host"
+	regionLabel        = "region"
+	failureDomainLabel = "failure_domain"
+)
+
+func isUpstreamLabel(key string) bool {
+	return key == hostLabel || key == regionLabel || key == failureDomainLabel
+}
+
+// compileUpstream adds the built-in labels to the operator's.
 func compileUpstream(u Upstream) *CompiledUpstream {
 	set := make(label.Set, 0, len(u.Labels)+3)
 	for _, pair := range u.Labels {
 		set = set.With(pair.Key, pair.Value)
 	}
-	set = set.With("host", u.Host)
-	set = set.With("region", u.Region)
-	set = set.With("failure_domain", u.FailureDomain)
+	set = set.With(hostLabel, u.Host)
+	set = set.With(regionLabel, u.Region)
+	set = set.With(failureDomainLabel, u.FailureDomain)
 	return &CompiledUpstream{Upstream: u, LabelSet: set}
 }
 
@@ -226,7 +237,7 @@
 func (s *CompiledService) RequestLabels(r *Request) label.Set {
 	set := make(label.Set, 0, len(s.Labels)+1)
 	if label.ValidValue(r.Method) {
-		set = set.With("method", r.Method)
+		set = set.With(methodLabel, r.Method)
 	}
 	for i := range s.Labels {
 		rule := &s.Labels[i]
--- a/config/validate.go
+++ b/config/validate.go
@@ -127,6 +127,8 @@
 	for i, rule := range rules {
 		field := fmt.Sprintf("request_labels[%d]", i)
 		c.require(label.ValidKey(rule.Label), field+".label", "invalid key %q", rule.Label)
+		// A rule could otherwise let a caller choose the method that selectors see.
+		c.require(rule.Label != methodLabel, field+".label", "%q is set by the system", rule.Label)
 		one := (rule.Value == "") != (rule.FromHeader == "")
 		c.require(one, field, "exactly one of value and from_header is needed")
 		c.require(rule.Value == "" || label.ValidValue(rule.Value), field+".value", "invalid value %q", rule.Value)
@@ -161,8 +163,10 @@
 		return
 	}
 	c.between("not_run.status", form.Status, minNotRunStatus, maxNotRunStatus)
-	// A status alone is also sent by servers that fail half-way.
+	// A status alone is also sent by servers that fail half-way, and an empty
+	// value would be met by every answer without the header.
 	c.require(form.Header != "", "not_run.header", "is needed")
+	c.require(form.Value != "", "not_run.value", "is needed")
 }
 
 func (c *checker) probe(probe Probe) {
@@ -185,18 +189,28 @@
 		c.require(!names[u.Name], field+".name", "%q is used twice", u.Name)
 		names[u.Name] = true
 		c.require(u.Address != "", field+".address", "is needed")
-		c.require(u.Region != "", field+".region", "is needed")
-		c.require(u.FailureDomain != "", field+".failure_domain", "is needed")
+		c.place(field+".region", u.Region)
+		c.place(field+".failure_domain", u.FailureDomain)
 		c.between(field+".slots", u.Slots, 1, MaxSlots)
 		c.between(field+".connections", u.Connections, 1, maxConnectionsPerRef)
 		c.upstreamLabels(field+".labels", u.Labels)
 	}
 }
 
+// place checks a region or failure domain, which is also the value of a label.
+func (c *checker) place(field, name string) {
+	if name == "" {
+		c.require(false, field, "is needed")
+		return
+	}
+	c.require(label.ValidValue(name), field, "invalid name %q", name)
+}
+
 func (c *checker) upstreamLabels(field string, labels []LabelPair) {
 	c.require(len(labels) <= MaxLabels, field, "at most %d labels", MaxLabels)
 	for _, pair := range labels {
 		c.require(label.ValidKey(pair.Key), field, "invalid key %q", pair.Key)
+		c.require(!isUpstreamLabel(pair.Key), field+"."+pair.Key, "is set by the system")
 		c.require(label.ValidValue(pair.Value), field, "invalid value %q", pair.Value)
 	}
 }
