cli: show several hosts with one status command

Change: status takes several admin addresses and prints one line each; the exit status is 1 when one does not answer.

--- a/cli/status.go
+++ b/cli/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -20,31 +21,88 @@
 )
 
 type statusCommand struct {
-	Admin string `arg:"" optional:"" default:"127.0.0.1:9190" help:"Admin address of the entry host."`
-	JSON  bool   `name:"json" help:"Print JSON, with every field that the host reports."`
+	Admin []string `arg:"" optional:"" default:"127.0.0.1:9190" help:"Admin addresses of entry hosts. Several give one line each."`
+	JSON  bool     `name:"json" help:"Print JSON, with every field that a host reports; of several hosts, a list."`
 }
 
 // Help is shown by "status --help".
 func (*statusCommand) Help() string {
-	return `Examples:
+	return `The exit status is 1 when a host does not answer.
+
+Examples:
   wisteriapond status
-  wisteriapond status --json 127.0.0.1:9190`
+  wisteriapond status --json 127.0.0.1:9190
+  wisteriapond status 127.0.0.1:18090 127.0.0.1:18091 127.0.0.1:18092`
 }
 
-// Run asks a host for its state.
+// Run asks hosts for their state.
 func (c *statusCommand) Run(ctx context.Context, stdout io.Writer) error {
-	raw, err := askAdmin(ctx, c.Admin, "/status")
+	if len(c.Admin) > 1 {
+		return c.runSeveral(ctx, stdout)
+	}
+	raw, status, err := askStatus(ctx, c.Admin[0])
 	if err != nil {
 		return err
 	}
 	if c.JSON {
-		return printJSON(stdout, json.RawMessage(raw))
+		return printJSON(stdout, raw)
+	}
+	return printStatus(stdout, status)
+}
+
+// runSeveral prints what it has and then reports the hosts that did not
+// answer.
+func (c *statusCommand) runSeveral(ctx context.Context, stdout io.Writer) error {
+	var raws []json.RawMessage
+	var statuses []*core.Status
+	var failures []error
+	for _, admin := range c.Admin {
+		raw, status, err := askStatus(ctx, admin)
+		if err != nil {
+			failures = append(failures, err)
+			continue
+		}
+		raws = append(raws, raw)
+		statuses = append(statuses, status)
+	}
+	var err error
+	if c.JSON {
+		err = printJSON(stdout, raws)
+	} else {
+		err = printSummaries(stdout, statuses)
+	}
+	return errors.Join(append(failures, err)...)
+}
+
+func askStatus(ctx context.Context, admin string) (json.RawMessage, *core.Status, error) {
+	raw, err := askAdmin(ctx, admin, "/status")
+	if err != nil {
+		return nil, nil, err
 	}
 	var status core.Status
 	if err := json.Unmarshal(raw, &status); err != nil {
-		return fmt.Errorf("answer of %s: %w", c.Admin, err)
+		return nil, nil, fmt.Errorf("answer of %s: %w", admin, err)
 	}
-	return printStatus(stdout, &status)
+	return raw, &status, nil
+}
+
+// shownHash is the part of a hash that tells versions apart at a glance.
+const shownHash = 12
+
+func printSummaries(w io.Writer, statuses []*core.Status) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "HOST\tREADY\tSTOPPING\tGENERATION\tHASH\tRUNNING\tWAITING\tLEAVING HOSTS")
+	for _, s := range statuses {
+		running, waiting := 0, 0
+		for _, service := range s.Services {
+			running += service.Running
+			waiting += service.Waiting
+		}
+		hash := string(s.Version.Hash)
+		fmt.Fprintf(table, "%s\t%v\t%v\t%d\t%s\t%d\t%d\t%d\n", s.Host, s.Ready, s.Stopping,
+			s.Version.Generation, hash[:min(shownHash, len(hash))], running, waiting, len(leavingHosts(s)))
+	}
+	return table.Flush()
 }
 
 // askAdmin returns the answer of an admin listener.
