--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,6 +50,14 @@
 	StopTimeout document.Duration `json:"stop_timeout"`
 	// Profiling serves /debug/pprof on the admin listener. Default false.
 	Profiling bool `json:"profiling"`
+	// PeerListen is the UDP address for other entry hosts. Default "": the
+	// process runs alone.
+	PeerListen string `json:"peer_listen"`
+	// Peers are the addresses of other entry hosts to contact first.
+	Peers []string `json:"peers"`
+	Keys  Keys     `json:"keys"`
+	// Record turns on the recording of events.
+	Record Record `json:"record"`
 }
 
 // Defaults returns the settings of an empty file.
@@ -57,6 +65,7 @@
 	return &Settings{
 		Admin:     DefaultAdmin,
 		AcceptFor: document.Duration(DefaultAcceptFor),
+		Record:    Record{MaxSize: DefaultRecordSize},
 	}
 }
 
@@ -93,6 +102,7 @@
 	checkURL(source, "platform", s.Platform)
 	checkDuration(source, "accept_for", s.AcceptFor, maxAcceptFor)
 	checkDuration(source, "stop_timeout", s.StopTimeout, maxStopTimeout)
+	s.checkPeers(source)
 }
 
 func checkName(source *document.Source, field, name string) {
