standin: give no answer when the work was broken off

Cause: a backend server whose granted time was over, or whose request body broke, ended with status 200 and an empty body, which looks whole. Change: it closes the connection. A test guards it.

--- a/standin/backend.go
+++ b/standin/backend.go
@@ -161,10 +161,8 @@
 		return
 	}
 	body, err := io.ReadAll(r.Body)
-	if err != nil || !b.work(r, behaviour) {
-		return
-	}
-	if behaviour.ReadAndClose {
+	// Work that was broken off must not end in an answer that looks whole.
+	if err != nil || !b.work(r, behaviour) || behaviour.ReadAndClose {
 		panic(http.ErrAbortHandler)
 	}
 	if behaviour.Truncate {
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -77,6 +77,17 @@
 		Eventually(backend.Running).WithTimeout(limit).Should(Equal(0))
 	})
 
+	// A stand-in that answers 200 after its time is over hides late answers.
+	It("gives no answer when the granted time is over", func() {
+		backend.Change(func(b *standin.Behaviour) { b.ColdFor, b.ColdDelay = time.Hour, time.Hour })
+		backend.Restart()
+		request, err := http.NewRequest(http.MethodGet, base, nil)
+		Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Wisteriapond-Timeout", "20")
+		_, err = http.DefaultClient.Do(request)
+		Expect(err).To(HaveOccurred())
+	})
+
 	It("reports a load of 0 when told to mislead", func() {
 		backend.Change(func(b *standin.Behaviour) { b.MisleadingLoad = true })
 		response, err := http.Get(base + "/a")
