cli: say in explain which generation answers

Cause: a host without a configuration seemed to have no service for the request. Change: the explanation carries the generation, 0 for none.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -94,11 +94,16 @@
 }
 
 func printExplanation(w io.Writer, e config.Explanation) error {
+	if e.Generation == 0 {
+		_, err := fmt.Fprintln(w, "no configuration is in force")
+		return err
+	}
 	if e.Service == "" {
 		_, err := fmt.Fprintln(w, "no service claims this request")
 		return err
 	}
-	fmt.Fprintf(w, "service:     %s\nlabels:      %s\nidempotent:  %v\nlong:        %v\n\n", e.Service, e.Labels, e.Idempotent, e.Long)
+	fmt.Fprintf(w, "generation:  %d\nservice:     %s\nlabels:      %s\nidempotent:  %v\nlong:        %v\n\n",
+		e.Generation, e.Service, e.Labels, e.Idempotent, e.Long)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "UPSTREAM\tHOST\tREGION\tFAILURE DOMAIN\tELIGIBLE\tEXCLUDED BY")
 	for _, u := range e.Upstreams {
--- a/config/explain.go
+++ b/config/explain.go
@@ -4,6 +4,8 @@
 
 // Explanation says where a request may go and why not elsewhere.
 type Explanation struct {
+	// Generation is that of the configuration in force, 0 when there is none.
+	Generation uint64
 	// Service is empty when no service claims the request.
 	Service    string
 	Labels     label.Set
@@ -33,10 +35,11 @@
 func (t *Table) Explain(r *Request) Explanation {
 	service := t.Service(r)
 	if service == nil {
-		return Explanation{}
+		return Explanation{Generation: t.Version.Generation}
 	}
 	labels := service.RequestLabels(r)
 	explanation := Explanation{
+		Generation: t.Version.Generation,
 		Service:    service.Name,
 		Labels:     labels,
 		Idempotent: service.Idempotent(r.Method, labels),
