--- a/cli/pages_internal_test.go
+++ b/cli/pages_internal_test.go
@@ -26,6 +26,10 @@
 	} {
 		texts = append(texts, help.Help())
 	}
+	// The keys commands want directories that exist.
+	GinkgoT().Chdir(GinkgoT().TempDir())
+	Expect(os.Mkdir("ca", 0o700)).To(Succeed())
+	Expect(os.Mkdir("host", 0o700)).To(Succeed())
 	commands := 0
 	for _, text := range texts {
 		text = strings.ReplaceAll(text, "\\\n", " ")
