--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -38,7 +38,7 @@
 
 	ctx      context.Context
 	group    *errgroup.Group
-	watching bool
+	endWatch context.CancelFunc
 
 	statuses     questions[core.Status]
 	explanations questions[config.Explanation]
