core: give a version up when the part that it names is refused

Cause: a refused part was taken for a failed read. It was read again with growing pauses and reported each time: in the demo three hosts logged 30 problems and counted 5 refusals each within 15 s of one bad publication. Change: DocumentRefused carries the hash of the content. When the manifest names that content, the version is refused once and remembered; other content comes from a service that is behind or ahead and is read again without a report. A refused manifest or host list is reported once per content, and a host list no longer counts as a configuration.

--- a/core/configuration.go
+++ b/core/configuration.go
@@ -29,6 +29,7 @@
 	hostListRarely = 30 * time.Second
 	partKeyPrefix  = "services/"
 	manifestKey    = "manifest"
+	hostsKey       = "hosts"
 )
 
 // documents is how a host gets from one version to the next.
@@ -42,7 +43,10 @@
 	refused  []config.Version
 	// alarmed is the last version for which another document of the same
 	// generation was reported.
-	alarmed  config.Version
+	alarmed config.Version
+	// reported is the content of the manifest and of the host list that was
+	// reported as refused last, by key.
+	reported map[string]config.Hash
 	watching bool
 	startup  startup
 	// readFailures counts failed reads of the manifest since the last success.
@@ -84,6 +88,7 @@
 
 func (d *documents) init() {
 	d.parts = make(map[config.Hash][]byte)
+	d.reported = make(map[string]config.Hash)
 }
 
 // pendingConfiguration is a version whose parts are being collected.
@@ -495,9 +500,17 @@
 	s.out.add(PublishView{View: view})
 }
 
-// refuseConfiguration gives a version up. It changes nothing, and it does not
-// hold up a later version.
 func (s *State) refuseConfiguration(version config.Version, problems []config.Problem) {
+	texts := make([]string, 0, len(problems))
+	for _, problem := range problems {
+		texts = append(texts, problem.Error())
+	}
+	s.refuseVersion(version, texts)
+}
+
+// refuseVersion gives a version up. It changes nothing, and it does not hold
+// up a later version.
+func (s *State) refuseVersion(version config.Version, problems []string) {
 	if s.pending != nil && s.pending.version == version {
 		s.pending = nil
 	}
@@ -512,22 +525,48 @@
 	for _, problem := range problems {
 		s.out.add(Log{Level: LogError, Message: "configuration refused", Fields: []LogField{
 			{Key: "generation", Value: strconv.FormatUint(version.Generation, 10)},
-			{Key: "problem", Value: problem.Error()},
+			{Key: "problem", Value: problem},
 		}})
 	}
 }
 
+// documentRefused gives up a version whose part is refused. A part that the
+// manifest does not name comes from a service that is behind or ahead, and is
+// read again without a report.
 func (s *State) documentRefused(e DocumentRefused) {
-	s.count(CounterConfigurations, "refused")
-	for _, problem := range e.Problems {
-		s.out.add(Log{Level: LogError, Message: "configuration refused", Fields: []LogField{
-			{Key: "document", Value: e.Key},
-			{Key: "problem", Value: problem},
-		}})
+	p, w := s.pending, s.documents.wanted
+	switch {
+	case p != nil && p.collection.Arrived(e.Hash):
+		s.refuseVersion(p.version, e.Problems)
+		s.requestDocuments()
+		return
+	case w != nil && w.version.Hash == e.Hash:
+		s.refuseVersion(w.version, e.Problems)
+		return
+	case e.Key == manifestKey || e.Key == hostsKey:
+		s.reportRefusal(e)
 	}
 	s.documentFailed(e.Key)
 }
 
+// reportRefusal reports the same content once, however often it is read.
+func (s *State) reportRefusal(e DocumentRefused) {
+	if s.documents.reported[e.Key] == e.Hash {
+		return
+	}
+	s.documents.reported[e.Key] = e.Hash
+	message := "host list refused"
+	if e.Key == manifestKey {
+		message = "configuration refused"
+		s.count(CounterConfigurations, "refused")
+	} else {
+		s.count(CounterPlatformFailures, "")
+	}
+	for _, problem := range e.Problems {
+		s.out.add(Log{Level: LogError, Message: message, Fields: []LogField{{Key: "problem", Value: problem}}})
+	}
+}
+
 func (s *State) platformFailed(e PlatformFailed) {
 	s.count(CounterPlatformFailures, "")
 	s.out.add(Log{Level: LogWarn, Message: "platform read failed", Fields: []LogField{
--- a/core/event.go
+++ b/core/event.go
@@ -110,11 +110,15 @@
 	From    string
 }
 
-// DocumentRefused reports a document that the document layer could not parse.
+// DocumentRefused reports a document that the document layer could not parse
+// or whose values config refuses. The document layer checks the values, since
+// only it knows the lines.
 type DocumentRefused struct {
 	Key      string
 	Problems []string
 	From     string
+	// Hash identifies the content that was refused.
+	Hash config.Hash
 }
 
 // PlatformFailed reports that a read or a watch failed.
--- /dev/null
+++ b/core/refusal_test.go
@@ -0,0 +1,64 @@
+package core_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
+	"wisteriapond/core"
+)
+
+// Guards against a bad document that is read and reported again and again, and
+// against a stale service whose older part makes a host give a version up.
+var _ = DescribeTable("a refused document",
+	func(refused []core.DocumentRefused, reports int, readsAgain bool) {
+		state := core.New()
+		var effects core.Effects
+		var now core.Instant
+		reported, reads := 0, 0
+		step := func(event core.Event) {
+			effects.Reset()
+			state.Step(now, event, &effects)
+			for _, effect := range effects.All() {
+				switch e := effect.(type) {
+				case core.Count:
+					if e.Counter == core.CounterConfigurations && e.Label == "refused" {
+						reported++
+					}
+				case core.ReadPart:
+					reads++
+				}
+			}
+		}
+		step(core.Start{Host: "entry-1", Address: "127.0.0.1:1", Region: "mtl", FailureDomain: "mtl-a"})
+		step(core.ManifestRead{
+			Version: config.Version{Generation: 1, Hash: hash("1")},
+			Manifest: &config.Manifest{
+				Generation: 1, EntryHosts: 1, Links: config.Links{LongPercent: 50},
+				Services: []config.ServiceRef{{Name: "orders", Hash: hash("a")}},
+			},
+		})
+		Expect(reads).To(Equal(1))
+		for _, event := range refused {
+			step(event)
+		}
+		for range 1200 {
+			now = now.Add(core.TickInterval)
+			step(core.Tick{})
+		}
+		Expect(reported).To(Equal(reports))
+		Expect(reads > 1).To(Equal(readsAgain))
+	},
+	Entry("that the manifest names ends the version", []core.DocumentRefused{refusal("services/orders", "a")}, 1, false),
+	Entry("that the manifest does not name is read again", []core.DocumentRefused{refusal("services/orders", "b")}, 0, true),
+	Entry("is reported once when it is a manifest that is read twice",
+		[]core.DocumentRefused{refusal("manifest", "2"), refusal("manifest", "2"), refusal("services/orders", "a")}, 2, false),
+	Entry("is reported again when the manifest is another one",
+		[]core.DocumentRefused{refusal("manifest", "2"), refusal("manifest", "3"), refusal("services/orders", "a")}, 3, false),
+	Entry("is no configuration when it is the host list",
+		[]core.DocumentRefused{refusal("hosts", "2"), refusal("services/orders", "a")}, 1, false),
+)
+
+func refusal(key, content string) core.DocumentRefused {
+	return core.DocumentRefused{Key: key, Problems: []string{"bad"}, Hash: hash(content)}
+}
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -121,7 +121,7 @@
 func (h *Host) manifestRead(raw []byte) {
 	version, manifest, err := document.Manifest(document.FileOf(document.ManifestKey), raw)
 	if err != nil {
-		h.loop.Send(core.DocumentRefused{Key: document.ManifestKey, Problems: document.TextsOf(err)})
+		h.refused(document.ManifestKey, raw, err)
 		return
 	}
 	h.loop.Send(core.ManifestRead{Version: version, Manifest: manifest, Raw: raw})
@@ -138,12 +138,16 @@
 	hash := document.HashOf(value.Raw)
 	service, err := document.Service(document.FileOf(key), value.Raw)
 	if err != nil {
-		h.loop.Send(core.DocumentRefused{Key: key, Problems: document.TextsOf(err)})
+		h.refused(key, value.Raw, err)
 		return
 	}
 	h.loop.Send(core.PartRead{Hash: hash, Service: service, Raw: value.Raw})
 }
 
+func (h *Host) refused(key string, raw []byte, err error) {
+	h.loop.Send(core.DocumentRefused{Key: key, Problems: document.TextsOf(err), Hash: document.HashOf(raw)})
+}
+
 // readHostList reads the platform's list of hosts once.
 func (h *Host) readHostList() {
 	raw, err := h.platform.Hosts(h.ctx)
@@ -153,7 +157,7 @@
 	}
 	hosts, err := document.HostList("hosts", raw)
 	if err != nil {
-		h.loop.Send(core.DocumentRefused{Key: "hosts", Problems: document.TextsOf(err)})
+		h.refused("hosts", raw, err)
 		return
 	}
 	h.loop.Send(core.HostListRead{Hosts: hosts})
