cli: show members, leases and the measuring share in status

Cause: the status of a host has grown and the table did not show it. Change: the table has the other entry hosts, slots held, the version being collected and the share of the measuring budget.

--- a/cli/status.go
+++ b/cli/status.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -137,21 +138,56 @@
 func printStatus(w io.Writer, s *core.Status) error {
 	fmt.Fprintf(w, "host:        %s\nready:       %v\nstopping:    %v\ngeneration:  %d\nhash:        %s\n",
 		s.Host, s.Ready, s.Stopping, s.Version.Generation, s.Version.Hash)
+	if s.MissingParts > 0 {
+		fmt.Fprintf(w, "collecting:  generation %d, %d parts missing\n", s.Pending.Generation, s.MissingParts)
+	}
 	if leaving := leavingHosts(s); len(leaving) > 0 {
 		fmt.Fprintf(w, "leaving:     %s\n", strings.Join(leaving, ", "))
 	}
+	if s.Measuring.PerMinute > 0 {
+		fmt.Fprintf(w, "measuring:   %d probes per minute, %d bytes so far\n", s.Measuring.PerMinute, s.Measuring.Bytes)
+	}
+	fmt.Fprintf(w, "leases:      %d slots held, %d granted to %d hosts\n", s.Leases.Held, s.Leases.Granted, s.Leases.Holders)
+	if err := printMembers(w, s.Members); err != nil {
+		return err
+	}
+	return printServices(w, s.Services)
+}
+
+func printMembers(w io.Writer, members []core.MemberStatus) error {
+	if len(members) == 0 {
+		return nil
+	}
 	fmt.Fprintln(w)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SERVICE\tUPSTREAM\tHOST\tRUNNING\tSLOTS\tSTATE")
-	for _, service := range s.Services {
-		fmt.Fprintf(table, "%s\t\t\t%d\t\twaiting: %d\n", service.Name, service.Running, service.Waiting)
+	fmt.Fprintln(table, "ENTRY HOST\tADDRESS\tREGION\tSTATE")
+	for _, member := range members {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", member.Name, member.Address, member.Region, member.State)
+	}
+	return table.Flush()
+}
+
+func printServices(w io.Writer, services []core.ServiceStatus) error {
+	fmt.Fprintln(w)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "SERVICE\tUPSTREAM\tHOST\tRUNNING\tSLOTS\tHELD\tSTATE")
+	for _, service := range services {
+		fmt.Fprintf(table, "%s\t\t\t%d\t\t\twaiting: %d\n", service.Name, service.Running, service.Waiting)
 		for _, u := range service.Upstreams {
-			fmt.Fprintf(table, "\t%s\t%s\t%d\t%d\t%s\n", u.Name, u.Host, u.Running, u.Slots, stateOf(&u))
+			fmt.Fprintf(table, "\t%s\t%s\t%d\t%d\t%s\t%s\n", u.Name, u.Host, u.Running, u.Slots, heldSlots(&u), stateOf(&u))
 		}
 	}
 	return table.Flush()
 }
 
+// heldSlots is empty for an upstream without leases.
+func heldSlots(u *core.UpstreamStatus) string {
+	if !u.Leased {
+		return ""
+	}
+	return strconv.Itoa(u.Held)
+}
+
 func stateOf(u *core.UpstreamStatus) string {
 	if u.Leaving {
 		return "leaving"
@@ -161,10 +197,8 @@
 
 func leavingHosts(s *core.Status) []string {
 	var names []string
-	for _, host := range s.Hosts {
-		if host.Leaving {
-			names = append(names, host.Host)
-		}
+	for _, host := range s.Leaving {
+		names = append(names, host.Host)
 	}
 	return names
 }
