--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -62,7 +62,7 @@
 		string(core.CounterConfigurations), KindCounter,
 		[]string{"verdict"},
 		"documents",
-		"Configurations by verdict: `accepted` or `refused`.",
+		"Configurations by verdict: `accepted`, `refused`, `stale` (older than the one in force), `conflict` (another one of the same generation) or `part_mismatch` (a part with other content than the manifest names).",
 	},
 	{
 		string(core.CounterMembers), KindCounter,
