--- a/caller/pass.go
+++ b/caller/pass.go
@@ -17,6 +17,9 @@
 	response := &x.ctx.Response
 	x.exchange.CopyHead(&response.Header)
 	response.Header.Set(backend.HeaderUpstream, command.Upstream)
+	if command.GaveUp {
+		response.Header.Set(backend.HeaderGaveUp, "1")
+	}
 	if x.exchange.Streaming {
 		x.passStream(command.Attempt)
 		return
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -482,6 +482,7 @@
 	s.updateServices()
 	s.updateLeases()
 	s.updateBudget()
+	s.shareLinks()
 	s.count(CounterConfigurations, "accepted")
 	s.out.add(Log{Message: "configuration accepted", Fields: []LogField{
 		{Key: "generation", Value: strconv.FormatUint(table.Version.Generation, 10)},
