--- a/cli/status.go
+++ b/cli/status.go
@@ -87,6 +87,9 @@
 	return raw, &status, nil
 }
 
+// shownLatency is the precision of latencies in the table.
+const shownLatency = 100 * time.Microsecond
+
 // shownHash is the part of a hash that tells versions apart at a glance.
 const shownHash = 12
 
@@ -170,11 +173,12 @@
 func printServices(w io.Writer, services []core.ServiceStatus) error {
 	fmt.Fprintln(w)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SERVICE\tUPSTREAM\tHOST\tRUNNING\tSLOTS\tHELD\tSTATE")
+	fmt.Fprintln(table, "SERVICE\tUPSTREAM\tHOST\tRUNNING\tLIMIT\tSLOTS\tHELD\tLATENCY\tSTATE")
 	for _, service := range services {
-		fmt.Fprintf(table, "%s\t\t\t%d\t\t\twaiting: %d\n", service.Name, service.Running, service.Waiting)
+		fmt.Fprintf(table, "%s\t\t\t%d\t\t\t\t\twaiting: %d\n", service.Name, service.Running, service.Waiting)
 		for _, u := range service.Upstreams {
-			fmt.Fprintf(table, "\t%s\t%s\t%d\t%d\t%s\t%s\n", u.Name, u.Host, u.Running, u.Slots, heldSlots(&u), stateOf(&u))
+			fmt.Fprintf(table, "\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\n",
+				u.Name, u.Host, u.Running, u.Limit, u.Slots, heldSlots(&u), latencyOf(&u), stateOf(&u))
 		}
 	}
 	return table.Flush()
@@ -188,9 +192,20 @@
 	return strconv.Itoa(u.Held)
 }
 
+// latencyOf is empty while the latency is not known.
+func latencyOf(u *core.UpstreamStatus) string {
+	if u.Latency == 0 {
+		return ""
+	}
+	return u.Latency.Round(shownLatency).String()
+}
+
 func stateOf(u *core.UpstreamStatus) string {
-	if u.Leaving {
+	switch {
+	case u.Leaving:
 		return "leaving"
+	case u.Ejected:
+		return "ejected"
 	}
 	return ""
 }
