core: spread the probes of hosts that start together

Cause: four hosts that started together measured the same upstream at the same moment: 16 probes of one upstream in two minutes where 4 results are needed.

Change: a random first place and a random patience of up to 10 s, in which another host's result may come.

--- a/core/coordination.go
+++ b/core/coordination.go
@@ -37,7 +37,7 @@
 		FailureDomain: e.FailureDomain,
 	}, e.Incarnation, s.random.below)
 	s.leases.start(s, e.Incarnation)
-	s.probing.init(s.now)
+	s.startProbing()
 	s.updateView()
 	s.startDocuments(e.Peers)
 	for _, peer := range e.Peers {
--- a/core/probes.go
+++ b/core/probes.go
@@ -14,8 +14,12 @@
 	// probeOverhead is the worst case of the bytes of a probe beside its path
 	// and the body of the answer: the request's and the answer's heads.
 	probeOverhead = 8 << 10
-	// measuredFresh is the age up to which a result stands in for a probe.
+	// measuredFresh is the age up to which a result stands in for a probe, and
+	// patience the longest time beyond it that a host leaves the probe to
+	// others. Hosts wait for different times, so that they do not all measure
+	// an upstream at once.
 	measuredFresh = 30 * time.Second
+	patience      = 10 * time.Second
 	// maxProbeLook bounds the upstreams looked at for one probe.
 	maxProbeLook = 256
 	// failedProbeStatus is the first status that counts as a failed probe.
@@ -29,7 +33,9 @@
 type probing struct {
 	budget *budget.Measuring
 	// turn is the place in the order of services and upstreams.
-	turn    probeTurn
+	turn probeTurn
+	// wait is how long beyond measuredFresh this host leaves a probe to others.
+	wait    time.Duration
 	results map[*upstream]measured
 	rumors  membership.Rumors[measuredAt]
 	spent   int64
@@ -77,6 +83,7 @@
 			{Key: "bytes_per_probe", Value: strconv.FormatInt(worst, 10)},
 		}})
 	}
+	s.placeTurn()
 	s.forgetMeasured()
 }
 
@@ -97,6 +104,27 @@
 	return probeOverhead + int64(len(probe.Path)) + probe.AnswerLimit
 }
 
+// startProbing lets hosts that start together begin at different upstreams.
+func (s *State) startProbing() {
+	s.probing.init(s.now)
+	s.probing.wait = s.drawPatience()
+	s.probing.turn.service = s.random.below(config.MaxServices)
+	s.probing.turn.upstream = s.random.below(config.MaxUpstreams)
+}
+
+// placeTurn brings the random place of the start into the order in force.
+func (s *State) placeTurn() {
+	turn := &s.probing.turn
+	services := s.table.Services()
+	if len(services) == 0 {
+		return
+	}
+	turn.service %= len(services)
+	if upstreams := len(services[turn.service].Upstreams); upstreams > 0 {
+		turn.upstream %= upstreams
+	}
+}
+
 func (s *State) tickProbes() {
 	if s.table == nil || s.stop.requested {
 		return
@@ -109,6 +137,7 @@
 	if u == nil || !s.probing.budget.Take(time.Duration(s.now)) {
 		return
 	}
+	s.probing.wait = s.drawPatience()
 	s.probing.spent += probeCost(svc.config.Probe)
 	s.count(CounterProbes, "started")
 	s.out.add(Count{Counter: CounterProbeBytes, Add: probeCost(svc.config.Probe)})
@@ -152,7 +181,11 @@
 		return false
 	}
 	result, ok := s.probing.results[u]
-	return !ok || s.now.Sub(result.at) >= measuredFresh
+	return !ok || s.now.Sub(result.at) >= measuredFresh+s.probing.wait
+}
+
+func (s *State) drawPatience() time.Duration {
+	return time.Duration(s.random.below(int(patience)))
 }
 
 // probeFinished takes the result of an own probe and shares it. A probe that
--- a/core/site_test.go
+++ b/core/site_test.go
@@ -80,7 +80,11 @@
 	address string
 }
 
-const tick = 10 * time.Millisecond
+const (
+	tick = 10 * time.Millisecond
+	// probesPerHost is each host's share of the measuring budget per minute.
+	probesPerHost = 20
+)
 
 func newSite(hosts int) *site {
 	w := &site{
@@ -282,8 +286,8 @@
 func (w *site) publish(generation int, services ...*config.Service) config.Version {
 	manifest := &config.Manifest{
 		Generation: uint64(generation),
-		EntryHosts: len(w.hosts) + 1,
-		Measuring:  config.Measuring{RequestsPerMinute: 20 * (len(w.hosts) + 1), BytesPerMinute: 1 << 30},
+		EntryHosts: len(w.hosts),
+		Measuring:  config.Measuring{RequestsPerMinute: probesPerHost * len(w.hosts), BytesPerMinute: 1 << 30},
 		Links:      config.Links{BytesPerSecond: 500_000_000, LongPercent: 50},
 	}
 	text := fmt.Sprintf("%x,", generation)
