core: pass leaving marks on at once in small fleets too

Cause: a host that read its first host list told one peer, which passed the mark on with its next pings only; two of four hosts still held slots of the leaving backend server 200 ms later.

Change: every host passes on what is news to it, directly. Tests for pauses and planned stops come along.

--- a/core/hosts.go
+++ b/core/hosts.go
@@ -90,7 +90,7 @@
 }
 
 // marksHeard takes leaving marks from a peer and passes on those that are new
-// here. In a small fleet the peer has told everyone itself.
+// here, at once: the peer may have told this host only.
 func (s *State) marksHeard(heard []HostEntry) {
 	var news []HostEntry
 	for _, mark := range heard {
@@ -105,11 +105,7 @@
 			news = append(news, mark)
 		}
 	}
-	if s.members.Live() > maxDirectPeers {
-		s.spreadMarks(news, s.members.Sample(fanoutPeers))
-		return
-	}
-	s.spreadMarks(news, nil)
+	s.spreadMarks(news, s.fanout())
 }
 
 // setHost is the only writer of the host table. It reports whether the leaving
--- /dev/null
+++ b/core/pauses_test.go
@@ -0,0 +1,106 @@
+package core_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/core"
+)
+
+var _ = Describe("a pause of the process", func() {
+	running := func(hosts int) *site {
+		w := newSite(hosts)
+		w.publish(1, service("catalogue", 3))
+		w.startAll()
+		w.run(4 * time.Second)
+		return w
+	}
+
+	pauseHost := func(w *site, h *entry, d time.Duration) {
+		h.paused = true
+		w.run(d)
+		h.paused = false
+	}
+
+	attempts := func(w *site, h *entry, method string) int {
+		before := len(w.starts)
+		w.request(h, method, "/catalogue/urn")
+		return len(w.starts) - before
+	}
+
+	// Guards against slots that are used after others were granted them.
+	It("drops the leases held", func() {
+		w := running(4)
+		w.want(w.hosts[1], "catalogue", 3)
+		w.run(200 * time.Millisecond)
+		Expect(w.status(w.hosts[1]).Leases.Held).To(BeNumerically(">", 0))
+		pauseHost(w, w.hosts[1], 700*time.Millisecond)
+		Expect(w.status(w.hosts[1]).Leases.Held).To(BeZero())
+		Expect(w.counted["pauses_total/"]).To(Equal(int64(1)))
+	})
+
+	// Guards against an order that is sent by a host which the fleet has long
+	// replaced.
+	It("holds non-idempotent requests back until a peer has answered", func() {
+		w := running(4)
+		pauseHost(w, w.hosts[1], 2*time.Second)
+		Expect(attempts(w, w.hosts[1], "POST")).To(BeZero())
+		Expect(attempts(w, w.hosts[1], "GET")).To(Equal(1))
+		w.run(50 * time.Millisecond)
+		Expect(attempts(w, w.hosts[1], "POST")).To(Equal(1))
+	})
+
+	// Guards against orders that are refused for ever by a host without peers.
+	It("holds them back for a second at most", func() {
+		w := running(1)
+		pauseHost(w, w.hosts[0], 2*time.Second)
+		Expect(attempts(w, w.hosts[0], "POST")).To(BeZero())
+		w.run(900 * time.Millisecond)
+		Expect(attempts(w, w.hosts[0], "POST")).To(BeZero())
+		w.run(200 * time.Millisecond)
+		Expect(attempts(w, w.hosts[0], "POST")).To(Equal(1))
+	})
+
+	// Guards against a paused host whose peers lose it or are lost to it.
+	It("is followed by the same members and the current configuration", func() {
+		w := running(4)
+		h := w.hosts[2]
+		h.paused = true
+		w.run(time.Second)
+		version := w.publish(2, changed("catalogue", 2))
+		w.run(2 * time.Second)
+		h.paused = false
+		w.run(2 * time.Second)
+		Expect(w.inForce(version)).To(Equal(4))
+		Expect(w.agree()).To(BeTrue())
+	})
+})
+
+var _ = Describe("a planned stop", func() {
+	// Guards against duties and slots that stay with a host after its stop.
+	It("hands leases back and tells the peers", func() {
+		w := newSite(4)
+		w.publish(1, service("catalogue", 3))
+		w.startAll()
+		w.run(4 * time.Second)
+		w.want(w.hosts[1], "catalogue", 3)
+		w.run(200 * time.Millisecond)
+		Expect(w.status(w.hosts[1]).Leases.Held).To(BeNumerically(">", 0))
+		w.step(w.hosts[1], core.StopRequested{})
+		Expect(w.hosts[1].ready).To(BeFalse())
+		w.run(500 * time.Millisecond)
+		Expect(w.status(w.hosts[1]).Leases.Held).To(BeZero())
+		Expect(w.status(w.hosts[1]).Leases.Granted).To(BeZero())
+		for _, other := range []int{0, 2, 3} {
+			for _, m := range w.status(w.hosts[other]).Members {
+				if m.Name == w.hosts[1].name {
+					Expect(m.State).To(Equal("left"))
+				}
+			}
+		}
+		w.run(time.Second)
+		Expect(w.hosts[1].off).To(BeTrue())
+	})
+})
