lease: make the cost of a message independent of the units of a session

Cause: in a measurement with 64 hosts and 64 services, a lease message cost 77 us at its owner, most of it spent on sorting all units of the session.

Change: an owner keeps a list of what a holder has not confirmed, and lists of the shares that wait. Up to 8 slots of a unit are recalled at once. Renewals are looked for at ticks only. The benchmark that measures messages comes along.

--- a/core/configuration_test.go
+++ b/core/configuration_test.go
@@ -290,7 +290,7 @@
 		w.publish(1, services...)
 		w.startAll()
 		w.run(20 * time.Second)
-		w.bytes = 0
+		w.measure = true
 		w.run(5 * time.Second)
 		quiet := w.bytes
 		w.bytes = 0
--- a/core/leases.go
+++ b/core/leases.go
@@ -272,7 +272,7 @@
 	now := time.Duration(s.now)
 	s.leases.holder.Tick(now)
 	s.leases.owner.Tick(now)
-	s.sendAsks()
+	s.sendAsks(true)
 }
 
 // settleLeases sends what a step made due and starts waiting requests on the
@@ -282,7 +282,7 @@
 	l.holder.Settle()
 	for range maxExchanges {
 		if l.holder.Busy() {
-			s.sendAsks()
+			s.sendAsks(false)
 		}
 		s.sendReplies()
 		if !s.takeSlots() {
@@ -294,8 +294,8 @@
 	}
 }
 
-func (s *State) sendAsks() {
-	for _, out := range s.leases.holder.Asks(time.Duration(s.now)) {
+func (s *State) sendAsks(renew bool) {
+	for _, out := range s.leases.holder.Asks(time.Duration(s.now), renew) {
 		if out.Owner == s.self.Host {
 			s.leases.owner.Receive(time.Duration(s.now), out.Owner, out.Ask)
 			continue
--- /dev/null
+++ b/core/messages_test.go
@@ -0,0 +1,140 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"wisteriapond/config"
+)
+
+// The benchmarks below measure the messages between entry hosts in virtual
+// time. docs/MEASUREMENTS.md has the figures:
+//
+//	go test ./core -run '^$' -bench Fleet -benchtime 1x
+
+var regions = []string{"r0", "r1", "r2", "r3"}
+
+// largeSite is a fleet over four regions with services in all of them. It
+// starts a host every 20 ms.
+func largeSite(hosts, services, upstreams int) (*site, []*config.Service) {
+	w := newSite(hosts)
+	for i, h := range w.hosts {
+		h.region = regions[i%len(regions)]
+	}
+	w.delay = 8 * time.Millisecond
+	var list []*config.Service
+	for i := range services {
+		s := service(fmt.Sprintf("service-%04d", i), upstreams)
+		s.Timeout += time.Duration(i) * time.Millisecond
+		s.Probe.Path = ""
+		for j := range s.Upstreams {
+			s.Upstreams[j].Region = regions[j%len(regions)]
+			s.Upstreams[j].Host = fmt.Sprintf("backend-%d-%d", i, j)
+		}
+		list = append(list, s)
+	}
+	w.publish(1, list...)
+	for _, h := range w.hosts {
+		w.start(h)
+		w.run(20 * time.Millisecond)
+	}
+	w.run(30 * time.Second)
+	return w, list
+}
+
+// measureFor runs the site and reports messages and bytes per host and second.
+func (w *site) measureFor(b *testing.B, d time.Duration, label string, each ...func()) {
+	w.measure, w.sent, w.bytes, w.inSteps = true, 0, 0, 0
+	clear(w.received)
+	w.run(d, each...)
+	w.measure = false
+	perHost := float64(len(w.hosts)) * d.Seconds()
+	most := 0
+	for _, bytes := range w.received {
+		most = max(most, bytes)
+	}
+	b.ReportMetric(float64(w.sent)/perHost, label+"-msg/host/s")
+	b.ReportMetric(float64(w.bytes)/perHost, label+"-B/host/s")
+	b.ReportMetric(float64(most)/d.Seconds(), label+"-B/s-most-received")
+	b.ReportMetric(100*w.inSteps.Seconds()/perHost, label+"-%core/host")
+}
+
+// BenchmarkFleet measures a fleet at rest, one in which every host uses every
+// service, a change of one service, and the restart of a host.
+func BenchmarkFleet(b *testing.B) {
+	for _, hosts := range []int{4, 16, 64, 256} {
+		b.Run(fmt.Sprint(hosts, "-hosts"), func(b *testing.B) {
+			for range b.N {
+				benchmarkFleet(b, hosts)
+			}
+		})
+	}
+}
+
+func benchmarkFleet(b *testing.B, hosts int) {
+	const services = 64
+	w, list := largeSite(hosts, services, 16)
+	w.measureFor(b, 20*time.Second, "rest")
+	w.measureChange(b, list)
+	w.measureRestart(b)
+	turn := 0
+	w.measureFor(b, 10*time.Second, "leases", func() {
+		// Every host has a request waiting for each service every 640 ms.
+		turn++
+		for _, h := range w.live() {
+			w.want(h, list[turn%services].Name, 1)
+		}
+	})
+	status := w.status(w.hosts[0])
+	b.ReportMetric(float64(status.Leases.Held), "held/host")
+}
+
+// measureChange reports what a change of one service costs beyond rest.
+func (w *site) measureChange(b *testing.B, list []*config.Service) {
+	w.measure, w.sent, w.bytes = true, 0, 0
+	w.run(5 * time.Second)
+	rest := w.bytes
+	w.bytes = 0
+	list[0].Timeout += time.Hour / 2
+	begin := w.now
+	version := w.publish(2, list...)
+	var took time.Duration
+	for w.inForce(version) < len(w.hosts) && w.now.Sub(begin) < 20*time.Second {
+		w.run(tick)
+	}
+	took = w.now.Sub(begin)
+	w.run(5*time.Second - took)
+	w.measure = false
+	b.ReportMetric(took.Seconds()*1000, "change-ms-everywhere")
+	b.ReportMetric(float64(w.bytes-rest)/float64(len(w.hosts)), "change-B/host")
+}
+
+// measureRestart reports what the restart of a host costs beyond rest.
+func (w *site) measureRestart(b *testing.B) {
+	w.measure, w.bytes = true, 0
+	w.run(5 * time.Second)
+	rest := w.bytes
+	w.bytes = 0
+	h := w.hosts[len(w.hosts)-1]
+	begin := w.now
+	w.start(h)
+	for !h.ready && w.now.Sub(begin) < 20*time.Second {
+		w.run(tick)
+	}
+	took := w.now.Sub(begin)
+	w.run(5*time.Second - took)
+	w.measure = false
+	b.ReportMetric(took.Seconds()*1000, "restart-ms-ready")
+	b.ReportMetric(float64(w.bytes-rest)/1000, "restart-kB")
+}
+
+// BenchmarkFleetFull measures a change and a restart with the services and
+// upstreams expected in two years, in a fleet of four hosts.
+func BenchmarkFleetFull(b *testing.B) {
+	for range b.N {
+		w, list := largeSite(4, 1500, 25)
+		w.measureChange(b, list)
+		w.measureRestart(b)
+	}
+}
--- a/core/site_test.go
+++ b/core/site_test.go
@@ -19,6 +19,7 @@
 type site struct {
 	now     core.Instant
 	hosts   []*entry
+	byName  map[string]*entry
 	network []packet
 	random  uint64
 	// delay is the one-way delay, lose and repeat the percentages of messages
@@ -34,12 +35,16 @@
 	partsGone bool
 	list      []core.HostEntry
 
+	// measure makes sent, bytes and received count messages.
+	measure  bool
 	sent     int
 	bytes    int
 	received map[string]int
-	counted  map[string]int64
-	probes   []probe
-	starts   []started
+	// inSteps is the time spent in the reducers, for measurements.
+	inSteps time.Duration
+	counted map[string]int64
+	probes  []probe
+	starts  []started
 }
 
 type entry struct {
@@ -95,8 +100,11 @@
 		received:  make(map[string]int),
 		random:    1,
 	}
+	w.byName = make(map[string]*entry)
 	for i := range hosts {
-		w.hosts = append(w.hosts, &entry{name: fmt.Sprintf("entry-%03d", i), region: "mtl", off: true})
+		h := &entry{name: fmt.Sprintf("entry-%03d", i), region: "mtl", off: true}
+		w.hosts = append(w.hosts, h)
+		w.byName[h.name] = h
 	}
 	return w
 }
@@ -134,7 +142,13 @@
 }
 
 func (w *site) step(h *entry, event core.Event) {
-	h.state.Step(w.now, event, &h.effects)
+	if w.measure {
+		begin := time.Now()
+		h.state.Step(w.now, event, &h.effects)
+		w.inSteps += time.Since(begin)
+	} else {
+		h.state.Step(w.now, event, &h.effects)
+	}
 	w.carryOut(h)
 }
 
@@ -186,9 +200,12 @@
 }
 
 func (w *site) send(h *entry, e core.SendPeer) {
-	w.sent++
-	w.bytes += encodedSize(e.Message)
-	w.received[e.Address] += encodedSize(e.Message)
+	if w.measure {
+		size := encodedSize(e.Message)
+		w.sent++
+		w.bytes += size
+		w.received[e.Address] += size
+	}
 	if w.below(100) < w.lose {
 		return
 	}
@@ -229,14 +246,7 @@
 	}
 }
 
-func (w *site) host(name string) *entry {
-	for _, h := range w.hosts {
-		if h.name == name {
-			return h
-		}
-	}
-	return nil
-}
+func (w *site) host(name string) *entry { return w.byName[name] }
 
 func (w *site) tickIfDue(h *entry) {
 	if h.off || h.paused {
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -638,8 +638,9 @@
 	return at, waits
 }
 
-// Asks returns the asks that are due, in the order of owners.
-func (h *Holder) Asks(now time.Duration) []Outgoing {
+// Asks returns the asks that are due, in the order of owners. Renewals are due
+// at ticks only.
+func (h *Holder) Asks(now time.Duration, renew bool) []Outgoing {
 	var owners []string
 	add := func(owner string) {
 		if !slices.Contains(owners, owner) {
@@ -659,9 +660,11 @@
 		}
 	}
 	h.queue = waiting
-	for _, owner := range slices.Sorted(maps.Keys(h.links)) {
-		if l := h.links[owner]; len(l.holdings) > 0 && now >= l.nextAsk {
-			add(owner)
+	if renew {
+		for owner, l := range h.links {
+			if len(l.holdings) > 0 && now >= l.nextAsk {
+				add(owner)
+			}
 		}
 	}
 	slices.Sort(owners)
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -105,7 +105,7 @@
 
 func (g *group) collect() {
 	for i, h := range g.holders {
-		for _, out := range h.Asks(g.now) {
+		for _, out := range h.Asks(g.now, true) {
 			g.asks = append(g.asks, sentAsk{from: i, ask: out.Ask})
 		}
 	}
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -11,6 +11,8 @@
 	// rotateAfter is the time after which a slot may be recalled for a holder
 	// that has none, when there are more holders than slots.
 	rotateAfter = 200 * time.Millisecond
+	// maxRecalls bounds the slots of a unit that are recalled at once.
+	maxRecalls = 8
 	// maxSessions and maxUnits bound the tables of an owner.
 	maxSessions = 4096
 	maxUnits    = 1 << 16
@@ -53,9 +55,12 @@
 	sizes  []Slots
 	used   []int
 	shares map[string]*share
-	// waiting lists the shares that want slots for waiting requests, the
-	// longest wait first.
+	// waiting lists the shares that want slots for waiting requests, and sparing
+	// those that want spare slots, the longest wait first.
 	waiting []*share
+	sparing []*share
+	// recalls is the number of shares that were asked for a slot.
+	recalls int
 }
 
 // share is what one holder has of a unit.
@@ -85,6 +90,8 @@
 	sequence uint64
 	expires  time.Duration
 	shares   map[Unit]*share
+	// dirty lists the shares that the holder has not confirmed.
+	dirty []*share
 }
 
 // NewOwner returns an empty table.
@@ -154,15 +161,19 @@
 
 // confirm notes which answers the holder has received.
 func (s *session) confirm(seen uint64) {
-	for unit, sh := range s.shares {
-		if sh.dirty && sh.changedAt != 0 && sh.changedAt <= seen {
-			sh.dirty = false
+	s.dirty = slices.DeleteFunc(s.dirty, func(sh *share) bool {
+		if sh.changedAt == 0 || sh.changedAt > seen {
+			return false
 		}
-		if sh.idle() && !sh.dirty {
+		sh.dirty = false
+		if sh.idle() {
 			sh.owned.remove(sh)
-			delete(s.shares, unit)
+			if s.shares[sh.owned.unit] == sh {
+				delete(s.shares, sh.owned.unit)
+			}
 		}
-	}
+		return true
+	})
 }
 
 func (sh *share) idle() bool { return sh.total == 0 && sh.wanted == 0 && sh.spare == 0 }
@@ -183,7 +194,7 @@
 	sh.claim(ask.Claims)
 	sh.wanted, sh.spare, sh.except = max(0, ask.Wanted), max(0, ask.Spare), ask.Except
 	if sh.recall && sh.total <= sh.keep {
-		sh.recall = false
+		sh.endRecall()
 	}
 	if duty.Wait > 0 {
 		return
@@ -216,10 +227,20 @@
 }
 
 func (sh *share) mark() {
+	if !sh.dirty {
+		sh.session.dirty = append(sh.session.dirty, sh)
+	}
 	sh.dirty = true
 	sh.changedAt = 0
 }
 
+func (sh *share) endRecall() {
+	if sh.recall {
+		sh.recall = false
+		sh.owned.recalls--
+	}
+}
+
 // claim takes over what the holder says that it holds: slots that it gave back
 // become free, and slots that it uses without a grant are granted if free.
 func (sh *share) claim(claims []Slots) {
@@ -247,7 +268,8 @@
 	for i := range sh.granted {
 		sh.set(i, 0)
 	}
-	sh.wanted, sh.spare, sh.recall = 0, 0, false
+	sh.wanted, sh.spare = 0, 0
+	sh.endRecall()
 	sh.refused, sh.wait = true, wait
 	sh.mark()
 	sh.owned.unqueue(sh)
@@ -256,35 +278,41 @@
 
 // queue keeps the place of a share that waits already.
 func (u *ownedUnit) queue(sh *share) {
-	waits := slices.Contains(u.waiting, sh)
-	switch {
-	case sh.wanted > 0 && !waits:
-		u.waiting = append(u.waiting, sh)
-	case sh.wanted == 0 && waits:
-		u.unqueue(sh)
-	}
+	u.waiting = place(u.waiting, sh, sh.wanted > 0)
+	u.sparing = place(u.sparing, sh, sh.spare > 0)
 }
 
 func (u *ownedUnit) unqueue(sh *share) {
-	u.waiting = slices.DeleteFunc(u.waiting, func(other *share) bool { return other == sh })
+	u.waiting = place(u.waiting, sh, false)
+	u.sparing = place(u.sparing, sh, false)
+}
+
+// place makes a share part of a list or not.
+func place(list []*share, sh *share, in bool) []*share {
+	i := slices.Index(list, sh)
+	switch {
+	case in && i < 0:
+		return append(list, sh)
+	case !in && i >= 0:
+		return slices.Delete(list, i, i+1)
+	}
+	return list
 }
 
 // grant gives free slots to the shares that wait, then recalls slots for those
 // that still want some, then gives what is left as spare slots.
 func (o *Owner) grant(now time.Duration, u *ownedUnit) {
-	for o.giveNext(now, u) {
-	}
-	for _, sh := range u.waiting {
-		o.recallFor(now, sh)
+	for len(u.waiting) > 0 && o.giveNext(now, u) {
 	}
 	if len(u.waiting) > 0 {
+		o.recall(now, u)
 		return
 	}
-	for _, holder := range slices.Sorted(maps.Keys(u.shares)) {
-		sh := u.shares[holder]
+	for _, sh := range slices.Clone(u.sparing) {
 		for sh.spare > 0 && o.give(now, sh) {
 			sh.spare--
 		}
+		u.queue(sh)
 	}
 }
 
@@ -292,9 +320,7 @@
 // one among equals. A slot that was recalled would otherwise return to a host
 // that has many and still wants more.
 func (o *Owner) giveNext(now time.Duration, u *ownedUnit) bool {
-	order := slices.Clone(u.waiting)
-	slices.SortStableFunc(order, func(a, b *share) int { return cmp.Compare(a.total, b.total) })
-	for _, sh := range order {
+	for _, sh := range u.poorest() {
 		if o.give(now, sh) {
 			sh.wanted--
 			u.queue(sh)
@@ -324,29 +350,59 @@
 	return true
 }
 
-// recallFor asks the holder with the most slots for one of them.
-func (o *Owner) recallFor(now time.Duration, wisher *share) {
-	var victim *share
-	for _, holder := range slices.Sorted(maps.Keys(wisher.owned.shares)) {
-		sh := wisher.owned.shares[holder]
-		if sh == wisher || !sh.usable(wisher.except) {
+// recall asks the holders with the most slots to give one back for each share
+// that waits, the one with the fewest first.
+func (o *Owner) recall(now time.Duration, u *ownedUnit) {
+	limit := min(len(u.waiting), maxRecalls)
+	for _, wisher := range u.poorest() {
+		if u.recalls >= limit {
+			return
+		}
+		victim := u.victimFor(wisher)
+		if victim == nil || !mayRecall(now, victim, wisher) {
 			continue
 		}
-		if sh.recall {
-			// One recall at a time: its slot goes to the longest waiting share.
-			return
+		victim.recall = true
+		victim.keep = victim.total - 1
+		u.recalls++
+		victim.mark()
+		o.changed[victim.session.holder] = victim.session
+	}
+}
+
+// poorest returns the shares that wait, those with the fewest slots first and
+// the longest waiting first among equals.
+func (u *ownedUnit) poorest() []*share {
+	order := slices.Clone(u.waiting)
+	slices.SortStableFunc(order, func(a, b *share) int { return cmp.Compare(a.total, b.total) })
+	return order
+}
+
+// victimFor returns the share with the most slots, the longest held among
+// equals.
+func (u *ownedUnit) victimFor(wisher *share) *share {
+	var victim *share
+	for _, sh := range u.shares {
+		if sh == wisher || sh.recall || !sh.usable(wisher.except) {
+			continue
 		}
-		if victim == nil || sh.total > victim.total || sh.total == victim.total && sh.since < victim.since {
+		if victim == nil || sh.richer(victim) {
 			victim = sh
 		}
 	}
-	if victim == nil || !mayRecall(now, victim, wisher) {
-		return
+	return victim
+}
+
+// richer is a total order, so that the choice does not depend on the order of
+// a map.
+func (sh *share) richer(other *share) bool {
+	if sh.total != other.total {
+		return sh.total > other.total
 	}
-	victim.recall = true
-	victim.keep = victim.total - 1
-	victim.mark()
-	o.changed[victim.session.holder] = victim.session
+	if sh.since != other.since {
+		return sh.since < other.since
+	}
+	return sh.session.holder < other.session.holder
 }
 
 // usable reports whether the share has a slot outside of the given upstreams.
@@ -409,6 +465,7 @@
 
 func (u *ownedUnit) remove(sh *share) {
 	u.unqueue(sh)
+	sh.endRecall()
 	if u.shares[sh.session.holder] == sh {
 		delete(u.shares, sh.session.holder)
 	}
@@ -489,11 +546,7 @@
 	}
 	s.sequence++
 	answer := Answer{Session: s.number, Asked: s.asked, Sequence: s.sequence, For: Longest}
-	for _, unit := range slices.SortedFunc(maps.Keys(s.shares), compareUnits) {
-		sh := s.shares[unit]
-		if !sh.dirty {
-			continue
-		}
+	for _, sh := range s.dirty {
 		if sh.changedAt == 0 {
 			sh.changedAt = s.sequence
 		}
