lease: hold idle slots longer and recall them sooner

Cause: with 64 hosts and 64 services, most hosts use a service less than once a second. Slots were returned after one to two seconds and asked for again with the next request, and a host without a slot waited 200 ms for one that lay idle elsewhere.

Change: idle slots stay for five to ten seconds unless they are recalled, and a slot may be recalled for a host that has none after 25 ms, a round trip between regions.

--- a/core/site_test.go
+++ b/core/site_test.go
@@ -12,6 +12,7 @@
 
 	"wisteriapond/config"
 	"wisteriapond/core"
+	"wisteriapond/outcome"
 )
 
 // site is a number of reducers with the messages between them and a platform,
@@ -45,6 +46,11 @@
 	counted map[string]int64
 	probes  []probe
 	starts  []started
+
+	// serve is the time that backend servers take for a request; 0 means that
+	// they do not answer.
+	serve   time.Duration
+	answers []answer
 }
 
 type entry struct {
@@ -80,6 +86,13 @@
 	limit   int64
 }
 
+type answer struct {
+	at      core.Instant
+	host    *entry
+	run     int
+	attempt core.AttemptID
+}
+
 type started struct {
 	at      core.Instant
 	address string
@@ -192,6 +205,9 @@
 		w.step(h, core.ProbeFinished{Service: e.Service, Upstream: e.Upstream, Took: time.Millisecond})
 	case core.StartAttempt:
 		w.starts = append(w.starts, started{at: w.now, address: e.Address})
+		if w.serve > 0 {
+			w.answers = append(w.answers, answer{at: w.now.Add(w.serve), host: h, run: h.run, attempt: e.Attempt})
+		}
 	case core.Count:
 		w.counted[string(e.Counter)+"/"+e.Label] += e.Add
 	case core.Exit:
@@ -219,6 +235,7 @@
 	for end := w.now.Add(d); w.now < end; {
 		w.now = w.now.Add(tick)
 		w.deliver()
+		w.answer()
 		for _, h := range w.hosts {
 			w.tickIfDue(h)
 		}
@@ -228,6 +245,18 @@
 	}
 }
 
+// answer ends the attempts whose time has come.
+func (w *site) answer() {
+	for len(w.answers) > 0 && w.answers[0].at <= w.now {
+		a := w.answers[0]
+		w.answers = w.answers[1:]
+		if a.host.run == a.run && !a.host.off && !a.host.paused {
+			facts := outcome.Facts{Wrote: true, Status: 200, Load: -1}
+			w.step(a.host, core.AttemptFinished{Attempt: a.attempt, Facts: facts})
+		}
+	}
+}
+
 func (w *site) deliver() {
 	var due []packet
 	w.network = slices.DeleteFunc(w.network, func(p packet) bool {
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -9,7 +9,7 @@
 const (
 	// window is the time over which the highest use of a unit is remembered.
 	// Slots beyond it are given back.
-	window = time.Second
+	window = 5 * time.Second
 	// askSpacing is the least time between two asks for one unit.
 	askSpacing = 5 * time.Millisecond
 	// repeatAfter is the time after which an unanswered ask is repeated. It is
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -10,7 +10,7 @@
 const (
 	// rotateAfter is the time after which a slot may be recalled for a holder
 	// that has none, when there are more holders than slots.
-	rotateAfter = 200 * time.Millisecond
+	rotateAfter = 25 * time.Millisecond
 	// maxRecalls bounds the slots of a unit that are recalled at once.
 	maxRecalls = 8
 	// maxSessions and maxUnits bound the tables of an owner.
