core: let a starting host ask its peers before the configuration service

Change: peers have 300 ms before a starting host turns to the service, and a starting host asks up to three peers for parts, whatever version they have.

--- a/core/configuration.go
+++ b/core/configuration.go
@@ -13,6 +13,12 @@
 	// startupTime is the longest time for which a starting host waits for its
 	// peers' versions before it takes requests.
 	startupTime = 2 * time.Second
+	// peersFirst is the time that a starting host gives its peers before it
+	// turns to the configuration service. A restart would otherwise read every
+	// part from there.
+	peersFirst = 300 * time.Millisecond
+	// startSources is the number of peers that a starting host asks for parts.
+	startSources = 3
 	// manifestAnswer is the wait for a manifest from a peer before another one
 	// is asked.
 	manifestAnswer = time.Second
@@ -48,6 +54,8 @@
 	// readFailures counts failed reads of the manifest since the last success.
 	readFailures int
 	nextRead     Instant
+	// platformFrom is the end of the time that peers are given at a start.
+	platformFrom Instant
 	nextHostList Instant
 	patch        patchCache
 }
@@ -116,6 +124,11 @@
 	s.documents.startup = startup{until: s.now.Add(startupTime), waiting: slices.Clone(peers)}
 	s.documents.nextHostList = s.now.Add(hostListEvery)
 	s.out.add(ReadHostList{})
+	if len(peers) > 0 {
+		s.documents.platformFrom = s.now.Add(peersFirst)
+		s.documents.nextRead = s.documents.platformFrom
+		s.wake(s.documents.platformFrom)
+	}
 	s.updateWatch()
 	s.wake(s.documents.startup.until)
 }
@@ -123,6 +136,9 @@
 // updateWatch starts or ends the watch of the manifest as members change.
 func (s *State) updateWatch() {
 	watches := generation.Watches(s.self.Host, s.members.LiveMembers())
+	if s.members.Live() == 0 && s.now.Before(s.documents.platformFrom) {
+		watches = false
+	}
 	if watches == s.documents.watching {
 		return
 	}
@@ -134,6 +150,14 @@
 	s.out.add(StopWatching{})
 }
 
+// updateWatchAtStart begins the watch of a host whose peers did not answer.
+func (s *State) updateWatchAtStart() {
+	if s.documents.platformFrom > 0 && !s.now.Before(s.documents.platformFrom) {
+		s.documents.platformFrom = 0
+		s.updateWatch()
+	}
+}
+
 // startupAnswer notes that a peer has answered a starting host.
 func (s *State) startupAnswer(e PeerMessage) {
 	if s.documents.startup.over {
@@ -384,6 +408,11 @@
 		}
 		s.documents.wanted = nil
 	}
+	if s.table == nil {
+		for _, peer := range s.members.Sample(startSources) {
+			s.pending.collection.AddSource(peer.Address)
+		}
+	}
 	if address := s.addressOf(e.From); e.From != "" && address != "" {
 		s.pending.collection.AddSource(address)
 	}
@@ -563,6 +592,7 @@
 // that does not watch the platform reads it from there as well, since its
 // peers may have none either.
 func (s *State) tickDocuments() {
+	s.updateWatchAtStart()
 	s.requestDocuments()
 	d := &s.documents
 	if s.table == nil && !d.watching && !s.now.Before(d.nextRead) {
--- a/core/configuration_test.go
+++ b/core/configuration_test.go
@@ -79,6 +79,17 @@
 		Expect(w.counted["part_requests_total/service"] - before).To(BeNumerically("<=", 5))
 	})
 
+	// Guards against restarts that each read every part from the configuration
+	// service.
+	It("comes from peers at a restart", func() {
+		w := running(9)
+		before := w.counted["part_requests_total/service"]
+		w.start(w.hosts[8])
+		w.run(time.Second)
+		Expect(w.hosts[8].ready).To(BeTrue())
+		Expect(w.counted["part_requests_total/service"]).To(Equal(before))
+	})
+
 	// Guards against a fleet without watchers after theirs have gone.
 	It("reaches everyone after the loss of all watchers", func() {
 		w := running(9)
--- a/core/export_test.go
+++ b/core/export_test.go
@@ -1,9 +1,13 @@
 package core
 
-// WantSlots lets tests ask for slots as a waiting request does.
+// WantSlots lets tests ask for slots as a waiting request does. A host without
+// a configuration has no requests.
 func (s *State) WantSlots(at Instant, service string, waiting int, out *Effects) {
 	s.now, s.out = max(s.now, at), out
 	svc := s.services[service]
+	if svc == nil {
+		return
+	}
 	queued := svc.waiting
 	svc.waiting = max(queued, waiting)
 	s.wantSlots(svc)
--- a/core/messages_test.go
+++ b/core/messages_test.go
@@ -39,7 +39,8 @@
 		w.start(h)
 		w.run(20 * time.Millisecond)
 	}
-	w.run(30 * time.Second)
+	// The news of the starts are passed on for this long.
+	w.run(30*time.Second + time.Duration(hosts)*2*time.Second)
 	return w, list
 }
 
@@ -131,14 +132,16 @@
 	rest := w.bytes
 	w.bytes = 0
 	h := w.hosts[len(w.hosts)-1]
-	begin := w.now
+	begin, read := w.now, w.counted["part_requests_total/service"]
 	w.start(h)
 	for !h.ready && w.now.Sub(begin) < 20*time.Second {
 		w.run(tick)
 	}
 	took := w.now.Sub(begin)
-	w.run(5*time.Second - took)
+	w.run(max(0, 5*time.Second-took))
 	w.measure = false
+	reads := w.counted["part_requests_total/service"] - read
+	b.ReportMetric(float64(reads), "restart-part-reads")
 	b.ReportMetric(took.Seconds()*1000, "restart-ms-ready")
 	b.ReportMetric(float64(w.bytes-rest)/1000, "restart-kB")
 }
