--- a/config/table.go
+++ b/config/table.go
@@ -14,6 +14,7 @@
 	Manifest *Manifest
 	services []*CompiledService
 	routes   []route
+	index    routeIndex
 	headers  []string
 }
 
@@ -105,7 +106,8 @@
 }
 
 // NewTable joins compiled services into a table. The services may come in any
-// order. Two services that claim the same match are refused.
+// order. Two services that claim the same match are refused, and so is a part
+// that has another name than the manifest gives it.
 func NewTable(version Version, manifest *Manifest, services []*CompiledService) (*Table, []Problem) {
 	t := &Table{Version: version, Manifest: manifest}
 	t.services = slices.SortedFunc(slices.Values(services), func(a, b *CompiledService) int {
@@ -120,8 +122,28 @@
 		}
 	}
 	slices.SortStableFunc(t.routes, compareRoutes)
+	t.index = newRouteIndex(t.routes)
 	slices.Sort(t.headers)
-	return t, t.conflicts()
+	return t, append(t.misnamed(), t.conflicts()...)
+}
+
+func compareName(s *CompiledService, name string) int {
+	return cmp.Compare(s.Name, name)
+}
+
+// misnamed reports the names in the manifest that no part has.
+func (t *Table) misnamed() []Problem {
+	var problems []Problem
+	for _, ref := range t.Manifest.Services {
+		if _, found := slices.BinarySearchFunc(t.services, ref.Name, compareName); !found {
+			problems = append(problems, Problem{
+				Document: manifestFile,
+				Field:    "services." + ref.Name,
+				Reason:   "the part with this hash is of another service",
+			})
+		}
+	}
+	return problems
 }
 
 func (t *Table) addHeader(name string) {
@@ -156,7 +178,8 @@
 		owner, taken := owners[key]
 		if taken && owner != r.service.Name {
 			problems = append(problems, Problem{
-				Document: "services/" + r.service.Name,
+				Document: partFile(r.service.Name),
+				Line:     r.match.Line,
 				Field:    "match",
 				Reason:   "the same match is claimed by service " + owner,
 			})
@@ -180,12 +203,7 @@
 
 // Service returns the service that a request belongs to, or nil.
 func (t *Table) Service(r *Request) *CompiledService {
-	for i := range t.routes {
-		if t.routes[i].match.Matches(r) {
-			return t.routes[i].service
-		}
-	}
-	return nil
+	return t.index.find(r)
 }
 
 // Matches reports whether the request fits the description.
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -480,16 +480,7 @@
 	}
 	services := make([]*config.CompiledService, 0, len(p.manifest.Services))
 	for _, ref := range p.manifest.Services {
-		compiled := p.compiled[ref.Hash]
-		if compiled.Name != ref.Name {
-			s.refuseConfiguration(p.version, []config.Problem{{
-				Document: manifestKey,
-				Field:    "services." + ref.Name,
-				Reason:   "the part with this hash is that of service " + compiled.Name,
-			}})
-			return
-		}
-		services = append(services, compiled)
+		services = append(services, p.compiled[ref.Hash])
 	}
 	table, problems := config.NewTable(p.version, p.manifest, services)
 	if len(problems) > 0 {
@@ -515,6 +506,7 @@
 	s.updateServices()
 	s.updateLeases()
 	s.updateBudget()
+	s.shareLinks()
 	s.count(CounterConfigurations, "accepted")
 	s.out.add(Log{Message: "configuration accepted", Fields: []LogField{
 		{Key: "generation", Value: strconv.FormatUint(table.Version.Generation, 10)},
--- a/core/effect.go
+++ b/core/effect.go
@@ -45,6 +45,9 @@
 	// by the backend server while the request is under way, which leaves the
 	// outcome unknown.
 	Fresh bool
+	// Connections is the largest number of connections that this host may have
+	// to the address; 0 means no limit.
+	Connections int
 	// HoldBytes is the size up to which an answer is held whole.
 	HoldBytes int64
 	// Rate paces a long answer, in bytes per second; 0 means no pacing.
@@ -62,6 +65,8 @@
 type PassAnswer struct {
 	Attempt  AttemptID
 	Upstream string
+	// GaveUp marks the answer, so that layers above do not retry.
+	GaveUp bool
 }
 
 // Refuse tells the caller that the request was not run.
@@ -71,6 +76,8 @@
 	Service string
 	// RetryAfter is the wait suggested to the caller; 0 for none.
 	RetryAfter time.Duration
+	// GaveUp marks the answer, so that layers above do not retry.
+	GaveUp bool
 }
 
 // Fail tells the caller that the outcome of the request is unknown.
@@ -121,6 +128,9 @@
 	Address     string
 	StartBefore Instant
 	Probe       config.Probe
+	// Connections is the largest number of connections that this host may have
+	// to the address; 0 means no limit.
+	Connections int
 }
 
 // PublishView hands traffic goroutines the immutable facts they need before a
--- a/core/state.go
+++ b/core/state.go
@@ -25,6 +25,7 @@
 	stop     stopState
 	out      *Effects
 	coordination
+	traffic
 }
 
 // New returns an empty state. Its first event must be Start.
@@ -36,6 +37,7 @@
 		parts:    make(map[config.Hash]*config.CompiledService),
 	}
 	s.coordination.init(s)
+	s.traffic.init(s)
 	return s
 }
 
@@ -79,6 +81,8 @@
 		s.probeFinished(e)
 	case StatusRequested:
 		s.out.add(ReportStatus{ID: e.ID, Status: s.status()})
+	case ExplainRequested:
+		s.explain(e)
 	}
 	s.settle(event)
 	s.out = nil
@@ -92,6 +96,7 @@
 
 func (s *State) tick() {
 	s.tickCoordination()
+	s.fireTimers()
 	s.checkStop()
 }
 
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -14,8 +14,6 @@
 )
 
 const (
-	manifestKey = "manifest"
-	partPrefix  = "services/"
 	// retryPlatform is the wait after a failed call. It bounds the calls of a
 	// host while the platform is down.
 	retryPlatform = time.Second
@@ -40,13 +38,20 @@
 		h.group.Go(func() error { h.readPart(e); return nil })
 	case core.ReadHostList:
 		h.group.Go(func() error { h.readHostList(); return nil })
+	case core.StartProbe:
+		h.group.Go(func() error { h.probe(e); return nil })
 	case core.StopAccepting:
 		h.callerListener.Close()
 	case core.ReportStatus:
-		h.deliverStatus(e)
+		h.statuses.answer(e.ID, e.Status)
+	case core.ReportExplanation:
+		h.explanations.answer(e.ID, e.Explanation)
 	}
 }
 
+// ObserveStep records the time of one step.
+func (h *Host) ObserveStep(took time.Duration) { h.metrics.ObserveStep(took) }
+
 func (h *Host) writeLog(e core.Log) {
 	fields := make(log.Fields, len(e.Fields))
 	for _, field := range e.Fields {
@@ -87,7 +92,7 @@
 		switch {
 		case errors.Is(err, platform.ErrUnchanged), ctx.Err() != nil:
 		case err != nil:
-			h.platformFailed(manifestKey, err)
+			h.platformFailed(document.ManifestKey, err)
 			h.sleep(retryPlatform)
 		default:
 			etag = value.ETag
@@ -98,9 +103,9 @@
 
 // readManifest reads the manifest once.
 func (h *Host) readManifest() {
-	value, err := h.platform.Read(h.ctx, manifestKey)
+	value, err := h.platform.Read(h.ctx, document.ManifestKey)
 	if err != nil {
-		h.platformFailed(manifestKey, err)
+		h.platformFailed(document.ManifestKey, err)
 		return
 	}
 	h.manifestRead(value.Raw)
@@ -108,15 +113,15 @@
 
 func (h *Host) nextManifest(ctx context.Context, etag string) (platform.Value, error) {
 	if etag == "" {
-		return h.platform.Read(ctx, manifestKey)
+		return h.platform.Read(ctx, document.ManifestKey)
 	}
-	return h.platform.Watch(ctx, manifestKey, etag)
+	return h.platform.Watch(ctx, document.ManifestKey, etag)
 }
 
 func (h *Host) manifestRead(raw []byte) {
-	version, manifest, err := document.Manifest(manifestKey, raw)
+	version, manifest, err := document.Manifest(document.FileOf(document.ManifestKey), raw)
 	if err != nil {
-		h.loop.Send(core.DocumentRefused{Key: manifestKey, Problems: []string{err.Error()}})
+		h.loop.Send(core.DocumentRefused{Key: document.ManifestKey, Problems: document.TextsOf(err)})
 		return
 	}
 	h.loop.Send(core.ManifestRead{Version: version, Manifest: manifest, Raw: raw})
@@ -124,16 +129,16 @@
 
 // readPart reads one part once. The reducer decides when to try again.
 func (h *Host) readPart(e core.ReadPart) {
-	key := partPrefix + e.Service
+	key := document.PartKey(e.Service)
 	value, err := h.platform.Read(h.ctx, key)
 	if err != nil {
 		h.platformFailed(key, err)
 		return
 	}
 	hash := document.HashOf(value.Raw)
-	service, err := document.Service(key, value.Raw)
+	service, err := document.Service(document.FileOf(key), value.Raw)
 	if err != nil {
-		h.loop.Send(core.DocumentRefused{Key: key, Problems: []string{err.Error()}})
+		h.loop.Send(core.DocumentRefused{Key: key, Problems: document.TextsOf(err)})
 		return
 	}
 	h.loop.Send(core.PartRead{Hash: hash, Service: service, Raw: value.Raw})
@@ -148,12 +153,17 @@
 	}
 	hosts, err := document.HostList("hosts", raw)
 	if err != nil {
-		h.loop.Send(core.DocumentRefused{Key: "hosts", Problems: []string{err.Error()}})
+		h.loop.Send(core.DocumentRefused{Key: "hosts", Problems: document.TextsOf(err)})
 		return
 	}
 	h.loop.Send(core.HostListRead{Hosts: hosts})
 }
 
+func (h *Host) probe(e core.StartProbe) {
+	facts, took := h.pool.Probe(h.ctx, h.loop, e)
+	h.loop.Send(core.ProbeFinished{Service: e.Service, Upstream: e.Upstream, Facts: facts, Took: took})
+}
+
 func (h *Host) platformFailed(key string, err error) {
 	if h.ctx.Err() != nil {
 		return
@@ -170,35 +180,6 @@
 	}
 }
 
-// Status asks the control goroutine for a report.
-func (h *Host) Status(ctx context.Context) (core.Status, error) {
-	id := h.statusID.Add(1)
-	reply := make(chan core.Status, 1)
-	h.statusMu.Lock()
-	h.statuses[id] = reply
-	h.statusMu.Unlock()
-	h.loop.Send(core.StatusRequested{ID: id})
-	select {
-	case status := <-reply:
-		return status, nil
-	case <-ctx.Done():
-		h.statusMu.Lock()
-		delete(h.statuses, id)
-		h.statusMu.Unlock()
-		return core.Status{}, ctx.Err()
-	}
-}
-
-func (h *Host) deliverStatus(e core.ReportStatus) {
-	h.statusMu.Lock()
-	reply := h.statuses[e.ID]
-	delete(h.statuses, e.ID)
-	h.statusMu.Unlock()
-	if reply != nil {
-		reply <- e.Status
-	}
-}
-
 func isClosed(err error) bool {
 	return err == nil || errors.Is(err, net.ErrClosed)
 }
