core: hold queued orders back after a pause too

Cause: after a pause, non-idempotent requests were held back on arrival only.

Change: the choice of an upstream holds them back, so they wait in the queue until an answer comes or a second has passed, instead of being refused.

--- a/core/pauses_test.go
+++ b/core/pauses_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriapond/core"
+	"wisteriapond/outcome"
 )
 
 var _ = Describe("a pause of the process", func() {
@@ -55,6 +56,29 @@
 		Expect(len(w.starts)).To(BeNumerically(">", before))
 	})
 
+	// Guards against an order that waited through the pause and is sent as soon
+	// as a slot becomes free.
+	It("holds back the requests in the queue as well", func() {
+		w := running(4)
+		h := w.hosts[1]
+		first := w.request(h, "POST", "/catalogue/urn")
+		for range 30 {
+			w.request(h, "POST", "/catalogue/urn")
+		}
+		w.run(100 * time.Millisecond)
+		pauseHost(w, h, 700*time.Millisecond)
+		before := len(w.starts)
+		for i := range core.RequestID(before) {
+			w.step(h, core.AttemptFinished{
+				Attempt: core.AttemptID{Request: first + i, Number: 1},
+				Facts:   outcome.Facts{Wrote: true, Status: 200, Load: -1},
+			})
+		}
+		Expect(w.starts).To(HaveLen(before))
+		w.run(100 * time.Millisecond)
+		Expect(len(w.starts)).To(BeNumerically(">", before))
+	})
+
 	// Guards against orders that are refused for ever by a host without peers.
 	It("holds them back for a second at most", func() {
 		w := running(1)
--- a/core/picking.go
+++ b/core/picking.go
@@ -23,6 +23,9 @@
 // choose returns the upstream on which the request can start now, or nil when
 // it has to wait. usable is false when no upstream can ever take it.
 func (s *State) choose(r *request) (chosen *upstream, usable bool) {
+	if !r.idempotent && s.confirming() {
+		return nil, true
+	}
 	if u := s.trialFor(r); u != nil {
 		return u, true
 	}
--- a/core/request.go
+++ b/core/request.go
@@ -109,10 +109,6 @@
 		s.refuseRequest(r, outcome.RefusedDeadline)
 		return
 	}
-	if !r.idempotent && s.confirming() {
-		s.refuseRequest(r, outcome.RefusedNotReady)
-		return
-	}
 	if r.attempts > 0 {
 		// The configuration may have changed since the last attempt.
 		r.group = r.service.groupOf(r.labels)
