core: give the test of queued orders requests with enough time

Change: the service of that test has a time limit of a minute.

Conclusion: the test passes, and fails without the check in the choice of an upstream, as do two others.

--- a/core/pauses_test.go
+++ b/core/pauses_test.go
@@ -60,6 +60,10 @@
 	// as a slot becomes free.
 	It("holds back the requests in the queue as well", func() {
 		w := running(4)
+		patient := service("catalogue", 3)
+		patient.Timeout = time.Minute
+		w.publish(2, patient)
+		w.run(time.Second)
 		h := w.hosts[1]
 		first := w.request(h, "POST", "/catalogue/urn")
 		for range 30 {
