--- a/lease/holder.go
+++ b/lease/holder.go
@@ -21,47 +21,6 @@
 	sentLimit = 16
 )
 
-// Slot is an upstream as its holder uses it. Use.Refresh sets Size and Running;
-// the holder sets Held.
-type Slot struct {
-	Upstream string
-	// Size is the number of slots of the upstream, 0 when it is leaving.
-	Size int
-	// Running is the number of requests that this host runs there.
-	Running int
-	// Held is the number of requests that the leases allow it to run there.
-	Held int
-}
-
-// Holding is a unit as its holder uses it.
-type Holding struct {
-	Unit  Unit
-	Slots []*Slot
-	// Leased says that Held counts. Otherwise the host relies on its own
-	// counts.
-	Leased bool
-
-	link   *link
-	wanted int
-	spare  int
-	// wantedSince is the instant since which slots are wanted.
-	wantedSince time.Duration
-	// dirty is set when there is something to say, askedIn is the sequence
-	// number of the last ask that named the unit.
-	dirty    bool
-	askedIn  uint64
-	askedAt  time.Duration
-	nextAsk  time.Duration
-	queued   bool
-	settling bool
-	// frozenUntil is the end of leases granted by an earlier owner. They count
-	// until then, since the next owner waits that long.
-	frozenUntil time.Duration
-	peak        int
-	peakBefore  int
-	peakUntil   time.Duration
-}
-
 // Use tells a holder what it needs about units.
 type Use interface {
 	// Owner names the host that owns a unit by this host's view, empty when
@@ -71,12 +30,6 @@
 	Refresh(*Holding)
 }
 
-// Outgoing is an ask to be sent to an owner.
-type Outgoing struct {
-	Owner string
-	Ask   Ask
-}
-
 // Holder is what this host holds from all owners.
 type Holder struct {
 	use      Use
@@ -91,20 +44,6 @@
 	stopping bool
 }
 
-// link is the conversation with one owner.
-type link struct {
-	owner    string
-	session  uint64
-	sequence uint64
-	seen     uint64
-	answered uint64
-	fresh    bool
-	expires  time.Duration
-	nextAsk  time.Duration
-	sent     []time.Duration
-	holdings []*Holding
-}
-
 // NewHolder returns a holder without leases. The incarnation of the host keeps
 // its sessions apart from those of earlier runs.
 func NewHolder(incarnation uint64, use Use) *Holder {
@@ -167,15 +106,6 @@
 
 func compareHolding(holding *Holding, unit Unit) int { return compareUnits(holding.Unit, unit) }
 
-func (holding *Holding) slot(upstream string) *Slot {
-	for _, slot := range holding.Slots {
-		if slot.Upstream == upstream {
-			return slot
-		}
-	}
-	return nil
-}
-
 // Holding returns a unit, or nil.
 func (h *Holder) Holding(unit Unit) *Holding { return h.holdings[unit] }
 
@@ -224,14 +154,6 @@
 	h.touch(now, holding)
 }
 
-// Unmet returns the time for which slots that were asked for have not come.
-func (holding *Holding) Unmet(now time.Duration) time.Duration {
-	if holding.wanted == 0 {
-		return 0
-	}
-	return now - holding.wantedSince
-}
-
 // Touch makes sure that a unit in use is leased.
 func (h *Holder) Touch(now time.Duration, holding *Holding) {
 	if holding.link != nil || now < holding.nextAsk {
@@ -255,64 +177,6 @@
 	}
 }
 
-func (h *Holder) attach(now time.Duration, holding *Holding) {
-	owner := h.use.Owner(holding.Unit)
-	if owner == "" || now < holding.nextAsk {
-		return
-	}
-	l := h.links[owner]
-	if l == nil {
-		l = &link{owner: owner}
-		h.links[owner] = l
-		h.restart(l)
-	}
-	holding.link = l
-	holding.renew()
-	l.holdings = append(l.holdings, holding)
-}
-
-// renew makes the next ask name the unit, and lets no earlier answer count.
-func (holding *Holding) renew() {
-	holding.askedIn = holding.link.sequence + 1
-	holding.askedAt = 0
-	holding.dirty = true
-}
-
-// open reports whether the unit may be named in an ask. One ask at a time is
-// under way for a unit, since a later one voids the answer to it.
-func (holding *Holding) open(now time.Duration) bool {
-	return now >= holding.opensAt()
-}
-
-func (holding *Holding) opensAt() time.Duration {
-	if holding.askedAt == 0 || holding.askedIn <= holding.link.answered {
-		return holding.nextAsk
-	}
-	return max(holding.nextAsk, holding.askedAt+repeatAfter)
-}
-
-// detach gives up the link of a unit. What it holds counts until the leases
-// expire.
-func (h *Holder) detach(holding *Holding) {
-	l := holding.link
-	if l == nil {
-		return
-	}
-	holding.link = nil
-	holding.frozenUntil = l.expires
-	l.holdings = slices.DeleteFunc(l.holdings, func(other *Holding) bool { return other == holding })
-}
-
-// restart begins a new session, in which everything is said again.
-func (h *Holder) restart(l *link) {
-	h.session++
-	*l = link{owner: l.owner, session: h.session, fresh: true, nextAsk: l.nextAsk, holdings: l.holdings}
-	for _, holding := range l.holdings {
-		h.lapse(holding)
-		holding.renew()
-	}
-}
-
 // lapse ends the leases of a unit. The host falls back to its own counts.
 func (h *Holder) lapse(holding *Holding) {
 	if holding.Leased {
@@ -346,50 +210,6 @@
 	}
 }
 
-func (h *Holder) enqueue(holding *Holding) {
-	if !holding.queued {
-		holding.queued = true
-		h.queue = append(h.queue, holding)
-	}
-}
-
-// Receive applies an answer.
-func (h *Holder) Receive(now time.Duration, owner string, answer Answer) {
-	l := h.links[owner]
-	if l == nil || answer.Session != l.session {
-		return
-	}
-	if answer.Restart {
-		h.restart(l)
-		l.nextAsk = now
-		return
-	}
-	if answer.Sequence <= l.seen || answer.Asked > l.sequence {
-		return
-	}
-	l.seen = answer.Sequence
-	l.answered = max(l.answered, answer.Asked)
-	l.fresh = false
-	expired := l.expires
-	if sent, ok := l.sentAt(answer.Asked); ok {
-		l.expires = max(l.expires, sent+min(answer.For, Longest))
-	}
-	for _, unit := range answer.Units {
-		holding := h.holdings[unit.Unit]
-		if holding != nil && holding.link == l {
-			h.apply(now, holding, unit, answer.Asked, expired)
-		}
-	}
-}
-
-func (l *link) sentAt(sequence uint64) (time.Duration, bool) {
-	back := int(l.sequence - sequence)
-	if back >= len(l.sent) {
-		return 0, false
-	}
-	return l.sent[len(l.sent)-1-back], true
-}
-
 func (h *Holder) apply(now time.Duration, holding *Holding, answer UnitAnswer, asked uint64, expired time.Duration) {
 	if answer.Refused {
 		h.refused(now, holding, answer.Wait, expired)
@@ -443,22 +263,6 @@
 	return 0
 }
 
-func (holding *Holding) held() int {
-	sum := 0
-	for _, slot := range holding.Slots {
-		sum += slot.Held
-	}
-	return sum
-}
-
-func (holding *Holding) running() int {
-	sum := 0
-	for _, slot := range holding.Slots {
-		sum += slot.Running
-	}
-	return sum
-}
-
 // giveBack lowers what is held, unused slots first. A slot in use is claimed
 // until its request ends, and not used again.
 func (h *Holder) giveBack(holding *Holding, count int) {
@@ -488,14 +292,6 @@
 	}
 }
 
-func (holding *Holding) overdrawn() int {
-	sum := 0
-	for _, slot := range holding.Slots {
-		sum += max(0, slot.Running-slot.Held)
-	}
-	return sum
-}
-
 // Settle notices that units which use more slots than they hold use fewer than
 // before. It costs nothing when there are none.
 func (h *Holder) Settle() {
@@ -534,18 +330,6 @@
 	return h.order[first:min(first+size, len(h.order))]
 }
 
-func (h *Holder) checkLink(now time.Duration, l *link) {
-	if len(l.holdings) == 0 {
-		if now >= l.expires {
-			delete(h.links, l.owner)
-		}
-		return
-	}
-	if !l.fresh && now >= l.expires {
-		h.restart(l)
-	}
-}
-
 func (h *Holder) check(now time.Duration, holding *Holding) {
 	h.use.Refresh(holding)
 	holding.observe(now)
@@ -569,34 +353,6 @@
 	}
 }
 
-// thawed reports whether leases that an earlier owner granted have expired.
-func (holding *Holding) thawed(now time.Duration) bool {
-	return holding.Leased && holding.frozenUntil > 0 && now >= holding.frozenUntil
-}
-
-// observe remembers the highest use of the last one to two windows.
-func (holding *Holding) observe(now time.Duration) {
-	if now >= holding.peakUntil {
-		holding.peakBefore = holding.peak
-		if now >= holding.peakUntil+window {
-			holding.peakBefore = 0
-		}
-		holding.peak = 0
-		holding.peakUntil = now + window
-	}
-	holding.peak = max(holding.peak, holding.running()+holding.wanted)
-}
-
-// target is the standing share: the highest recent use and one spare slot, so
-// that the next request finds a slot held.
-func (holding *Holding) target() int {
-	highest := max(holding.peak, holding.peakBefore)
-	if highest == 0 {
-		return 0
-	}
-	return highest + 1
-}
-
 func (h *Holder) balance(now time.Duration, holding *Holding) {
 	target := holding.target()
 	if h.stopping {
@@ -616,97 +372,3 @@
 		h.enqueue(holding)
 	}
 }
-
-// confirmed reports whether the owner knows all that there is to say.
-func (holding *Holding) confirmed() bool {
-	return !holding.dirty && holding.askedIn <= holding.link.answered
-}
-
-// Busy reports whether asks may be due without a tick.
-func (h *Holder) Busy() bool { return len(h.queue) > 0 }
-
-// NextAsk returns the instant at which an ask that waits is to be sent.
-func (h *Holder) NextAsk() (at time.Duration, waits bool) {
-	for _, holding := range h.queue {
-		if holding.link == nil {
-			continue
-		}
-		if opens := holding.opensAt(); !waits || opens < at {
-			at, waits = opens, true
-		}
-	}
-	return at, waits
-}
-
-// Asks returns the asks that are due, in the order of owners. Renewals are due
-// at ticks only.
-func (h *Holder) Asks(now time.Duration, renew bool) []Outgoing {
-	var owners []string
-	add := func(owner string) {
-		if !slices.Contains(owners, owner) {
-			owners = append(owners, owner)
-		}
-	}
-	waiting := h.queue[:0]
-	for _, holding := range h.queue {
-		switch {
-		case holding.link == nil:
-			holding.queued = false
-		case !holding.open(now):
-			waiting = append(waiting, holding)
-		default:
-			holding.queued = false
-			add(holding.link.owner)
-		}
-	}
-	h.queue = waiting
-	if renew {
-		for owner, l := range h.links {
-			if len(l.holdings) > 0 && now >= l.nextAsk {
-				add(owner)
-			}
-		}
-	}
-	slices.Sort(owners)
-	asks := make([]Outgoing, 0, len(owners))
-	for _, owner := range owners {
-		asks = append(asks, Outgoing{Owner: owner, Ask: h.links[owner].ask(now, h.use)})
-	}
-	return asks
-}
-
-// ask says everything that the owner has not confirmed.
-func (l *link) ask(now time.Duration, use Use) Ask {
-	l.sequence++
-	l.nextAsk = now + RenewEvery
-	if len(l.sent) >= sentLimit {
-		l.sent = slices.Delete(l.sent, 0, 1)
-	}
-	l.sent = append(l.sent, now)
-	ask := Ask{Session: l.session, Sequence: l.sequence, Seen: l.seen, Fresh: l.fresh}
-	for _, holding := range l.holdings {
-		if holding.confirmed() || !holding.open(now) || len(ask.Units) >= maxUnitsPerAsk {
-			continue
-		}
-		holding.dirty = false
-		holding.nextAsk = now + askSpacing
-		holding.askedIn = l.sequence
-		holding.askedAt = now
-		use.Refresh(holding)
-		ask.Units = append(ask.Units, holding.ask())
-	}
-	return ask
-}
-
-func (holding *Holding) ask() UnitAsk {
-	ask := UnitAsk{Unit: holding.Unit, Wanted: holding.wanted, Spare: holding.spare}
-	for _, slot := range holding.Slots {
-		if claimed := max(slot.Held, slot.Running); claimed > 0 {
-			ask.Claims = append(ask.Claims, Slots{Upstream: slot.Upstream, Count: claimed})
-		}
-		if holding.wanted > 0 && slot.Held > slot.Running {
-			ask.Except = append(ask.Except, slot.Upstream)
-		}
-	}
-	return ask
-}
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -8,11 +8,6 @@
 )
 
 const (
-	// rotateAfter is the time after which a slot may be recalled for a holder
-	// that has none, when there are more holders than slots.
-	rotateAfter = 25 * time.Millisecond
-	// maxRecalls bounds the slots of a unit that are recalled at once.
-	maxRecalls = 8
 	// maxSessions and maxUnits bound the tables of an owner.
 	maxSessions = 4096
 	maxUnits    = 1 << 16
@@ -49,39 +44,6 @@
 	changed  map[string]*session
 }
 
-// ownedUnit is the table of one unit.
-type ownedUnit struct {
-	unit   Unit
-	sizes  []Slots
-	used   []int
-	shares map[string]*share
-	// waiting lists the shares that want slots for waiting requests, and sparing
-	// those that want spare slots, the longest wait first.
-	waiting []*share
-	sparing []*share
-	// recalls is the number of shares that were asked for a slot.
-	recalls int
-}
-
-// share is what one holder has of a unit.
-type share struct {
-	session *session
-	owned   *ownedUnit
-	granted []int
-	total   int
-	wanted  int
-	spare   int
-	except  []string
-	since   time.Duration
-	recall  bool
-	keep    int
-	refused bool
-	wait    time.Duration
-	// dirty is set until the holder has confirmed answer number changedAt.
-	dirty     bool
-	changedAt uint64
-}
-
 // session is the conversation with one holder.
 type session struct {
 	holder   string
@@ -176,8 +138,6 @@
 	})
 }
 
-func (sh *share) idle() bool { return sh.total == 0 && sh.wanted == 0 && sh.spare == 0 }
-
 // apply takes what a holder says about one unit.
 func (o *Owner) apply(now time.Duration, s *session, ask UnitAsk) {
 	duty := o.facts.Duty(ask.Unit)
@@ -226,43 +186,6 @@
 	return sh
 }
 
-func (sh *share) mark() {
-	if !sh.dirty {
-		sh.session.dirty = append(sh.session.dirty, sh)
-	}
-	sh.dirty = true
-	sh.changedAt = 0
-}
-
-func (sh *share) endRecall() {
-	if sh.recall {
-		sh.recall = false
-		sh.owned.recalls--
-	}
-}
-
-// claim takes over what the holder says that it holds: slots that it gave back
-// become free, and slots that it uses without a grant are granted if free.
-func (sh *share) claim(claims []Slots) {
-	for i, size := range sh.owned.sizes {
-		claimed := 0
-		for _, c := range claims {
-			if c.Upstream == size.Upstream {
-				claimed = c.Count
-			}
-		}
-		free := max(0, size.Count-sh.owned.used[i])
-		sh.set(i, max(0, min(claimed, sh.granted[i]+free)))
-	}
-}
-
-func (sh *share) set(i, count int) {
-	change := count - sh.granted[i]
-	sh.granted[i] = count
-	sh.total += change
-	sh.owned.used[i] += change
-}
-
 // refuse drops a share because this host does not own the unit.
 func (o *Owner) refuse(now time.Duration, sh *share, wait time.Duration) {
 	for i := range sh.granted {
@@ -276,17 +199,6 @@
 	o.changed[sh.session.holder] = sh.session
 }
 
-// queue keeps the place of a share that waits already.
-func (u *ownedUnit) queue(sh *share) {
-	u.waiting = place(u.waiting, sh, sh.wanted > 0)
-	u.sparing = place(u.sparing, sh, sh.spare > 0)
-}
-
-func (u *ownedUnit) unqueue(sh *share) {
-	u.waiting = place(u.waiting, sh, false)
-	u.sparing = place(u.sparing, sh, false)
-}
-
 // place makes a share part of a list or not.
 func place(list []*share, sh *share, in bool) []*share {
 	i := slices.Index(list, sh)
@@ -299,122 +211,6 @@
 	return list
 }
 
-// grant gives free slots to the shares that wait, then recalls slots for those
-// that still want some, then gives what is left as spare slots.
-func (o *Owner) grant(now time.Duration, u *ownedUnit) {
-	for len(u.waiting) > 0 && o.giveNext(now, u) {
-	}
-	if len(u.waiting) > 0 {
-		o.recall(now, u)
-		return
-	}
-	for _, sh := range slices.Clone(u.sparing) {
-		for sh.spare > 0 && o.give(now, sh) {
-			sh.spare--
-		}
-		u.queue(sh)
-	}
-}
-
-// giveNext grants one slot to the share with the fewest, the longest waiting
-// one among equals. A slot that was recalled would otherwise return to a host
-// that has many and still wants more.
-func (o *Owner) giveNext(now time.Duration, u *ownedUnit) bool {
-	for _, sh := range u.poorest() {
-		if o.give(now, sh) {
-			sh.wanted--
-			u.queue(sh)
-			return true
-		}
-	}
-	return false
-}
-
-// give grants one slot of the upstream with the most free slots.
-func (o *Owner) give(now time.Duration, sh *share) bool {
-	u := sh.owned
-	best, most := -1, 0
-	for i, size := range u.sizes {
-		free := size.Count - u.used[i]
-		if free > most && !slices.Contains(sh.except, size.Upstream) {
-			best, most = i, free
-		}
-	}
-	if best < 0 || sh.refused || sh.recall {
-		return false
-	}
-	sh.set(best, sh.granted[best]+1)
-	sh.since = now
-	sh.mark()
-	o.changed[sh.session.holder] = sh.session
-	return true
-}
-
-// recall asks the holders with the most slots to give one back for each share
-// that waits, the one with the fewest first.
-func (o *Owner) recall(now time.Duration, u *ownedUnit) {
-	limit := min(len(u.waiting), maxRecalls)
-	for _, wisher := range u.poorest() {
-		if u.recalls >= limit {
-			return
-		}
-		victim := u.victimFor(wisher)
-		if victim == nil || !mayRecall(now, victim, wisher) {
-			continue
-		}
-		victim.recall = true
-		victim.keep = victim.total - 1
-		u.recalls++
-		victim.mark()
-		o.changed[victim.session.holder] = victim.session
-	}
-}
-
-// poorest returns the shares that wait, those with the fewest slots first and
-// the longest waiting first among equals.
-func (u *ownedUnit) poorest() []*share {
-	order := slices.Clone(u.waiting)
-	slices.SortStableFunc(order, func(a, b *share) int { return cmp.Compare(a.total, b.total) })
-	return order
-}
-
-// victimFor returns the share with the most slots, the longest held among
-// equals.
-func (u *ownedUnit) victimFor(wisher *share) *share {
-	var victim *share
-	for _, sh := range u.shares {
-		if sh == wisher || sh.recall || !sh.usable(wisher.except) {
-			continue
-		}
-		if victim == nil || sh.richer(victim) {
-			victim = sh
-		}
-	}
-	return victim
-}
-
-// richer is a total order, so that the choice does not depend on the order of
-// a map.
-func (sh *share) richer(other *share) bool {
-	if sh.total != other.total {
-		return sh.total > other.total
-	}
-	if sh.since != other.since {
-		return sh.since < other.since
-	}
-	return sh.session.holder < other.session.holder
-}
-
-// usable reports whether the share has a slot outside of the given upstreams.
-func (sh *share) usable(except []string) bool {
-	for i, granted := range sh.granted {
-		if granted > 0 && !slices.Contains(except, sh.owned.sizes[i].Upstream) {
-			return true
-		}
-	}
-	return false
-}
-
 // mayRecall lets slots move towards equal shares. A difference of one slot is
 // left as it is, since moving it would only exchange the places; a holder
 // without any slot gets its turn.
@@ -463,14 +259,6 @@
 	}
 }
 
-func (u *ownedUnit) remove(sh *share) {
-	u.unqueue(sh)
-	sh.endRecall()
-	if u.shares[sh.session.holder] == sh {
-		delete(u.shares, sh.session.holder)
-	}
-}
-
 // ViewChanged drops the units that this host no longer owns.
 func (o *Owner) ViewChanged(now time.Duration) {
 	for _, unit := range slices.SortedFunc(maps.Keys(o.units), compareUnits) {
@@ -503,29 +291,6 @@
 	o.grant(now, u)
 }
 
-func (u *ownedUnit) resize(sizes []Slots) {
-	old := u.sizes
-	u.sizes = sizes
-	u.used = make([]int, len(sizes))
-	for _, holder := range slices.Sorted(maps.Keys(u.shares)) {
-		u.shares[holder].resize(old)
-	}
-}
-
-func (sh *share) resize(old []Slots) {
-	granted := sh.granted
-	sh.granted = make([]int, len(sh.owned.sizes))
-	sh.total = 0
-	for i, size := range sh.owned.sizes {
-		before := slices.IndexFunc(old, func(s Slots) bool { return s.Upstream == size.Upstream })
-		if before >= 0 {
-			free := max(0, size.Count-sh.owned.used[i])
-			sh.set(i, min(granted[before], free))
-		}
-	}
-	sh.mark()
-}
-
 // Replies returns the answers that are due, in the order of holders.
 func (o *Owner) Replies() []Reply {
 	if len(o.changed) == 0 {
@@ -554,17 +319,3 @@
 	}
 	return answer
 }
-
-func (sh *share) answer() UnitAnswer {
-	answer := UnitAnswer{Unit: sh.owned.unit, Refused: sh.refused, Wait: sh.wait}
-	if sh.refused {
-		return answer
-	}
-	answer.Recall, answer.Keep = sh.recall, sh.keep
-	for i, count := range sh.granted {
-		if count > 0 {
-			answer.Grants = append(answer.Grants, Slots{Upstream: sh.owned.sizes[i].Upstream, Count: count})
-		}
-	}
-	return answer
-}
