core: split the taking of a configuration into smaller files

Change: no change of behaviour. configuration.go collects and adopts versions, documents.go exchanges documents with peers and the service, startup.go decides when a starting host is ready.

--- a/core/configuration.go
+++ b/core/configuration.go
@@ -3,97 +3,18 @@
 import (
 	"slices"
 	"strconv"
-	"time"
 
 	"wisteriapond/config"
 	"wisteriapond/generation"
 )
 
 const (
-	// startupTime is the longest time for which a starting host waits for its
-	// peers' versions before it takes requests.
-	startupTime = 2 * time.Second
-	// peersFirst is the time that a starting host gives its peers before it
-	// turns to the configuration service. A restart would otherwise read every
-	// part from there.
-	peersFirst = 300 * time.Millisecond
-	// startSources is the number of peers that a starting host asks for parts.
-	startSources = 3
-	// manifestAnswer is the wait for a manifest from a peer before another one
-	// is asked.
-	manifestAnswer = time.Second
-	// maxManifestSources bounds the peers remembered as having a version.
-	maxManifestSources = 8
 	// maxRefused bounds the versions remembered as refused.
-	maxRefused = 8
-	// maxDocument is the size limit of documents, in bytes.
-	maxDocument = 1 << 20
-	// hostListEvery is the time between two reads of the host list by a host
-	// that watches the platform, hostListRarely that of the others, who learn
-	// leaving marks from their peers.
-	hostListEvery  = time.Second
-	hostListRarely = 30 * time.Second
-	partKeyPrefix  = "services/"
-	manifestKey    = "manifest"
+	maxRefused    = 8
+	partKeyPrefix = "services/"
+	manifestKey   = "manifest"
 )
 
-// documents is how a host gets from one version to the next.
-type documents struct {
-	// manifest and parts are the bytes of the version in force, previous is
-	// the manifest before it. Peers are served from them.
-	manifest document
-	previous document
-	parts    map[config.Hash][]byte
-	wanted   *wantedManifest
-	refused  []config.Version
-	// alarmed is the last version for which another document of the same
-	// generation was reported.
-	alarmed  config.Version
-	watching bool
-	startup  startup
-	// readFailures counts failed reads of the manifest since the last success.
-	readFailures int
-	nextRead     Instant
-	// platformFrom is the end of the time that peers are given at a start.
-	platformFrom Instant
-	nextHostList Instant
-	patch        patchCache
-}
-
-type document struct {
-	hash config.Hash
-	raw  []byte
-}
-
-// patchCache holds the last patch, since all peers ask for the same one.
-type patchCache struct {
-	from, to config.Hash
-	patch    *generation.Patch
-}
-
-// wantedManifest is a version that peers have and this host does not.
-type wantedManifest struct {
-	version config.Version
-	sources []string
-	turn    int
-	askAt   Instant
-}
-
-// startup tracks what a starting host waits for.
-type startup struct {
-	until   Instant
-	waiting []string
-	over    bool
-}
-
-func (u *startup) answered(address string) {
-	u.waiting = slices.DeleteFunc(u.waiting, func(other string) bool { return other == address })
-}
-
-func (d *documents) init() {
-	d.parts = make(map[config.Hash][]byte)
-}
-
 // pendingConfiguration is a version whose parts are being collected.
 type pendingConfiguration struct {
 	version    config.Version
@@ -119,106 +40,6 @@
 	return &version
 }
 
-// startDocuments asks the platform and the peers for what is in force.
-func (s *State) startDocuments(peers []string) {
-	s.documents.startup = startup{until: s.now.Add(startupTime), waiting: slices.Clone(peers)}
-	s.documents.nextHostList = s.now.Add(hostListEvery)
-	s.out.add(ReadHostList{})
-	if len(peers) > 0 {
-		s.documents.platformFrom = s.now.Add(peersFirst)
-		s.documents.nextRead = s.documents.platformFrom
-		s.wake(s.documents.platformFrom)
-	}
-	s.updateWatch()
-	s.wake(s.documents.startup.until)
-}
-
-// updateWatch starts or ends the watch of the manifest as members change.
-func (s *State) updateWatch() {
-	watches := generation.Watches(s.self.Host, s.members.LiveMembers())
-	if s.members.Live() == 0 && s.now.Before(s.documents.platformFrom) {
-		watches = false
-	}
-	if watches == s.documents.watching {
-		return
-	}
-	s.documents.watching = watches
-	if watches {
-		s.out.add(WatchManifest{Have: s.inForce()})
-		return
-	}
-	s.out.add(StopWatching{})
-}
-
-// updateWatchAtStart begins the watch of a host whose peers did not answer.
-func (s *State) updateWatchAtStart() {
-	if s.documents.platformFrom > 0 && !s.now.Before(s.documents.platformFrom) {
-		s.documents.platformFrom = 0
-		s.updateWatch()
-	}
-}
-
-// startupAnswer notes that a peer has answered a starting host.
-func (s *State) startupAnswer(e PeerMessage) {
-	if s.documents.startup.over {
-		return
-	}
-	s.documents.startup.answered(e.Address)
-	if e.Message.Membership != nil {
-		s.documents.startup.answered(e.Message.Membership.Sender.Member.Address)
-	}
-	defer s.updateReady()
-}
-
-// documentsHeard takes the parts of a message that are about documents.
-func (s *State) documentsHeard(e PeerMessage) {
-	m := &e.Message
-	if m.Accepted != nil {
-		s.versionHeard(*m.Accepted, e.Address)
-	}
-	if m.WantManifest != nil {
-		s.serveManifest(e.Address, *m.WantManifest)
-	}
-	if len(m.WantParts) > 0 {
-		s.serveParts(e.Address, m.WantParts)
-	}
-	if len(m.Manifest) > 0 {
-		s.out.add(ParseManifest{Raw: m.Manifest, From: e.From})
-	}
-	if m.Patch != nil {
-		s.applyPatch(m.Patch, e.From)
-	}
-	if len(m.Part) > 0 {
-		s.out.add(ParsePart{Raw: m.Part, From: e.From})
-	}
-	if len(m.Lacking) > 0 {
-		s.documentsLacking(m.Lacking)
-	}
-	s.requestDocuments()
-}
-
-// versionHeard notes that a peer has a version in force.
-func (s *State) versionHeard(version config.Version, address string) {
-	if !s.isNews(version) || address == "" {
-		return
-	}
-	if s.pending != nil && s.pending.version == version {
-		s.pending.collection.AddSource(address)
-		return
-	}
-	if s.pending != nil && version.Less(s.pending.version) {
-		return
-	}
-	w := s.documents.wanted
-	if w == nil || w.version.Less(version) {
-		w = &wantedManifest{version: version}
-		s.documents.wanted = w
-	}
-	if w.version == version && len(w.sources) < maxManifestSources && !slices.Contains(w.sources, address) {
-		w.sources = append(w.sources, address)
-	}
-}
-
 // isNews reports whether a version is higher than the one in force and was not
 // refused. It raises an alarm for two documents of one generation: an operator
 // has published a generation twice.
@@ -239,28 +60,6 @@
 	return force.Less(version) && !slices.Contains(s.documents.refused, version)
 }
 
-// requestDocuments asks for what is missing and due.
-func (s *State) requestDocuments() {
-	s.requestManifest()
-	if s.pending == nil {
-		return
-	}
-	for _, request := range s.pending.collection.Requests(time.Duration(s.now)) {
-		s.count(CounterPartRequests, sourceLabel(request.Peer))
-		if request.Peer == "" {
-			for _, part := range request.Parts {
-				s.out.add(ReadPart{Service: part.Service, Hash: part.Hash})
-			}
-			continue
-		}
-		hashes := make([]config.Hash, 0, len(request.Parts))
-		for _, part := range request.Parts {
-			hashes = append(hashes, part.Hash)
-		}
-		s.send(request.Peer, Message{WantParts: hashes})
-	}
-}
-
 func sourceLabel(peer string) string {
 	if peer == "" {
 		return "service"
@@ -268,87 +67,6 @@
 	return "peer"
 }
 
-// requestManifest asks one of the peers that have the wanted version, the next
-// one when no answer came.
-func (s *State) requestManifest() {
-	w := s.documents.wanted
-	if w == nil || s.now.Before(w.askAt) || len(w.sources) == 0 {
-		return
-	}
-	address := w.sources[w.turn%len(w.sources)]
-	w.turn++
-	w.askAt = s.now.Add(manifestAnswer)
-	request := &ManifestRequest{Version: w.version, Have: s.documents.manifest.hash}
-	s.send(address, Message{WantManifest: request})
-}
-
-func (s *State) serveManifest(address string, request ManifestRequest) {
-	d := &s.documents
-	if s.table == nil || s.table.Version != request.Version {
-		s.send(address, Message{Lacking: []config.Hash{request.Version.Hash}, Accepted: s.acceptedVersion()})
-		return
-	}
-	if patch := d.patchFrom(request.Have); patch != nil {
-		s.send(address, Message{Patch: patch})
-		return
-	}
-	s.send(address, Message{Manifest: d.manifest.raw})
-}
-
-// patchFrom returns the difference between the manifest before and the one in
-// force, or nil when the receiver has neither.
-func (d *documents) patchFrom(have config.Hash) *generation.Patch {
-	if have == "" || have != d.previous.hash {
-		return nil
-	}
-	if d.patch.from != have || d.patch.to != d.manifest.hash {
-		patch := generation.Diff(have, d.previous.raw, d.manifest.raw)
-		d.patch = patchCache{from: have, to: d.manifest.hash, patch: patch}
-	}
-	return d.patch.patch
-}
-
-func (s *State) applyPatch(patch *generation.Patch, from string) {
-	if patch.Base != s.documents.manifest.hash {
-		return
-	}
-	raw, err := generation.Apply(s.documents.manifest.raw, patch, maxDocument)
-	if err != nil {
-		s.count(CounterConfigurations, "bad_patch")
-		return
-	}
-	s.out.add(ParseManifest{Raw: raw, From: from})
-}
-
-// serveParts sends the parts asked for, each in a message of its own, since
-// one may be as large as 1 MB.
-func (s *State) serveParts(address string, hashes []config.Hash) {
-	var lacking []config.Hash
-	for _, hash := range hashes[:min(len(hashes), generation.MaxPartsPerPeer)] {
-		raw := s.documents.parts[hash]
-		if raw == nil {
-			lacking = append(lacking, hash)
-			continue
-		}
-		s.send(address, Message{Part: raw})
-	}
-	if len(lacking) > 0 {
-		s.send(address, Message{Lacking: lacking})
-	}
-}
-
-// documentsLacking asks the next source for what a peer does not have.
-func (s *State) documentsLacking(hashes []config.Hash) {
-	if w := s.documents.wanted; w != nil && slices.Contains(hashes, w.version.Hash) {
-		w.askAt = s.now
-	}
-	if s.pending != nil {
-		s.pending.collection.Failed(time.Duration(s.now), func(part generation.Part) bool {
-			return slices.Contains(hashes, part.Hash)
-		})
-	}
-}
-
 // manifestRead begins to collect a version. Older versions and the one in
 // force are ignored, since a version that was accepted never reverts.
 func (s *State) manifestRead(e ManifestRead) {
@@ -464,15 +182,6 @@
 	s.partFailed(e.Service.Name)
 }
 
-func (s *State) partFailed(service string) {
-	if s.pending == nil {
-		return
-	}
-	s.pending.collection.Failed(time.Duration(s.now), func(part generation.Part) bool {
-		return part.Service == service
-	})
-}
-
 func (s *State) adoptWhenComplete() {
 	p := s.pending
 	if p == nil || p.collection.Missing() > 0 {
@@ -566,58 +275,3 @@
 	}})
 	s.documentFailed(e.Key)
 }
-
-// documentFailed plans another read after a pause that grows.
-func (s *State) documentFailed(key string) {
-	if key == manifestKey {
-		s.documents.readFailures++
-		s.documents.nextRead = s.now.Add(generation.Pause(s.documents.readFailures))
-		return
-	}
-	if len(key) > len(partKeyPrefix) && key[:len(partKeyPrefix)] == partKeyPrefix {
-		s.partFailed(key[len(partKeyPrefix):])
-		s.requestDocuments()
-	}
-}
-
-// tickDocuments repeats what was not answered. A host without a configuration
-// that does not watch the platform reads it from there as well, since its
-// peers may have none either.
-func (s *State) tickDocuments() {
-	s.updateWatchAtStart()
-	s.requestDocuments()
-	d := &s.documents
-	if s.table == nil && !d.watching && !s.now.Before(d.nextRead) {
-		d.nextRead = s.now.Add(generation.Pause(d.readFailures))
-		s.out.add(ReadManifest{})
-	}
-	if !s.now.Before(d.nextHostList) {
-		d.nextHostList = s.now.Add(hostListRarely)
-		if d.watching {
-			d.nextHostList = s.now.Add(hostListEvery)
-		}
-		s.out.add(ReadHostList{})
-	}
-	s.updateReady()
-}
-
-// startupOver reports whether a starting host has heard from every peer that
-// it can reach and has the highest version they named, or has waited enough.
-func (s *State) startupOver() bool {
-	u := &s.documents.startup
-	if u.over {
-		return true
-	}
-	caughtUp := len(u.waiting) == 0 && s.documents.wanted == nil && s.pending == nil
-	u.over = s.table != nil && (caughtUp || !s.now.Before(u.until))
-	return u.over
-}
-
-func (s *State) updateReady() {
-	ready := s.table != nil && s.startupOver() && !s.stop.requested
-	if ready == s.ready {
-		return
-	}
-	s.ready = ready
-	s.out.add(SetReady{Ready: ready})
-}
