core: take a manifest from a peer only if it is the one asked for

Cause: a patch that goes wrong gives a document that nobody published, with the wanted generation and another hash. With a greater hash it would have been adopted.

Change: a manifest from a peer counts only when its version is the one asked for; otherwise the whole manifest is asked for.

Conclusion: the new test fails without the check.

--- a/core/configuration.go
+++ b/core/configuration.go
@@ -74,6 +74,9 @@
 		s.documents.readFailures = 0
 		s.pauseAnswered()
 		s.noteStale(e.Version)
+	} else if !s.expected(e) {
+		s.requestDocuments()
+		return
 	}
 	if !s.isNews(e.Version) {
 		return
--- a/core/configuration_test.go
+++ b/core/configuration_test.go
@@ -288,6 +288,21 @@
 }
 
 var _ = Describe("a manifest", func() {
+	// Guards against a patch that went wrong and passes for a version that
+	// nobody has published.
+	It("from a peer is taken only if it is the one asked for", func() {
+		w := newSite(2)
+		first := w.publish(1, changed("catalogue", 1))
+		w.startAll()
+		w.run(3 * time.Second)
+		forged := w.documents[first.Hash].(core.ManifestRead)
+		forged.From = w.hosts[0].name
+		forged.Version.Generation = 2
+		w.step(w.hosts[1], forged)
+		w.run(3 * time.Second)
+		Expect(w.status(w.hosts[1]).Version).To(Equal(first))
+	})
+
 	// Guards against 10,000 changes a day that each send the hashes of all
 	// services to all hosts.
 	It("reaches peers that have the one before as a patch", func() {
--- a/core/documents.go
+++ b/core/documents.go
@@ -63,6 +63,8 @@
 	sources []string
 	turn    int
 	askAt   Instant
+	// whole is set when a patch did not give the wanted version.
+	whole bool
 }
 
 func (d *documents) init() {
@@ -150,7 +152,10 @@
 	address := w.sources[w.turn%len(w.sources)]
 	w.turn++
 	w.askAt = s.now.Add(manifestAnswer)
-	request := &ManifestRequest{Version: w.version, Have: s.documents.manifest.hash}
+	request := &ManifestRequest{Version: w.version}
+	if !w.whole {
+		request.Have = s.documents.manifest.hash
+	}
 	s.send(address, Message{WantManifest: request})
 }
 
@@ -186,12 +191,34 @@
 	}
 	raw, err := generation.Apply(s.documents.manifest.raw, patch, maxDocument)
 	if err != nil {
-		s.count(CounterConfigurations, "bad_patch")
+		s.patchFailed()
 		return
 	}
 	s.out.add(ParseManifest{Raw: raw, From: from})
 }
 
+// patchFailed asks for the whole manifest.
+func (s *State) patchFailed() {
+	s.count(CounterConfigurations, "bad_patch")
+	if w := s.documents.wanted; w != nil {
+		w.whole = true
+		w.askAt = s.now
+	}
+}
+
+// expected reports whether a manifest from a peer is the one asked for. A patch
+// that went wrong would otherwise pass for a version that nobody published.
+func (s *State) expected(e ManifestRead) bool {
+	w := s.documents.wanted
+	if w == nil || w.version == e.Version {
+		return w != nil
+	}
+	if !w.whole && w.version.Generation == e.Version.Generation {
+		s.patchFailed()
+	}
+	return false
+}
+
 // serveParts sends the parts asked for, each in a message of its own, since
 // one may be as large as 1 MB.
 func (s *State) serveParts(address string, hashes []config.Hash) {
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -98,7 +98,7 @@
 		string(core.CounterConfigurations), KindCounter,
 		[]string{"verdict"},
 		"documents",
-		"Configurations by verdict: `accepted` or `refused`.",
+		"Configurations and documents by verdict: `accepted`, `refused`, `stale` (the service is behind), `conflict` (two manifests of one generation), `part_mismatch` and `bad_patch`.",
 	},
 	{
 		string(core.CounterMembers), KindCounter,
