--- a/core/documents.go
+++ b/core/documents.go
@@ -34,7 +34,10 @@
 	refused  []config.Version
 	// alarmed is the last version for which another document of the same
 	// generation was reported.
-	alarmed  config.Version
+	alarmed config.Version
+	// reported is the content of the manifest and of the host list that was
+	// reported as refused last, by key.
+	reported map[string]config.Hash
 	watching bool
 	startup  startup
 	// readFailures counts failed reads of the manifest since the last success.
@@ -69,6 +72,7 @@
 
 func (d *documents) init() {
 	d.parts = make(map[config.Hash][]byte)
+	d.reported = make(map[string]config.Hash)
 }
 
 // documentsHeard takes the parts of a message that are about documents.
--- a/core/probes.go
+++ b/core/probes.go
@@ -147,6 +147,7 @@
 		Address:     u.config.Address,
 		StartBefore: s.now.Add(startExpiry),
 		Probe:       svc.config.Probe,
+		Connections: s.connectionShare(u),
 	})
 }
 
--- a/core/traffic.go
+++ b/core/traffic.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"wisteriapond/pick"
 	"wisteriapond/queue"
 )
@@ -13,6 +15,10 @@
 	policy      pick.Policy
 	choice      pick.Choice
 	draw        pick.Draw
+	// retryAfterCap is the longest wait that a backend server may ask for.
+	retryAfterCap time.Duration
+	// drains lists the services whose queue is looked at when the step ends.
+	drains []*service
 	// transfers are the long answers under way from each other region.
 	transfers map[string][]*request
 }
@@ -22,6 +28,7 @@
 	t.transfers = make(map[string][]*request)
 	t.policy = pick.Held
 	t.draw = s.random.below
+	t.retryAfterCap = maxRetryAfter
 }
 
 // timer is something that has to happen at an instant: the end of a request's
@@ -37,7 +44,7 @@
 	alarm.At = int64(at)
 	s.timers.Add(alarm)
 	if s.timers.First() == alarm && at.Before(s.now.Add(TickInterval)) {
-		s.out.add(WakeAt{At: at})
+		s.wake(at)
 	}
 }
 
@@ -56,6 +63,6 @@
 		}
 	}
 	if first := s.timers.First(); first != nil && Instant(first.At).Before(s.now.Add(TickInterval)) {
-		s.out.add(WakeAt{At: Instant(first.At)})
+		s.wake(Instant(first.At))
 	}
 }
