--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -1,6 +1,10 @@
 package metrics
 
-import "wisteriapond/core"
+import (
+	"slices"
+
+	"wisteriapond/core"
+)
 
 // Kind tells the kinds of metrics apart.
 type Kind string
@@ -9,6 +13,7 @@
 const (
 	KindCounter   Kind = "counter"
 	KindHistogram Kind = "histogram"
+	KindGauge     Kind = "gauge"
 )
 
 // Description says what a metric means. docs/metrics.md lists the same.
@@ -27,7 +32,7 @@
 	stepSeconds    = "step_seconds"
 )
 
-var descriptions = []Description{
+var trafficDescriptions = []Description{
 	{
 		string(core.CounterRequests), KindCounter,
 		[]string{"service"},
@@ -98,7 +103,7 @@
 		string(core.CounterConfigurations), KindCounter,
 		[]string{"verdict"},
 		"documents",
-		"Configurations by verdict: `accepted` or `refused`.",
+		"Configurations by verdict: `accepted`, `refused`, `stale` (older than the one in force), `conflict` (another one of the same generation) or `part_mismatch` (a part with other content than the manifest names).",
 	},
 	{
 		string(core.CounterMembers), KindCounter,
@@ -178,6 +183,8 @@
 	},
 }
 
+var descriptions = slices.Concat(trafficDescriptions, transportDescriptions)
+
 // Descriptions lists every metric of the system.
 func Descriptions() []Description { return descriptions }
 
