--- a/caller/hangup_test.go
+++ b/caller/hangup_test.go
@@ -61,6 +61,26 @@
 		Entry("with a streamed body", order+"Content-Length: 200000\r\n\r\n"+strings.Repeat("urns", 50000)),
 	)
 
+	// Guards against a place in the queue for nobody.
+	It("while its request waits frees its place", func() {
+		w := serveWaiting()
+		config := service(w.address())
+		config.Upstreams = config.Upstreams[:1]
+		config.Upstreams[0].Slots = 1
+		sys := start(config)
+		running, queued := sys.dial(), sys.dial()
+		running.send(lead + "\r\n")
+		Eventually(w.requests).WithTimeout(patience).Should(HaveLen(1))
+		queued.send(lead + "\r\n")
+		Eventually(sys.loop.Open).WithTimeout(patience).Should(Equal(2))
+		queued.Close()
+		Eventually(sys.loop.Open).WithTimeout(patience).Should(Equal(1))
+		Expect(w.requests()).To(HaveLen(1))
+		close(w.release)
+		_, body := running.answer("GET")
+		Expect(body).To(Equal("urns"))
+	})
+
 	// Guards against a backend server that gets the rest of a body from nobody.
 	It("within its streamed body frees the attempt", func() {
 		read := make(chan int, 1)
