--- a/cli/demo.go
+++ b/cli/demo.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -23,6 +24,7 @@
 	// Offsets from the base port of the demo.
 	demoAdminOffset    = 10
 	demoPlatformOffset = 20
+	demoPeerOffset     = 30
 	demoHeaderTimeout  = 5 * time.Second
 	demoReadyTimeout   = 10 * time.Second
 	demoReadyInterval  = 20 * time.Millisecond
@@ -55,7 +57,7 @@
 		return errors.Join(err, d.stop())
 	}
 	d.describe(stdout)
-	return d.group.Wait()
+	return d.wait()
 }
 
 // demo is a whole deployment in one process.
@@ -65,6 +67,7 @@
 	group    *errgroup.Group
 	basePort int
 	logs     io.Writer
+	keys     *demoKeys
 
 	platform   *standin.Platform
 	deployment *standin.Deployment
@@ -75,10 +78,15 @@
 }
 
 func startDemo(ctx context.Context, basePort int, logs io.Writer) (*demo, error) {
+	demoKeys, err := newDemoKeys()
+	if err != nil {
+		return nil, err
+	}
 	platform := standin.NewPlatform()
 	d := &demo{
 		basePort:   basePort,
 		logs:       logs,
+		keys:       demoKeys,
 		platform:   platform,
 		deployment: standin.NewDeployment(platform),
 		backends:   make(map[string]*standin.Backend),
@@ -96,6 +104,12 @@
 // stop ends the demo and waits for its end.
 func (d *demo) stop() error {
 	d.cancel()
+	return d.wait()
+}
+
+// wait waits for the end of the demo and removes its keys.
+func (d *demo) wait() error {
+	defer d.keys.remove()
 	return d.group.Wait()
 }
 
@@ -135,19 +149,29 @@
 }
 
 func (d *demo) startEntryHosts() error {
+	var peers []string
 	for i, place := range demoEntryPlaces {
+		name := fmt.Sprintf("entry-%d", i+1)
+		hostKeys, err := d.keys.forHost(name)
+		if err != nil {
+			return err
+		}
 		host, err := entryhost.New(&settings.Settings{
-			Host:          fmt.Sprintf("entry-%d", i+1),
+			Host:          name,
 			Region:        place.region,
 			FailureDomain: place.failureDomain,
 			Listen:        d.address(i),
 			Admin:         d.address(demoAdminOffset + i),
 			Platform:      d.url,
 			AcceptFor:     document.Duration(demoAcceptFor),
+			PeerListen:    d.address(demoPeerOffset + i),
+			Peers:         slices.Clone(peers),
+			Keys:          hostKeys,
 		}, newLogger(d.logs))
 		if err != nil {
 			return fmt.Errorf("%w (--base-port chooses other ports)", err)
 		}
+		peers = append(peers, host.PeerAddress())
 		d.hosts = append(d.hosts, host)
 		context.AfterFunc(d.ctx, host.Stop)
 		d.group.Go(func() error { return host.Run(context.WithoutCancel(d.ctx)) })
