--- a/backend/pool.go
+++ b/backend/pool.go
@@ -83,6 +83,7 @@
 			return nil
 		}
 		if time.Since(c.idleSince) < p.idleTimeout && c.checkIdle() == nil {
+			c.takeReader()
 			return c
 		}
 		p.drop(c)
@@ -133,7 +134,7 @@
 		generation = a.generation
 	})
 	if evicted != nil {
-		evicted.Close()
+		evicted.close()
 	}
 	return reserved, generation
 }
@@ -146,7 +147,7 @@
 
 // drop closes a connection.
 func (p *Pool) drop(c *connection) {
-	c.Close()
+	c.close()
 	c.home.release()
 }
 
@@ -161,6 +162,7 @@
 
 func (a *address) keep(c *connection) bool {
 	c.idleSince = time.Now()
+	c.freeReader()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if c.generation != a.generation || len(a.idle) >= maxIdlePerAddress {
@@ -181,6 +183,6 @@
 		a.open -= len(idle)
 	})
 	for _, c := range idle {
-		c.Close()
+		c.close()
 	}
 }
--- a/caller/messages.go
+++ b/caller/messages.go
@@ -26,5 +26,6 @@
 	outcome.FailedMalformed: "the answer of the backend server breaks the protocol; it may have run the request",
 	outcome.FailedCanceled:  "the request was cancelled; the backend server may have run it",
 	outcome.FailedBody:      "the request body broke off; the backend server may have run the request",
+	outcome.FailedBackend:   "the backend server answered with an error, and no later attempt did better; it may have run the request",
 	outcome.FailedInternal:  "a fault of this host ended the request; a backend server may have run it",
 }
--- a/caller/observe.go
+++ b/caller/observe.go
@@ -6,22 +6,28 @@
 )
 
 // observe reports the latency of a request whose answer, or the head of whose
-// long answer, is about to be written. A request has no ticket when it was
-// refused before it reached the reducer.
+// long answer, is about to be written.
 func (x *call) observe() {
-	s := x.server
-	if s.Observe == nil {
+	if x.server.Observe == nil {
 		return
 	}
-	service, outcome := "", metrics.OutcomeNotRun
-	if x.ticket != nil {
-		service, outcome = x.ticket.Service, outcomeOf(x.ticket.Last)
+	x.server.Observe(x.service(), x.outcome(), x.server.loop.Now().Sub(x.begun))
+}
+
+// service returns the service of the request, empty for a request that was
+// refused before it had one.
+func (x *call) service() string {
+	switch last := x.last.(type) {
+	case core.Refuse:
+		return last.Service
+	case core.Fail:
+		return last.Service
 	}
-	s.Observe(service, outcome, s.loop.Now().Sub(x.begin))
+	return x.started
 }
 
-func outcomeOf(last core.Effect) string {
-	switch last.(type) {
+func (x *call) outcome() string {
+	switch x.last.(type) {
 	case core.PassAnswer:
 		return metrics.OutcomeAnswered
 	case core.Fail:
--- a/core/picking.go
+++ b/core/picking.go
@@ -23,6 +23,9 @@
 // choose returns the upstream on which the request can start now, or nil when
 // it has to wait. usable is false when no upstream can ever take it.
 func (s *State) choose(r *request) (chosen *upstream, usable bool) {
+	if !r.idempotent && s.confirming() {
+		return nil, true
+	}
 	if u := s.trialFor(r); u != nil {
 		return u, true
 	}
@@ -34,6 +37,9 @@
 	if usableCount == 0 {
 		return nil, false
 	}
+	if !r.idempotent && s.confirming() {
+		return nil, true
+	}
 	far := !s.choice.Near() && s.choice.Far() && s.goFar(r, capacity)
 	index, ok := s.choice.Pick(s.policy, far, s.draw)
 	if !ok {
--- a/entryhost/documents.go
+++ b/entryhost/documents.go
@@ -34,7 +34,7 @@
 	key := document.ManifestKey
 	version, manifest, err := document.Manifest(document.FileOf(key), raw)
 	if err != nil {
-		h.loop.Send(core.DocumentRefused{Key: key, Problems: document.TextsOf(err), From: from})
+		h.refused(key, raw, err, from)
 		return
 	}
 	h.loop.Send(core.ManifestRead{Version: version, Manifest: manifest, Raw: raw, From: from})
@@ -50,8 +50,19 @@
 	}
 	service, err := document.Service(file, raw)
 	if err != nil {
-		h.loop.Send(core.DocumentRefused{Key: key, Problems: document.TextsOf(err), From: from})
+		h.refused(key, raw, err, from)
 		return
 	}
 	h.loop.Send(core.PartRead{Hash: hash, Service: service, Raw: raw, From: from})
 }
+
+// refused reports a document that could not be read. Its hash tells the reducer
+// which of the wanted documents it was.
+func (h *Host) refused(key string, raw []byte, err error, from string) {
+	h.loop.Send(core.DocumentRefused{
+		Key:      key,
+		Problems: document.TextsOf(err),
+		From:     from,
+		Hash:     document.HashOf(raw),
+	})
+}
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -21,6 +21,7 @@
 	"wisteriapond/eventlog"
 	"wisteriapond/keys"
 	"wisteriapond/metrics"
+	"wisteriapond/outcome"
 	"wisteriapond/peer"
 	"wisteriapond/platform"
 	"wisteriapond/runtime"
@@ -81,6 +82,9 @@
 	h.loop = runtime.NewLoop(h)
 	h.caller = caller.NewServer(h.loop, h.pool, h.log)
 	h.caller.Observe = h.metrics.ObserveRequest
+	h.caller.Refused = func(reason outcome.Refusal) {
+		h.metrics.Add(core.CounterRefusals, string(reason), 1)
+	}
 	h.admin = admin.NewServer(h, h.metrics, admin.Options{Profiling: s.Profiling})
 	if err := h.open(); err != nil {
 		h.close()
--- a/entryhost/platform.go
+++ b/entryhost/platform.go
@@ -81,7 +81,7 @@
 		}
 		hosts, err := document.HostList(hostListKey, raw)
 		if err != nil {
-			h.loop.Send(core.DocumentRefused{Key: hostListKey, Problems: document.TextsOf(err)})
+			h.refused(hostListKey, raw, err, "")
 			return
 		}
 		h.loop.Send(core.HostListRead{Hosts: hosts})
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -61,7 +61,7 @@
 		string(core.CounterRetriesWithheld), KindCounter,
 		[]string{"reason"},
 		"attempts",
-		"Retries that the outcome allowed and that were not made: `attempts`, `body`, `deadline` or `budget`.",
+		"Retries that were possible and not made: `attempts` (already three), `budget`, `body` (not kept) or `deadline`.",
 	},
 	{
 		string(core.CounterQueued), KindCounter,
@@ -79,19 +79,19 @@
 		string(core.CounterHealth), KindCounter,
 		[]string{"verdict"},
 		"upstreams",
-		"Ejections of upstreams and their ends.",
+		"Changes of ejections: `failures` and `slow` begin one; `reinstated` (a trial went well) and `released` (most upstreams fail) end one.",
 	},
 	{
 		string(core.CounterTrials), KindCounter,
 		[]string{"service"},
-		"requests",
+		"attempts",
 		"Trial requests to ejected upstreams.",
 	},
 	{
 		string(core.CounterCrossRegionBytes), KindCounter,
 		[]string{"regions"},
 		"bytes",
-		"Bytes of bodies that crossed regions, as `from>to`.",
+		"Bytes of request and answer bodies that crossed regions, as `from>to`.",
 	},
 	{
 		string(core.CounterAttempts), KindCounter,
@@ -103,7 +103,7 @@
 		string(core.CounterConfigurations), KindCounter,
 		[]string{"verdict"},
 		"documents",
-		"Configurations by verdict: `accepted` or `refused`.",
+		"Configurations by verdict: `accepted`, `refused`, `stale` (older than the one in force), `conflict` (another one of the same generation) or `part_mismatch` (a part with other content than the manifest names).",
 	},
 	{
 		string(core.CounterMembers), KindCounter,
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -63,8 +63,8 @@
 		timer:   time.NewTimer(core.TickInterval),
 		done:    make(chan struct{}),
 	}
-	l.observe, _ = handler.(StepObserver)
 	l.tickAt = l.Now().Add(core.TickInterval)
+	l.observe, _ = handler.(StepObserver)
 	l.view.Store(&core.View{})
 	return l
 }
@@ -235,7 +235,6 @@
 	if ticket == nil {
 		return
 	}
-	ticket.note(effect)
 	select {
 	case ticket.Commands <- effect:
 	default:
--- a/runtime/ticket.go
+++ b/runtime/ticket.go
@@ -23,10 +23,6 @@
 	// most one command is outstanding, so the control goroutine never blocks.
 	// It is closed when the loop ended before the request did.
 	Commands chan core.Effect
-	// Service and Last are set before a command is sent: the service of the
-	// request, empty while it has none, and the command.
-	Service string
-	Last    core.Effect
 
 	// streaming belongs to the control goroutine. It is set while an answer
 	// is passed on as it comes in, so that its ticket outlives PassAnswer.
@@ -40,20 +36,6 @@
 	rateOf   int
 }
 
-// note is called by the control goroutine. The channel of commands orders it
-// before the reads of the traffic goroutine.
-func (t *Ticket) note(effect core.Effect) {
-	t.Last = effect
-	switch e := effect.(type) {
-	case core.StartAttempt:
-		t.Service = e.Service
-	case core.Refuse:
-		t.Service = e.Service
-	case core.Fail:
-		t.Service = e.Service
-	}
-}
-
 func newTicket(id core.RequestID) *Ticket {
 	return &Ticket{ID: id, Commands: make(chan core.Effect, 1)}
 }
