core: explain ejections, and report refusals without a hash

Cause: explain called an ejected upstream eligible, and a refused document whose sender gives no hash was not reported. Change: explain has the state ejected; without a hash each refusal is reported.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -28,7 +28,7 @@
 func (*explainCommand) Help() string {
 	return `Shows the service, the labels that the request gets, and each upstream:
 eligible, or the host selector that excludes it and the term that fails. A
-running host also tells which upstreams are leaving.
+running host also tells which upstreams are leaving or ejected.
 
 Examples:
   wisteriapond explain --config examples/boisclair --method POST /orders/
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -544,24 +544,27 @@
 	case w != nil && w.version.Hash == e.Hash:
 		s.refuseVersion(w.version, e.Problems)
 		return
-	case e.Key == manifestKey || e.Key == hostsKey:
+	case e.Key == manifestKey || e.Key == hostsKey || e.Hash == "":
 		s.reportRefusal(e)
 	}
 	s.documentFailed(e.Key)
 }
 
 // reportRefusal reports the same content once, however often it is read.
+// Content without a hash is always reported.
 func (s *State) reportRefusal(e DocumentRefused) {
-	if s.documents.reported[e.Key] == e.Hash {
+	if e.Hash != "" && s.documents.reported[e.Key] == e.Hash {
 		return
 	}
-	s.documents.reported[e.Key] = e.Hash
-	message := "host list refused"
-	if e.Key == manifestKey {
-		message = "configuration refused"
-		s.count(CounterConfigurations, "refused")
-	} else {
+	message := "configuration refused"
+	if e.Key == hostsKey {
+		message = "host list refused"
 		s.count(CounterPlatformFailures, "")
+	} else {
+		s.count(CounterConfigurations, "refused")
+	}
+	if e.Hash != "" {
+		s.documents.reported[e.Key] = e.Hash
 	}
 	for _, problem := range e.Problems {
 		s.out.add(Log{Level: LogError, Message: message, Fields: []LogField{{Key: "problem", Value: problem}}})
--- a/core/explain.go
+++ b/core/explain.go
@@ -17,20 +17,38 @@
 func (ExplainRequested) event()   {}
 func (ReportExplanation) effect() {}
 
-// stateLeaving excludes an upstream whose host gets no new work.
-const stateLeaving = "leaving"
+// States that exclude an upstream whatever the selectors say: its host gets no
+// new work, or only trial requests go to it.
+const (
+	stateLeaving = "leaving"
+	stateEjected = "ejected"
+)
 
 func (s *State) explain(e ExplainRequested) {
 	report := ReportExplanation{ID: e.ID}
 	if s.table != nil {
 		report.Explanation = s.table.Explain(&e.Request)
 	}
+	svc := s.services[report.Explanation.Service]
 	for i := range report.Explanation.Upstreams {
 		u := &report.Explanation.Upstreams[i]
-		if s.leaving(u.Host) {
-			u.Eligible = false
-			u.State = stateLeaving
-		}
+		u.State = s.excludedState(svc, u)
+		u.Eligible = u.Eligible && u.State == ""
 	}
 	s.out.add(report)
 }
+
+func (s *State) excludedState(svc *service, u *config.ExplainedUpstream) string {
+	if s.leaving(u.Host) {
+		return stateLeaving
+	}
+	if svc == nil {
+		return ""
+	}
+	for _, state := range svc.upstreams {
+		if state.config.Name == u.Name && state.health.Ejected() {
+			return stateEjected
+		}
+	}
+	return ""
+}
