--- a/caller/call.go
+++ b/caller/call.go
@@ -19,7 +19,10 @@
 	conn    *conn
 	request *backend.Request
 	ticket  *runtime.Ticket
-	begin   core.Instant
+	begun   core.Instant
+	// last is the last command, and started the service of the last attempt.
+	last    core.Effect
+	started string
 	// exchange is the last attempt.
 	exchange *backend.Exchange
 	// running names the attempt whose end the reducer has not been told.
@@ -36,7 +39,9 @@
 func (x *call) submit(arrival core.RequestArrived) {
 	x.ticket = x.server.loop.Submit(arrival)
 	if x.ticket == nil {
-		writeRefusal(x.ctx, core.Refuse{Reason: x.notTaken()})
+		reason := x.notTaken()
+		x.server.refused(reason)
+		writeRefusal(x.ctx, core.Refuse{Reason: reason})
 		return
 	}
 	id := x.ticket.ID
@@ -57,8 +62,10 @@
 // follow carries out commands until the request is over.
 func (x *call) follow() {
 	for command := range x.ticket.Commands {
+		x.last = command
 		switch c := command.(type) {
 		case core.StartAttempt:
+			x.started = c.Service
 			x.attempt(c)
 		case core.PassAnswer:
 			x.passing = true
@@ -180,6 +187,7 @@
 
 // end runs when the handler returns.
 func (x *call) end() {
+	x.observe()
 	if x.server.loop.View().Closing {
 		x.ctx.SetConnectionClose()
 	}
--- a/core/retry.go
+++ b/core/retry.go
@@ -46,7 +46,7 @@
 	switch {
 	case r.attempts >= maxAttempts:
 		return outcome.WithheldAttempts
-	case facts.BodyTaken, outcome.NeedsBody(facts) && !r.bodyKept:
+	case outcome.BodyLost(facts, r.bodyKept):
 		return outcome.WithheldBody
 	case s.lateAfter(r, 0):
 		return outcome.WithheldDeadline
@@ -63,7 +63,7 @@
 		u.loadAt = s.now
 	}
 	if facts.RetryAfter > 0 && facts.Status >= firstError {
-		s.holdOff(u, min(facts.RetryAfter, maxRetryAfter))
+		s.holdOff(u, min(facts.RetryAfter, s.retryAfterCap))
 	}
 	if facts.Draining {
 		s.markLeaving(u.config.Host)
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -1,6 +1,10 @@
 package metrics
 
-import "wisteriapond/core"
+import (
+	"slices"
+
+	"wisteriapond/core"
+)
 
 // Kind tells the kinds of metrics apart.
 type Kind string
@@ -9,6 +13,7 @@
 const (
 	KindCounter   Kind = "counter"
 	KindHistogram Kind = "histogram"
+	KindGauge     Kind = "gauge"
 )
 
 // Description says what a metric means. docs/metrics.md lists the same.
@@ -27,7 +32,7 @@
 	stepSeconds    = "step_seconds"
 )
 
-var descriptions = []Description{
+var trafficDescriptions = []Description{
 	{
 		string(core.CounterRequests), KindCounter,
 		[]string{"service"},
@@ -56,7 +61,7 @@
 		string(core.CounterRetriesWithheld), KindCounter,
 		[]string{"reason"},
 		"attempts",
-		"Retries that the outcome allowed and that were not made: `attempts`, `body`, `deadline` or `budget`.",
+		"Retries that were possible and not made: `attempts` (already three), `budget`, `body` (not kept) or `deadline`.",
 	},
 	{
 		string(core.CounterQueued), KindCounter,
@@ -74,19 +79,19 @@
 		string(core.CounterHealth), KindCounter,
 		[]string{"verdict"},
 		"upstreams",
-		"Ejections of upstreams and their ends.",
+		"Changes of ejections: `failures` and `slow` begin one; `reinstated` (a trial went well) and `released` (most upstreams fail) end one.",
 	},
 	{
 		string(core.CounterTrials), KindCounter,
 		[]string{"service"},
-		"requests",
+		"attempts",
 		"Trial requests to ejected upstreams.",
 	},
 	{
 		string(core.CounterCrossRegionBytes), KindCounter,
 		[]string{"regions"},
 		"bytes",
-		"Bytes of bodies that crossed regions, as `from>to`.",
+		"Bytes of request and answer bodies that crossed regions, as `from>to`.",
 	},
 	{
 		string(core.CounterAttempts), KindCounter,
@@ -178,6 +183,8 @@
 	},
 }
 
+var descriptions = slices.Concat(trafficDescriptions, transportDescriptions)
+
 // Descriptions lists every metric of the system.
 func Descriptions() []Description { return descriptions }
 
