cli: let the demo's entry hosts know each other

Cause: entry hosts have peers now, and the demo's ran alone. Change: the demo makes a CA and a key for each host in a directory that it removes at its end; every host contacts the first one.

--- a/cli/demo.go
+++ b/cli/demo.go
@@ -23,6 +23,7 @@
 	// Offsets from the base port of the demo.
 	demoAdminOffset    = 10
 	demoPlatformOffset = 20
+	demoPeerOffset     = 30
 	demoHeaderTimeout  = 5 * time.Second
 	demoReadyTimeout   = 10 * time.Second
 	demoReadyInterval  = 20 * time.Millisecond
@@ -55,7 +56,7 @@
 		return errors.Join(err, d.stop())
 	}
 	d.describe(stdout)
-	return d.group.Wait()
+	return d.wait()
 }
 
 // demo is a whole deployment in one process.
@@ -69,6 +70,7 @@
 	platform   *standin.Platform
 	deployment *standin.Deployment
 	backends   map[string]*standin.Backend
+	keys       *demoKeys
 	hosts      []*entryhost.Host
 	// url is the base of the platform's calls and of the control endpoint.
 	url string
@@ -96,7 +98,16 @@
 // stop ends the demo and waits for its end.
 func (d *demo) stop() error {
 	d.cancel()
-	return d.group.Wait()
+	return d.wait()
+}
+
+// wait waits for the end of the demo.
+func (d *demo) wait() error {
+	err := d.group.Wait()
+	if d.keys != nil {
+		d.keys.remove()
+	}
+	return err
 }
 
 // startBackends starts a backend server for each upstream, declares its host
@@ -135,26 +146,51 @@
 }
 
 func (d *demo) startEntryHosts() error {
-	for i, place := range demoEntryPlaces {
-		host, err := entryhost.New(&settings.Settings{
-			Host:          fmt.Sprintf("entry-%d", i+1),
-			Region:        place.region,
-			FailureDomain: place.failureDomain,
-			Listen:        d.address(i),
-			Admin:         d.address(demoAdminOffset + i),
-			Platform:      d.url,
-			AcceptFor:     document.Duration(demoAcceptFor),
-		}, newLogger(d.logs))
-		if err != nil {
-			return fmt.Errorf("%w (--base-port chooses other ports)", err)
+	var err error
+	if d.keys, err = newDemoKeys(); err != nil {
+		return err
+	}
+	for i := range demoEntryPlaces {
+		if err := d.startEntryHost(i); err != nil {
+			return err
 		}
-		d.hosts = append(d.hosts, host)
-		context.AfterFunc(d.ctx, host.Stop)
-		d.group.Go(func() error { return host.Run(context.WithoutCancel(d.ctx)) })
 	}
 	return nil
 }
 
+// startEntryHost starts a host that knows the first one; it learns of the
+// others from there.
+func (d *demo) startEntryHost(i int) error {
+	name := entryName(i)
+	files, err := d.keys.host(name)
+	if err != nil {
+		return err
+	}
+	s := settings.Defaults()
+	s.Host = name
+	s.Region = demoEntryPlaces[i].region
+	s.FailureDomain = demoEntryPlaces[i].failureDomain
+	s.Listen = d.address(i)
+	s.Admin = d.address(demoAdminOffset + i)
+	s.Platform = d.url
+	s.AcceptFor = document.Duration(demoAcceptFor)
+	s.PeerListen = d.address(demoPeerOffset + i)
+	s.Keys = files
+	if i > 0 {
+		s.Peers = []string{d.hosts[0].PeerAddress()}
+	}
+	host, err := entryhost.New(s, newLogger(d.logs))
+	if err != nil {
+		return fmt.Errorf("%w (--base-port chooses other ports)", err)
+	}
+	d.hosts = append(d.hosts, host)
+	context.AfterFunc(d.ctx, host.Stop)
+	d.group.Go(func() error { return host.Run(context.WithoutCancel(d.ctx)) })
+	return nil
+}
+
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i+1) }
+
 func (d *demo) serve(handler http.Handler, port int) (string, error) {
 	listener, err := net.Listen("tcp", net.JoinHostPort(loopback, strconv.Itoa(port)))
 	if err != nil {
@@ -185,7 +221,7 @@
 func (d *demo) serveStopEntry(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("host")
 	for i, host := range d.hosts {
-		if name == fmt.Sprintf("entry-%d", i+1) {
+		if name == entryName(i) {
 			host.Stop()
 			fmt.Fprintf(w, "%s begins a planned stop\n", name)
 			return
@@ -225,8 +261,8 @@
 	fmt.Fprintln(w, "entry hosts:")
 	for i, host := range d.hosts {
 		place := demoEntryPlaces[i]
-		fmt.Fprintf(w, "  entry-%d in %s  http://%s  (operators: http://%s)\n",
-			i+1, place.failureDomain, host.Address(), host.AdminAddress())
+		fmt.Fprintf(w, "  %s in %s  http://%s  (operators: http://%s)\n",
+			entryName(i), place.failureDomain, host.Address(), host.AdminAddress())
 	}
 	fmt.Fprintf(w, "platform:\n  %s  (control: %s/control)\n\n", d.url, d.url)
 	fmt.Fprintf(w, demoCalls, d.hosts[0].Address(), d.hosts[0].AdminAddress(), d.url)
--- a/cli/demo_internal_test.go
+++ b/cli/demo_internal_test.go
@@ -95,6 +95,16 @@
 		return names
 	}
 
+	It("has entry hosts that know each other", func() {
+		for _, host := range d.hosts {
+			Eventually(func() int {
+				status, err := host.Status(context.Background())
+				Expect(err).NotTo(HaveOccurred())
+				return len(status.Members)
+			}).WithTimeout(demoLimit).Should(Equal(len(d.hosts) - 1))
+		}
+	})
+
 	It("routes by labels", func() {
 		Expect(get("/catalogue/urn-7").StatusCode).To(Equal(http.StatusOK))
 		for _, name := range answering("X-Team", "night") {
