lease: move idle slots to hosts whose requests wait

Cause: hosts with 2 slots queued requests while hosts with 3 used none of them. An owner recalled a slot only from a holder with two more, and a holder that had asked for slots counted as waiting until they came, even when its requests had long ended, so nobody asked it for idle slots. Change: an owner asks a holder that has nothing waiting for an idle slot; the holder declines when all are in use and is not asked again for 10 ms. A wish is taken back when no request waits. Equal shares still go first. The two new tests fail on the old code ('idle slots move').

--- a/core/leases.go
+++ b/core/leases.go
@@ -235,6 +235,18 @@
 	}
 }
 
+// slotsUnwanted takes the wish for slots back once no request of the service
+// waits any more.
+func (s *State) slotsUnwanted(svc *service) {
+	known := s.leases.services[svc.config.Name]
+	if known == nil {
+		return
+	}
+	for _, u := range known.units {
+		s.leases.holder.Unwant(time.Duration(s.now), u.holding)
+	}
+}
+
 // farAfter is the extra round trip to another region: twice the one-way delay
 // of 12 ms.
 const farAfter = 24 * time.Millisecond
@@ -292,6 +304,9 @@
 	if at, waits := l.holder.NextAsk(); waits {
 		s.wake(max(Instant(at), s.now+1))
 	}
+	if at, waits := l.owner.NextCheck(); waits {
+		s.wake(max(Instant(at), s.now+1))
+	}
 }
 
 func (s *State) sendAsks(renew bool) {
--- a/core/queueing.go
+++ b/core/queueing.go
@@ -104,6 +104,9 @@
 	svc, g := r.service, r.group
 	g.waiting.Remove(&r.place)
 	svc.waiting--
+	if svc.waiting == 0 {
+		s.slotsUnwanted(svc)
+	}
 	if g.waiting.Len() == 0 {
 		svc.waitingGroups = slices.DeleteFunc(svc.waitingGroups, func(other *group) bool { return other == g })
 	}
--- a/lease/grant.go
+++ b/lease/grant.go
@@ -10,6 +10,9 @@
 	// that has none, when there are more holders than slots. It is a round trip
 	// between regions, so that the slot is used before it moves on.
 	rotateAfter = 25 * time.Millisecond
+	// busyFor is the time for which a holder without idle slots is not asked
+	// again. Short requests take about as long.
+	busyFor = 10 * time.Millisecond
 	// maxRecalls bounds the slots of a unit that are recalled at once.
 	maxRecalls = 8
 )
@@ -73,11 +76,18 @@
 		if u.recalls >= limit {
 			return
 		}
-		victim := u.victimFor(wisher)
+		victim, idleOnly := u.victimFor(wisher), false
 		if victim == nil || !mayRecall(now, victim, wisher) {
-			continue
+			var at time.Duration
+			victim, at = u.idleFor(now, wisher)
+			idleOnly = true
+			if victim == nil {
+				o.checkAt = earlier(o.checkAt, at)
+				continue
+			}
 		}
 		victim.recall = true
+		victim.idleOnly = idleOnly
 		victim.keep = victim.total - 1
 		u.recalls++
 		victim.mark()
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -137,14 +137,16 @@
 	}
 }
 
-// Want asks for further slots for the given number of requests that wait.
+// Want asks for further slots for the given number of requests that wait. With
+// a lower number than before it takes back what is not needed any more: the
+// owner would otherwise take this host for one that has no slot to spare.
 func (h *Holder) Want(now time.Duration, holding *Holding, waiting int) {
 	h.use.Refresh(holding)
 	limit := 0
 	for _, slot := range holding.Slots {
 		limit += max(0, slot.Size-slot.Held)
 	}
-	if wanted := min(waiting, limit); wanted > holding.wanted {
+	if wanted := min(waiting, limit); wanted != holding.wanted {
 		if holding.wanted == 0 {
 			holding.wantedSince = now
 		}
@@ -154,6 +156,13 @@
 	h.touch(now, holding)
 }
 
+// Unwant takes back the wish for further slots, since no request waits.
+func (h *Holder) Unwant(now time.Duration, holding *Holding) {
+	if holding.wanted > 0 {
+		h.Want(now, holding, 0)
+	}
+}
+
 // Touch makes sure that a unit in use is leased.
 func (h *Holder) Touch(now time.Duration, holding *Holding) {
 	if holding.link != nil || now < holding.nextAsk {
@@ -231,7 +240,7 @@
 		holding.wanted = max(0, holding.wanted-got)
 	}
 	if answer.Recall {
-		h.giveBack(holding, holding.held()-answer.Keep)
+		h.recalled(holding, answer)
 	}
 	h.note(holding)
 }
@@ -263,6 +272,19 @@
 	return 0
 }
 
+// recalled gives slots back as the owner asked. It answers a recall of idle
+// slots even when there are none, so that the owner asks someone else.
+func (h *Holder) recalled(holding *Holding, answer UnitAnswer) {
+	h.use.Refresh(holding)
+	count := holding.held() - answer.Keep
+	if !answer.IdleOnly {
+		h.giveBack(holding, count)
+		return
+	}
+	holding.dirty = true
+	h.giveBack(holding, min(count, holding.idle()))
+}
+
 // giveBack lowers what is held, unused slots first. A slot in use is claimed
 // until its request ends, and not used again.
 func (h *Holder) giveBack(holding *Holding, count int) {
--- a/lease/holding.go
+++ b/lease/holding.go
@@ -98,6 +98,15 @@
 	return sum
 }
 
+// idle is the number of slots held that no request uses.
+func (holding *Holding) idle() int {
+	sum := 0
+	for _, slot := range holding.Slots {
+		sum += max(0, slot.Held-slot.Running)
+	}
+	return sum
+}
+
 func (holding *Holding) overdrawn() int {
 	sum := 0
 	for _, slot := range holding.Slots {
@@ -140,7 +149,7 @@
 }
 
 func (holding *Holding) ask() UnitAsk {
-	ask := UnitAsk{Unit: holding.Unit, Wanted: holding.wanted, Spare: holding.spare}
+	ask := UnitAsk{Unit: holding.Unit, Wanted: holding.wanted, Spare: holding.spare, Idle: holding.idle()}
 	for _, slot := range holding.Slots {
 		if claimed := max(slot.Held, slot.Running); claimed > 0 {
 			ask.Claims = append(ask.Claims, Slots{Upstream: slot.Upstream, Count: claimed})
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -214,6 +214,49 @@
 		}
 	})
 
+	// Guards against requests that wait at one host while another one, whose
+	// share is about as large, uses none of its slots.
+	It("move an idle slot to a host that waits, and none that is in use", func() {
+		g := newGroup(2)
+		g.wantMany(0, 5)
+		g.exchange()
+		g.wantMany(1, 3)
+		g.exchange()
+		Expect([]int{g.held(0), g.held(1)}).To(Equal([]int{6, 3}))
+		for range 20 {
+			g.use(0)
+			g.use(1)
+			g.wantMany(1, 1)
+			g.run(100 * time.Millisecond)
+		}
+		used := []int{g.held(0), g.held(1)}
+		Expect(used[0]-used[1]).To(BeNumerically("<=", 1), "equal shares")
+		Expect(used[0]).To(BeNumerically(">=", 4), "slots in use stay")
+		*g.running[g.holding(0)] = [upstreams]int{}
+		for range 20 {
+			g.use(1)
+			g.wantMany(1, 1)
+			g.run(100 * time.Millisecond)
+		}
+		Expect(g.held(1)).To(Equal(upstreams*size), "idle slots move")
+	})
+
+	// Guards against a host that counts as waiting after its requests have
+	// ended: no other one would be given its idle slots.
+	It("forget a wish that is taken back", func() {
+		g := newGroup(2)
+		g.wantMany(0, 8)
+		g.exchange()
+		g.use(0)
+		g.wantMany(0, 1)
+		g.wantMany(1, 1)
+		g.exchange()
+		g.holders[0].Unwant(g.now, g.holding(0))
+		*g.running[g.holding(0)] = [upstreams]int{}
+		g.run(200 * time.Millisecond)
+		Expect(g.held(1)).To(BeNumerically(">=", 1))
+	})
+
 	// Guards against a host without any slot when there are more hosts than
 	// slots.
 	It("give every host its turn when hosts outnumber slots", func() {
--- a/lease/message.go
+++ b/lease/message.go
@@ -68,6 +68,8 @@
 	Wanted int
 	// Spare is the number of further slots wanted only if they are free.
 	Spare int
+	// Idle is the number of slots held that no request uses.
+	Idle int
 	// Except names upstreams that the waiting requests cannot use.
 	Except []string
 }
@@ -95,7 +97,10 @@
 	Wait    time.Duration
 	// Grants are all slots granted. Upstreams that are not named are not.
 	Grants []Slots
-	// Recall asks the holder to keep at most Keep slots of the unit.
-	Recall bool
-	Keep   int
+	// Recall asks the holder to keep at most Keep slots of the unit. With
+	// IdleOnly, it gives back only slots that no request uses, and says so when
+	// it has none.
+	Recall   bool
+	IdleOnly bool
+	Keep     int
 }
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -42,6 +42,9 @@
 	units    map[Unit]*ownedUnit
 	sessions map[string]*session
 	changed  map[string]*session
+	// checkAt is the instant at which a holder may be asked for an idle slot
+	// that some other one waits for, 0 when there is none.
+	checkAt time.Duration
 }
 
 // session is the conversation with one holder.
@@ -145,6 +148,7 @@
 	if sh == nil {
 		return
 	}
+	seen := !sh.dirty
 	sh.mark()
 	if !duty.Mine {
 		o.refuse(now, sh, 0)
@@ -153,9 +157,8 @@
 	sh.refused, sh.wait = duty.Wait > 0, duty.Wait
 	sh.claim(ask.Claims)
 	sh.wanted, sh.spare, sh.except = max(0, ask.Wanted), max(0, ask.Spare), ask.Except
-	if sh.recall && sh.total <= sh.keep {
-		sh.endRecall()
-	}
+	sh.idleSlots = max(0, ask.Idle)
+	o.endRecalled(now, sh, seen)
 	if duty.Wait > 0 {
 		return
 	}
@@ -163,6 +166,19 @@
 	o.grant(now, sh.owned)
 }
 
+// endRecalled ends a recall that the holder has met, and one of idle slots that
+// it has seen and has none for.
+func (o *Owner) endRecalled(now time.Duration, sh *share, seen bool) {
+	switch {
+	case !sh.recall:
+	case sh.total <= sh.keep:
+		sh.endRecall()
+	case sh.idleOnly && seen:
+		sh.endRecall()
+		sh.busyUntil = now + busyFor
+	}
+}
+
 // share returns the share of a holder in a unit. For a unit of another owner
 // the share stays outside of the tables and only carries the refusal.
 func (o *Owner) share(s *session, unit Unit, mine bool) *share {
@@ -221,8 +237,14 @@
 	return wisher.total == 0 && victim.total == 1 && now-victim.since >= rotateAfter
 }
 
+// NextCheck returns the instant at which Tick can go on with a recall.
+func (o *Owner) NextCheck() (at time.Duration, waits bool) {
+	return o.checkAt, o.checkAt != 0
+}
+
 // Tick expires the sessions that were not renewed and goes on with recalls.
 func (o *Owner) Tick(now time.Duration) {
+	o.checkAt = 0
 	for _, holder := range slices.Sorted(maps.Keys(o.sessions)) {
 		if s := o.sessions[holder]; now >= s.expires {
 			o.end(now, s)
--- a/lease/share.go
+++ b/lease/share.go
@@ -31,10 +31,16 @@
 	spare   int
 	except  []string
 	since   time.Duration
-	recall  bool
-	keep    int
-	refused bool
-	wait    time.Duration
+	// idleSlots is the number of unused slots that the holder last reported.
+	idleSlots int
+	recall    bool
+	idleOnly  bool
+	keep      int
+	// busyUntil is the end of the time for which the holder is not asked for an
+	// idle slot again, since it had none.
+	busyUntil time.Duration
+	refused   bool
+	wait      time.Duration
 	// dirty is set until the holder has confirmed answer number changedAt.
 	dirty     bool
 	changedAt uint64
@@ -113,6 +119,41 @@
 	return victim
 }
 
+// idleFor returns the share that is most likely to have an idle slot: its
+// holder has no request that waits, and had the time to use its last slot.
+// Without one, at is the instant at which there may be one, 0 for never.
+func (u *ownedUnit) idleFor(now time.Duration, wisher *share) (found *share, at time.Duration) {
+	for _, sh := range u.shares {
+		if sh == wisher || sh.recall || sh.wanted > 0 || !sh.usable(wisher.except) {
+			continue
+		}
+		if askable := max(sh.busyUntil, sh.since+busyFor); now < askable {
+			at = earlier(at, askable)
+			continue
+		}
+		if found == nil || sh.idler(found) {
+			found = sh
+		}
+	}
+	return found, at
+}
+
+// earlier returns the earlier of two instants, of which 0 stands for none.
+func earlier(a, b time.Duration) time.Duration {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
+// idler is a total order, as richer is.
+func (sh *share) idler(other *share) bool {
+	if sh.idleSlots != other.idleSlots {
+		return sh.idleSlots > other.idleSlots
+	}
+	return sh.richer(other)
+}
+
 // richer is a total order, so that the choice does not depend on the order of
 // a map.
 func (sh *share) richer(other *share) bool {
@@ -171,7 +212,7 @@
 	if sh.refused {
 		return answer
 	}
-	answer.Recall, answer.Keep = sh.recall, sh.keep
+	answer.Recall, answer.IdleOnly, answer.Keep = sh.recall, sh.idleOnly, sh.keep
 	for i, count := range sh.granted {
 		if count > 0 {
 			answer.Grants = append(answer.Grants, Slots{Upstream: sh.owned.sizes[i].Upstream, Count: count})
