--- a/lease/message.go
+++ b/lease/message.go
@@ -68,10 +68,10 @@
 	Wanted int
 	// Spare is the number of further slots wanted only if they are free.
 	Spare int
-	// Idle is the number of slots held that no request uses.
-	Idle int
 	// Except names upstreams that the waiting requests cannot use.
 	Except []string
+	// Idle is the number of slots held that no request uses.
+	Idle int
 }
 
 // Answer goes from an owner to a holder. It renews all leases of the session.
@@ -98,9 +98,9 @@
 	// Grants are all slots granted. Upstreams that are not named are not.
 	Grants []Slots
 	// Recall asks the holder to keep at most Keep slots of the unit. With
-	// IdleOnly, it gives back only slots that no request uses, and says so when
-	// it has none.
+	// IdleOnly, it gives back only slots that no request uses, and answers even
+	// when it has none.
 	Recall   bool
-	IdleOnly bool
 	Keep     int
+	IdleOnly bool
 }
