core: leave the region only after the time of the trip when no lease is held

A host without a lease in its own region sent requests to another region at once, since no slots counted as an endless wait. A lease usually arrives within a round trip between failure domains. Such a request now waits for as long as the trip to another region would cost (24 ms). The test fails with the old rule.

A waiting request also no longer counts itself among those ahead of it.

--- a/core/picking.go
+++ b/core/picking.go
@@ -29,18 +29,15 @@
 	if u := s.trialFor(r); u != nil {
 		return u, true
 	}
-	usableCount, capacity := s.collect(r, exclusions{tried: true, ejected: true})
-	if usableCount == 0 {
+	found := s.collect(r, exclusions{tried: true, ejected: true})
+	if found.usable == 0 {
 		// A tried or ejected upstream is better than none.
-		usableCount, capacity = s.collect(r, exclusions{})
+		found = s.collect(r, exclusions{})
 	}
-	if usableCount == 0 {
+	if found.usable == 0 {
 		return nil, false
 	}
-	if !r.idempotent && s.confirming() {
-		return nil, true
-	}
-	far := !s.choice.Near() && s.choice.Far() && s.goFar(r, capacity)
+	far := !s.choice.Near() && s.choice.Far() && s.goFar(r, found)
 	index, ok := s.choice.Pick(s.policy, far, s.draw)
 	if !ok {
 		return nil, true
@@ -48,10 +45,18 @@
 	return r.group.eligible[index], true
 }
 
-// collect puts the upstreams with a free slot into s.choice. It returns the
-// number of upstreams that could take the request once a slot is free, and the
-// number of slots for it in the own region.
-func (s *State) collect(r *request, without exclusions) (usable, capacity int) {
+// collected is what collect found beside the candidates.
+type collected struct {
+	// usable is the number of upstreams that could take the request once a slot
+	// is free, and near the number of those in the own region.
+	usable int
+	near   int
+	// slots is the number of slots for the request in the own region.
+	slots int
+}
+
+// collect puts the upstreams with a free slot into s.choice.
+func (s *State) collect(r *request, without exclusions) (found collected) {
 	s.choice.Reset()
 	g, svc := r.group, r.service
 	usual := svc.usualFor(false).respond.Value()
@@ -59,7 +64,7 @@
 		if u.leaving || without.ejected && u.health.Ejected() || without.tried && r.hasTried(u) {
 			continue
 		}
-		usable++
+		found.usable++
 		limit := s.allowed(svc, u)
 		free := u.running < limit
 		if g.long && svc.shared {
@@ -67,7 +72,8 @@
 			free = free && u.long < limit
 		}
 		if u.locality != pick.OtherRegion {
-			capacity += limit
+			found.near++
+			found.slots += limit
 		}
 		if !free || s.now.Before(u.notBefore) {
 			continue
@@ -81,7 +87,7 @@
 			Latency: u.health.Latency(usual),
 		})
 	}
-	return usable, capacity
+	return found
 }
 
 func (s *State) loadOf(u *upstream) int {
@@ -92,9 +98,16 @@
 }
 
 // goFar reports whether waiting for a slot in the own region takes longer than
-// the extra round trip to another one.
-func (s *State) goFar(r *request, capacity int) bool {
-	return capacity == 0 || s.expectedWait(r, capacity) > extraRoundTrip
+// the extra round trip to another one. Having no slot there is no reason by
+// itself: one may be on its way, since waiting requests ask for leases.
+func (s *State) goFar(r *request, found collected) bool {
+	if found.near == 0 {
+		return true
+	}
+	if found.slots == 0 && r.place.Queued() && s.now.Sub(r.queuedAt) >= extraRoundTrip {
+		return true
+	}
+	return s.expectedWait(r, found.slots) > extraRoundTrip
 }
 
 // trialFor returns an ejected upstream that is due for a trial request, if
--- a/core/queueing.go
+++ b/core/queueing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wisteriapond/outcome"
+	"wisteriapond/pick"
 	"wisteriapond/queue"
 )
 
@@ -44,6 +45,9 @@
 	for _, g := range r.service.waitingGroups {
 		ahead += g.waiting.CountUntil(int64(r.deadline), limit-ahead)
 	}
+	if r.place.Queued() {
+		ahead-- // It does not wait for itself.
+	}
 	return occupy * time.Duration(ahead+1) / time.Duration(max(1, capacity))
 }
 
@@ -86,6 +90,7 @@
 
 func (s *State) enqueue(r *request) {
 	svc, g := r.service, r.group
+	r.queuedAt = s.now
 	r.place = queue.Item[*request]{Value: r, At: int64(r.deadline)}
 	if g.waiting.Len() == 0 {
 		svc.waitingGroups = append(svc.waitingGroups, g)
@@ -229,6 +234,9 @@
 func (s *State) nextCheck(svc *service) Instant {
 	next := s.now.Add(TickInterval)
 	for _, u := range svc.upstreams {
+		if u.locality == pick.OtherRegion {
+			next = min(next, s.now.Add(extraRoundTrip))
+		}
 		if s.now.Before(u.notBefore) {
 			next = min(next, u.notBefore)
 		}
--- a/core/request.go
+++ b/core/request.go
@@ -56,6 +56,7 @@
 	tried        [maxAttempts]*upstream
 	transferFrom string
 	rate         int64
+	queuedAt     Instant
 	place        queue.Item[*request]
 	alarm        queue.Item[timer]
 }
--- a/core/request_test.go
+++ b/core/request_test.go
@@ -382,6 +382,18 @@
 		Expect(first[StartAttempt](b.get()).Upstream).To(BeElementOf("b", "c"))
 	})
 
+	// Guards against leaving the region at once whenever no lease is held, and
+	// against waiting there for a lease that does not come.
+	ginkgo.It("are used without a lease at home only after the time of the trip", func() {
+		b := newBench(far)
+		home := b.state.services["orders"].upstreams[0]
+		home.leased = true
+		Expect(first[StartAttempt](b.get())).To(BeZero())
+		b.after(23 * time.Millisecond)
+		Expect(b.state.services["orders"].waiting).To(Equal(1))
+		Expect(first[StartAttempt](b.after(time.Millisecond)).Upstream).To(BeElementOf("b", "c"))
+	})
+
 	// Guards against downloads that fill a link, and against uncounted bytes.
 	ginkgo.It("share a part of the link among long answers", func() {
 		b := newBench(func(s *config.Service) { far(s); s.Upstreams = s.Upstreams[1:] })
