core: let a failed probe count until requests show better

Results of probes had no effect on picks. Health endpoints carry less weight than what requests observe, so a failed probe only makes an upstream without any request look slow, and a good one changes nothing.

--- a/core/picking.go
+++ b/core/picking.go
@@ -12,6 +12,9 @@
 	extraRoundTrip = 24 * time.Millisecond
 	// loadReportLife is the age at which a reported load is ignored.
 	loadReportLife = time.Second
+	// failedProbeFactor is how many times slower than usual an upstream counts
+	// that has run no request and whose last probe failed.
+	failedProbeFactor = 4
 )
 
 // exclusions says which upstreams a decision leaves out beside leaving ones.
@@ -81,12 +84,25 @@
 			Limit:   limit,
 			Running: u.running,
 			Load:    s.loadOf(u),
-			Latency: u.health.Latency(usual),
+			Latency: s.latencyOf(u, usual),
 		})
 	}
 	return found
 }
 
+// latencyOf returns the response time that requests observed. Before the first
+// one, a failed probe counts as a slow answer; the time of a probe that went
+// well says nothing, since health endpoints do not do the work of requests.
+func (s *State) latencyOf(u *upstream, usual time.Duration) time.Duration {
+	if u.health.Observed() {
+		return u.health.Latency(usual)
+	}
+	if result, ok := s.probing.results[u]; ok && result.failed && s.now.Sub(result.at) < measuredFresh {
+		return max(usual, time.Millisecond) * failedProbeFactor
+	}
+	return usual
+}
+
 func (s *State) loadOf(u *upstream) int {
 	if s.now.Sub(u.loadAt) > loadReportLife {
 		return -1
--- a/core/request_test.go
+++ b/core/request_test.go
@@ -328,6 +328,19 @@
 		Expect(b.state.services["orders"].upstreams[0].running).To(Equal(1))
 	})
 
+	// Guards against first requests to a server whose probe has just failed, and
+	// against probes that outweigh what requests observe.
+	ginkgo.It("avoids an upstream whose probe failed until requests show better", func() {
+		b := newBench(unchanged)
+		b.step(ProbeFinished{Service: "orders", Upstream: "a", Facts: outcome.Facts{Wrote: true, Status: 500}})
+		Expect(first[StartAttempt](b.get()).Upstream).To(Equal("b"))
+		a := first[StartAttempt](b.get())
+		Expect(a.Upstream).To(Equal("a"))
+		b.finish(a, ok)
+		u := b.state.services["orders"].upstreams[0]
+		Expect(b.state.latencyOf(u, time.Second)).To(BeNumerically("<", time.Second))
+	})
+
 	// Guards against chains of nested calls without an end.
 	ginkgo.It("refuses the sixteenth entry host of a chain", func() {
 		at := func(depth int) []Effect {
--- a/health/health.go
+++ b/health/health.go
@@ -55,6 +55,9 @@
 	Reinstated Verdict = "reinstated"
 )
 
+// Observed reports whether a request has shown anything about the upstream.
+func (u *Upstream) Observed() bool { return u.samples > 0 }
+
 // Latency returns the moving average of the response time, or the given usual
 // one before the first result.
 func (u *Upstream) Latency(usual time.Duration) time.Duration {
