--- a/core/picking.go
+++ b/core/picking.go
@@ -37,6 +37,9 @@
 	if found.usable == 0 {
 		return nil, false
 	}
+	if !r.idempotent && s.confirming() {
+		return nil, true
+	}
 	far := !s.choice.Near() && s.choice.Far() && s.goFar(r, found)
 	index, ok := s.choice.Pick(s.policy, far, s.draw)
 	if !ok {
--- a/core/request_test.go
+++ b/core/request_test.go
@@ -175,6 +175,18 @@
 		Expect(b.state.requests[2].upstream.config.Name).To(Equal("b"))
 	})
 
+	// Guards against an order that starts on what a paused host last knew.
+	ginkgo.It("holds orders back after a pause of the process", func() {
+		b := newBench(func(s *config.Service) { s.Timeout = time.Minute })
+		b.after(2 * time.Second)
+		Expect(first[StartAttempt](b.get())).NotTo(BeZero())
+		Expect(first[StartAttempt](b.post())).To(BeZero())
+		for range 9 {
+			Expect(first[StartAttempt](b.after(100 * time.Millisecond))).To(BeZero())
+		}
+		Expect(first[StartAttempt](b.after(100 * time.Millisecond)).Attempt.Request).To(Equal(RequestID(2)))
+	})
+
 	// Guards against downloads that take every slot of a shared upstream.
 	ginkgo.It("keeps one slot free of long requests", func() {
 		b := newBench(only("a"))
