core: begin the test of orders after a pause with a step before it

A pause shows as the gap between two steps, and the first step of the test was at instant 0, which stands for none.

--- a/core/request_test.go
+++ b/core/request_test.go
@@ -178,6 +178,7 @@
 	// Guards against an order that starts on what a paused host last knew.
 	ginkgo.It("holds orders back after a pause of the process", func() {
 		b := newBench(func(s *config.Service) { s.Timeout = time.Minute })
+		b.after(100 * time.Millisecond)
 		b.after(2 * time.Second)
 		Expect(first[StartAttempt](b.get())).NotTo(BeZero())
 		Expect(first[StartAttempt](b.post())).To(BeZero())
