lease: let a renewal travel with an answer

Cause: with 64 hosts, most of the 179 messages per host and second are renewals and their answers, each of its own.

Change: an answer to a host carries a renewal towards the same host when that is due within half of its period.

--- a/core/leases.go
+++ b/core/leases.go
@@ -313,10 +313,16 @@
 			s.leases.holder.Receive(time.Duration(s.now), reply.Holder, reply.Answer)
 			continue
 		}
-		if address := s.addressOf(reply.Holder); address != "" {
-			s.count(CounterLeaseMessages, "answer")
-			s.send(address, Message{Answer: &reply.Answer})
+		address := s.addressOf(reply.Holder)
+		if address == "" {
+			continue
+		}
+		message := Message{Answer: &reply.Answer}
+		s.count(CounterLeaseMessages, "answer")
+		if ask, due := s.leases.holder.Renew(time.Duration(s.now), reply.Holder); due {
+			message.Ask = &ask
 		}
+		s.send(address, message)
 	}
 }
 
--- a/lease/link.go
+++ b/lease/link.go
@@ -194,3 +194,13 @@
 	}
 	return ask
 }
+
+// Renew returns an ask that renews the leases of an owner if it is due soon. It
+// travels with an answer to the same host and saves a message.
+func (h *Holder) Renew(now time.Duration, owner string) (Ask, bool) {
+	l := h.links[owner]
+	if l == nil || len(l.holdings) == 0 || now < l.nextAsk-RenewEvery/2 {
+		return Ask{}, false
+	}
+	return l.ask(now, h.use), true
+}
