backend: test the expiry of commands apart from the deadline

Cause: with the check of StartBefore removed, no test failed, since the deadline had passed as well.

Change: the deadline of the test is far away, and a second case lets the pause fall between the open connection and the first byte.

--- a/backend/answer_test.go
+++ b/backend/answer_test.go
@@ -115,17 +115,26 @@
 		Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.NotRun))
 	})
 
-	// Guards against acting on old facts after a pause of the process.
-	It("is not run when the command expired", func() {
-		s := answering(ok + "Content-Length: 0\r\n\r\n")
-		b := newBench()
-		command := b.command(s.address())
-		b.clock.ahead.Store(int64(2 * time.Minute))
-		x := b.run(command, get())
-		Expect(x.Facts.Cause).To(Equal(outcome.CauseExpired))
-		Expect(x.Facts.Wrote).To(BeFalse())
-		Expect(s.accepted.Load()).To(BeZero())
-	})
+	// Guards against acting on old facts after a pause of the process, also one
+	// between opening the connection and the first byte. The deadline of the
+	// request is not reached in either case.
+	DescribeTable("is not run when the command expired",
+		func(readings int64, connections int) {
+			s := answering(ok + "Content-Length: 0\r\n\r\n")
+			b := newBench()
+			command := b.command(s.address())
+			command.Deadline = command.StartBefore.Add(time.Hour)
+			b.clock.jump(readings, 2*time.Minute)
+			x := b.run(command, get())
+			Expect(x.Facts.Cause).To(Equal(outcome.CauseExpired))
+			Expect(x.Facts.Wrote).To(BeFalse())
+			Expect(b.pool.Open(s.address())).To(BeZero())
+			Eventually(s.accepted.Load).WithTimeout(patience).Should(BeEquivalentTo(connections))
+			Expect(s.requests()).To(BeEmpty())
+		},
+		Entry("before it was taken up", int64(0), 0),
+		Entry("while the connection was opened", int64(1), 1),
+	)
 
 	// Guards against a silent server that holds a request for ever.
 	It("is a timeout when no answer comes", func() {
--- a/backend/suite_test.go
+++ b/backend/suite_test.go
@@ -131,11 +131,23 @@
 type clock struct {
 	origin time.Time
 	ahead  atomic.Int64
+	// left counts the readings until the clock moves on by later.
+	left  atomic.Int64
+	later time.Duration
 }
 
 func newClock() *clock { return &clock{origin: time.Now()} }
 
+// jump moves the clock on after the given number of readings.
+func (c *clock) jump(readings int64, by time.Duration) {
+	c.left.Store(readings)
+	c.later = by
+}
+
 func (c *clock) Now() core.Instant {
+	if c.later > 0 && c.left.Add(-1) < 0 {
+		c.ahead.Store(int64(c.later))
+	}
 	return core.Instant(time.Since(c.origin)).Add(time.Duration(c.ahead.Load()))
 }
 
