--- a/cli/demo_internal_test.go
+++ b/cli/demo_internal_test.go
@@ -95,6 +95,16 @@
 		return names
 	}
 
+	It("has entry hosts that know each other", func() {
+		for _, host := range d.hosts {
+			Eventually(func() int {
+				status, err := host.Status(context.Background())
+				Expect(err).NotTo(HaveOccurred())
+				return len(status.Members)
+			}).WithTimeout(demoLimit).Should(Equal(len(d.hosts) - 1))
+		}
+	})
+
 	It("routes by labels", func() {
 		Expect(get("/catalogue/urn-7").StatusCode).To(Equal(http.StatusOK))
 		for _, name := range answering("X-Team", "night") {
@@ -144,6 +154,10 @@
 		Expect(Run([]string{"status", admin}, &out, &problems)).To(Equal(0), problems.String())
 		Expect(out.String()).To(And(ContainSubstring("generation:  3"), MatchRegexp(`catalogue-qc-2 .* leaving`)))
 		out.Reset()
+		Expect(Run([]string{"status", admin, "127.0.0.1:1", d.hosts[1].AdminAddress()}, &out, &problems)).To(Equal(1))
+		Expect(out.String()).To(MatchRegexp(`(?s)entry-1 +true +false +3 .*entry-2 +true +false +3 `))
+		Expect(problems.String()).To(ContainSubstring("connection refused"))
+		out.Reset()
 		Expect(Run([]string{"load", "--requests", "20", "--rate", "200", "lookup=http://" + d.hosts[0].Address() + "/catalogue/a"}, &out, &problems)).To(Equal(0))
 		Expect(out.String()).To(MatchRegexp(`lookup +20 +20 +0 +0 +0 +0`))
 	})
--- a/cli/status.go
+++ b/cli/status.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -20,31 +22,91 @@
 )
 
 type statusCommand struct {
-	Admin string `arg:"" optional:"" default:"127.0.0.1:9190" help:"Admin address of the entry host."`
-	JSON  bool   `name:"json" help:"Print JSON, with every field that the host reports."`
+	Admin []string `arg:"" optional:"" default:"127.0.0.1:9190" help:"Admin addresses of entry hosts. Several give one line each."`
+	JSON  bool     `name:"json" help:"Print JSON, with every field that a host reports; of several hosts, a list."`
 }
 
 // Help is shown by "status --help".
 func (*statusCommand) Help() string {
-	return `Examples:
+	return `The exit status is 1 when a host does not answer.
+
+Examples:
   wisteriapond status
-  wisteriapond status --json 127.0.0.1:9190`
+  wisteriapond status --json 127.0.0.1:9190
+  wisteriapond status 127.0.0.1:18090 127.0.0.1:18091 127.0.0.1:18092`
 }
 
-// Run asks a host for its state.
+// Run asks hosts for their state.
 func (c *statusCommand) Run(ctx context.Context, stdout io.Writer) error {
-	raw, err := askAdmin(ctx, c.Admin, "/status")
+	if len(c.Admin) > 1 {
+		return c.runSeveral(ctx, stdout)
+	}
+	raw, status, err := askStatus(ctx, c.Admin[0])
 	if err != nil {
 		return err
 	}
 	if c.JSON {
-		return printJSON(stdout, json.RawMessage(raw))
+		return printJSON(stdout, raw)
+	}
+	return printStatus(stdout, status)
+}
+
+// runSeveral prints what it has and then reports the hosts that did not
+// answer.
+func (c *statusCommand) runSeveral(ctx context.Context, stdout io.Writer) error {
+	var raws []json.RawMessage
+	var statuses []*core.Status
+	var failures []error
+	for _, admin := range c.Admin {
+		raw, status, err := askStatus(ctx, admin)
+		if err != nil {
+			failures = append(failures, err)
+			continue
+		}
+		raws = append(raws, raw)
+		statuses = append(statuses, status)
+	}
+	var err error
+	if c.JSON {
+		err = printJSON(stdout, raws)
+	} else {
+		err = printSummaries(stdout, statuses)
+	}
+	return errors.Join(append(failures, err)...)
+}
+
+func askStatus(ctx context.Context, admin string) (json.RawMessage, *core.Status, error) {
+	raw, err := askAdmin(ctx, admin, "/status")
+	if err != nil {
+		return nil, nil, err
 	}
 	var status core.Status
 	if err := json.Unmarshal(raw, &status); err != nil {
-		return fmt.Errorf("answer of %s: %w", c.Admin, err)
+		return nil, nil, fmt.Errorf("answer of %s: %w", admin, err)
+	}
+	return raw, &status, nil
+}
+
+// shownLatency is the precision of latencies in the table.
+const shownLatency = 100 * time.Microsecond
+
+// shownHash is the part of a hash that tells versions apart at a glance.
+const shownHash = 12
+
+func printSummaries(w io.Writer, statuses []*core.Status) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "HOST\tREADY\tSTOPPING\tGENERATION\tHASH\tRUNNING\tWAITING\tLEAVING HOSTS")
+	for _, s := range statuses {
+		running, waiting := 0, 0
+		for _, service := range s.Services {
+			running += service.Running
+			waiting += service.Waiting
+		}
+		hash := string(s.Version.Hash)
+		fmt.Fprintf(table, "%s\t%v\t%v\t%d\t%s\t%d\t%d\t%d\n", s.Host, s.Ready, s.Stopping,
+			s.Version.Generation, hash[:min(shownHash, len(hash))], running, waiting, len(leavingHosts(s)))
 	}
-	return printStatus(stdout, &status)
+	return table.Flush()
 }
 
 // askAdmin returns the answer of an admin listener.
@@ -79,34 +141,79 @@
 func printStatus(w io.Writer, s *core.Status) error {
 	fmt.Fprintf(w, "host:        %s\nready:       %v\nstopping:    %v\ngeneration:  %d\nhash:        %s\n",
 		s.Host, s.Ready, s.Stopping, s.Version.Generation, s.Version.Hash)
+	if s.MissingParts > 0 {
+		fmt.Fprintf(w, "collecting:  generation %d, %d parts missing\n", s.Pending.Generation, s.MissingParts)
+	}
 	if leaving := leavingHosts(s); len(leaving) > 0 {
 		fmt.Fprintf(w, "leaving:     %s\n", strings.Join(leaving, ", "))
 	}
+	if s.Measuring.PerMinute > 0 {
+		fmt.Fprintf(w, "measuring:   %d probes per minute, %d bytes so far\n", s.Measuring.PerMinute, s.Measuring.Bytes)
+	}
+	fmt.Fprintf(w, "leases:      %d slots held, %d granted to %d hosts\n", s.Leases.Held, s.Leases.Granted, s.Leases.Holders)
+	if err := printMembers(w, s.Members); err != nil {
+		return err
+	}
+	return printServices(w, s.Services)
+}
+
+func printMembers(w io.Writer, members []core.MemberStatus) error {
+	if len(members) == 0 {
+		return nil
+	}
+	fmt.Fprintln(w)
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "ENTRY HOST\tADDRESS\tREGION\tSTATE")
+	for _, member := range members {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\n", member.Name, member.Address, member.Region, member.State)
+	}
+	return table.Flush()
+}
+
+func printServices(w io.Writer, services []core.ServiceStatus) error {
 	fmt.Fprintln(w)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "SERVICE\tUPSTREAM\tHOST\tRUNNING\tSLOTS\tSTATE")
-	for _, service := range s.Services {
-		fmt.Fprintf(table, "%s\t\t\t%d\t\twaiting: %d\n", service.Name, service.Running, service.Waiting)
+	fmt.Fprintln(table, "SERVICE\tUPSTREAM\tHOST\tRUNNING\tLIMIT\tSLOTS\tHELD\tLATENCY\tSTATE")
+	for _, service := range services {
+		fmt.Fprintf(table, "%s\t\t\t%d\t\t\t\t\twaiting: %d\n", service.Name, service.Running, service.Waiting)
 		for _, u := range service.Upstreams {
-			fmt.Fprintf(table, "\t%s\t%s\t%d\t%d\t%s\n", u.Name, u.Host, u.Running, u.Slots, stateOf(&u))
+			fmt.Fprintf(table, "\t%s\t%s\t%d\t%d\t%d\t%s\t%s\t%s\n",
+				u.Name, u.Host, u.Running, u.Limit, u.Slots, heldSlots(&u), latencyOf(&u), stateOf(&u))
 		}
 	}
 	return table.Flush()
 }
 
+// heldSlots is empty for an upstream without leases.
+func heldSlots(u *core.UpstreamStatus) string {
+	if !u.Leased {
+		return ""
+	}
+	return strconv.Itoa(u.Held)
+}
+
+// latencyOf is empty while the latency is not known.
+func latencyOf(u *core.UpstreamStatus) string {
+	if u.Latency == 0 {
+		return ""
+	}
+	return u.Latency.Round(shownLatency).String()
+}
+
 func stateOf(u *core.UpstreamStatus) string {
-	if u.Leaving {
+	switch {
+	case u.Leaving:
 		return "leaving"
+	case u.Ejected:
+		return "ejected"
 	}
 	return ""
 }
 
 func leavingHosts(s *core.Status) []string {
 	var names []string
-	for _, host := range s.Hosts {
-		if host.Leaving {
-			names = append(names, host.Host)
-		}
+	for _, host := range s.Leaving {
+		names = append(names, host.Host)
 	}
 	return names
 }
--- /dev/null
+++ b/core/fleet_test.go
@@ -0,0 +1,274 @@
+package core
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
+	"wisteriapond/outcome"
+	"wisteriapond/pick"
+	"wisteriapond/queue"
+)
+
+// fleet runs several reducers and backend servers in virtual time.
+type fleet struct {
+	now       Instant
+	events    queue.Queue[func()]
+	random    *rand.Rand
+	hosts     []*fleetHost
+	servers   map[string]*server
+	latencies *hdrhistogram.Histogram
+	refusals  map[outcome.Refusal]int
+	answered  int
+	overruns  int
+	messages  int
+	// retryAfter is the wait that a full server asks for.
+	retryAfter time.Duration
+}
+
+type fleetHost struct {
+	fleet   *fleet
+	name    string
+	state   *State
+	arrived map[RequestID]arrival
+}
+
+// server is a backend server that refuses what its slots cannot run.
+type server struct {
+	name    string
+	slots   int
+	running int
+	slow    func(at Instant) float64
+	// closed is the span in which the server refuses everything as not run.
+	closedFrom, closedUntil Instant
+	// ran counts the requests that ran after the span.
+	ran int
+}
+
+// arrival is one request of a trace.
+type arrival struct {
+	at   Instant
+	host int
+	work time.Duration
+}
+
+const (
+	fleetHosts     = 15
+	fleetUpstreams = 14
+	fleetSlots     = 3
+	sameRegionTrip = time.Millisecond // one way
+	// warmUp is the time before a trace in which hosts find each other.
+	warmUp = 10 * time.Second
+)
+
+func newFleet(policy pick.Policy, leased bool) *fleet {
+	f := &fleet{
+		random:    rand.New(rand.NewPCG(7, 11)),
+		servers:   make(map[string]*server),
+		latencies: hdrhistogram.New(1, int64(time.Minute), 3),
+		refusals:  make(map[outcome.Refusal]int),
+	}
+	part := fleetPart()
+	for _, u := range part.Upstreams {
+		f.servers[u.Address] = &server{name: u.Name, slots: u.Slots, slow: func(Instant) float64 { return 1 }}
+	}
+	for i := range fleetHosts {
+		f.addHost(i, part, policy)
+	}
+	if leased {
+		f.joinAll()
+	}
+	f.play(f.now.Add(warmUp))
+	return f
+}
+
+func fleetPart() *config.Service {
+	part := &config.Service{
+		Name:    "catalogue",
+		Match:   []config.Match{{PathPrefix: "/"}},
+		Timeout: time.Second,
+		Queue:   128,
+		NotRun:  config.NotRunForm{Status: 503, Header: "X-Not-Run", Value: "1"},
+	}
+	for i := range fleetUpstreams {
+		name := fmt.Sprintf("backend-%02d", i)
+		part.Upstreams = append(part.Upstreams, config.Upstream{
+			Name: name, Host: name, Address: name, Region: "mtl",
+			FailureDomain: []string{"mtl-a", "mtl-b"}[i%2],
+			Slots:         fleetSlots, Connections: 220,
+		})
+	}
+	return part
+}
+
+func (f *fleet) addHost(number int, part *config.Service, policy pick.Policy) {
+	name := fmt.Sprintf("entry-%02d", number)
+	h := &fleetHost{fleet: f, name: name, state: New(), arrived: make(map[RequestID]arrival)}
+	h.state.policy = policy
+	f.hosts = append(f.hosts, h)
+	hash := config.Hash(strings.Repeat("a", 64))
+	h.step(Start{
+		Host: name, Address: name, Region: "mtl", Incarnation: 1,
+		FailureDomain: []string{"mtl-a", "mtl-b"}[number%2], Seed: uint64(number + 1),
+	})
+	h.step(ManifestRead{
+		Version: config.Version{Generation: 1, Hash: hash},
+		Manifest: &config.Manifest{
+			Generation: 1, EntryHosts: fleetHosts, Links: config.Links{LongPercent: 50},
+			Services: []config.ServiceRef{{Name: part.Name, Hash: hash}},
+		},
+	})
+	h.step(PartRead{Hash: hash, Service: part})
+	Expect(h.state.services).To(HaveKey(part.Name))
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.events.Add(&queue.Item[func()]{Value: do, At: int64(f.now.Add(d))})
+}
+
+// joinAll lets the hosts find each other.
+func (f *fleet) joinAll() {
+	for _, h := range f.hosts {
+		h.state.members.AddContact(f.hosts[0].name)
+		h.state.members.Join(0, []string{f.hosts[0].name}, &h.state.memberOut)
+	}
+}
+
+func (f *fleet) hostAt(address string) *fleetHost {
+	for _, h := range f.hosts {
+		if h.name == address {
+			return h
+		}
+	}
+	return nil
+}
+
+// run plays a trace to its end.
+func (f *fleet) run(trace []arrival) {
+	for i, a := range trace {
+		a.at = f.now.Add(a.at.Sub(0))
+		f.after(a.at.Sub(f.now), func() {
+			h := f.hosts[a.host]
+			id := RequestID(i + 1)
+			h.arrived[id] = a
+			h.step(RequestArrived{ID: id, BodyKept: true, Request: config.Request{Method: "GET", Path: "/urn"}})
+		})
+	}
+	f.play(f.now.Add(trace[len(trace)-1].at.Sub(0) + 5*time.Second))
+}
+
+// play handles events up to an instant, with ticks of all hosts.
+func (f *fleet) play(end Instant) {
+	for _, h := range f.hosts {
+		f.tickUntil(h, end)
+	}
+	for first := f.events.First(); first != nil && Instant(first.At) <= end; first = f.events.First() {
+		f.events.Remove(first)
+		f.now = Instant(first.At)
+		first.Value()
+	}
+	f.now = end
+}
+
+func (f *fleet) tickUntil(h *fleetHost, end Instant) {
+	h.step(Tick{})
+	if f.now < end {
+		f.after(TickInterval, func() { f.tickUntil(h, end) })
+	}
+}
+
+func (h *fleetHost) step(event Event) {
+	f := h.fleet
+	var effects Effects
+	h.state.Step(f.now, event, &effects)
+	h.carryOut(&effects)
+}
+
+func (h *fleetHost) service() *service { return h.state.services["catalogue"] }
+
+func (h *fleetHost) carryOut(effects *Effects) {
+	f := h.fleet
+	for _, effect := range effects.All() {
+		switch e := effect.(type) {
+		case StartAttempt:
+			h.expectFreeSlot(e.Upstream)
+			f.after(sameRegionTrip, func() { f.servers[e.Address].arrive(h, e) })
+		case PassAnswer:
+			f.answered++
+			Expect(f.latencies.RecordValue(int64(f.now.Sub(h.arrived[e.Attempt.Request].at)))).To(Succeed())
+		case Refuse:
+			f.refusals[e.Reason]++
+		case SendPeer:
+			f.messages++
+			f.after(sameRegionTrip, func() { f.hostAt(e.Address).step(PeerMessage{From: h.name, Address: h.name, Message: e.Message}) })
+		case WakeAt:
+			f.after(e.At.Sub(f.now), func() { h.step(Tick{}) })
+		}
+	}
+}
+
+// expectFreeSlot holds every start on own counts to the limit. The limit of a
+// lease may be lowered in the same step, after the start: a host that owns the
+// lease recalls slots from itself.
+func (h *fleetHost) expectFreeSlot(name string) {
+	if u := h.state.upstreamOf("catalogue", name); !u.leased {
+		Expect(u.running).To(BeNumerically("<=", u.limit()), "slots knowingly exceeded on %s by %s", name, h.name)
+	}
+}
+
+func (v *server) arrive(h *fleetHost, e StartAttempt) {
+	f := h.fleet
+	at := f.now - Instant(warmUp)
+	closed := at >= v.closedFrom && at < v.closedUntil
+	if v.running >= v.slots || closed {
+		f.overruns++
+		v.answer(h, e, outcome.Facts{Wrote: true, Status: 503, NotRunHeader: true, Load: v.running, RetryAfter: f.retryAfter})
+		return
+	}
+	v.running++
+	if at >= v.closedUntil {
+		v.ran++
+	}
+	work := float64(h.arrived[e.Attempt.Request].work) * v.slow(at)
+	f.after(time.Duration(work), func() {
+		v.running--
+		v.answer(h, e, outcome.Facts{Wrote: true, Status: 200, Load: v.running})
+	})
+}
+
+func (v *server) answer(h *fleetHost, e StartAttempt, facts outcome.Facts) {
+	h.fleet.after(sameRegionTrip, func() { h.step(AttemptFinished{Attempt: e.Attempt, Facts: facts}) })
+}
+
+// trace draws arrivals over the given time. load is the part of all slots that
+// is needed at an instant. One request in 200 runs 20 times longer, so that
+// the 99th percentile shows the waits of the usual ones.
+func trace(seed uint64, length time.Duration, load func(Instant) float64) []arrival {
+	const usualWork = 13 * time.Millisecond
+	const meanWork = (199*15 + 300) * float64(time.Millisecond) / 200
+	random := rand.New(rand.NewPCG(seed, 5))
+	slots := float64(fleetUpstreams * fleetSlots)
+	var arrivals []arrival
+	for at := Instant(0); at < Instant(length); {
+		at = at.Add(time.Duration(random.ExpFloat64() * meanWork / (slots * load(at))))
+		work := 2*time.Millisecond + time.Duration(random.ExpFloat64()*float64(usualWork))
+		if random.IntN(200) == 0 {
+			work = 300 * time.Millisecond
+		}
+		arrivals = append(arrivals, arrival{at: at, host: random.IntN(fleetHosts), work: work})
+	}
+	return arrivals
+}
+
+func (f *fleet) report(name string, sent int) string {
+	ms := func(percentile float64) float64 {
+		return float64(f.latencies.ValueAtPercentile(percentile)) / float64(time.Millisecond)
+	}
+	return fmt.Sprintf("| %s | %.1f | %.1f | %.1f | %d of %d | %d | %d |",
+		name, ms(50), ms(99), ms(99.9), sent-f.answered, sent, f.overruns, f.messages)
+}
--- a/core/state.go
+++ b/core/state.go
@@ -84,6 +84,7 @@
 	case ExplainRequested:
 		s.explain(e)
 	}
+	s.drainDue()
 	s.settle(event)
 	s.out = nil
 }
--- a/outcome/retry.go
+++ b/outcome/retry.go
@@ -8,6 +8,7 @@
 	RetryNone      Retry = ""
 	RetryDial      Retry = "dial"
 	RetryExpired   Retry = "expired"
+	RetryConnLimit Retry = "connection_limit"
 	RetryShed      Retry = "shed"
 	RetryReset     Retry = "reset"
 	RetryTimeout   Retry = "timeout"
@@ -21,7 +22,7 @@
 // Retries lists every retry reason.
 func Retries() []Retry {
 	return []Retry{
-		RetryDial, RetryExpired, RetryShed, RetryReset, RetryTimeout, RetryTruncated, RetryMalformed,
+		RetryDial, RetryExpired, RetryConnLimit, RetryShed, RetryReset, RetryTimeout, RetryTruncated, RetryMalformed,
 		RetryStatus502, RetryStatus503, RetryStatus504,
 	}
 }
@@ -62,20 +63,26 @@
 	return RetryNone
 }
 
-// NeedsBody reports whether another attempt needs the request body to be kept:
-// once a byte was written, a streamed body cannot be sent again.
-func NeedsBody(f Facts) bool { return f.Wrote }
+// BodyLost reports whether the request body cannot be sent again. kept says
+// that all of it is in memory; of a streamed one, a part may be gone.
+func BodyLost(f Facts, kept bool) bool {
+	return f.BodyTaken || f.Wrote && !kept
+}
 
 func notRunReason(f Facts) Retry {
-	switch {
-	case f.Wrote && f.GaveUp:
-		return RetryNone
-	case f.Wrote:
+	if f.Wrote {
+		if f.GaveUp {
+			return RetryNone
+		}
 		return RetryShed
-	case f.Cause == CauseCanceled:
+	}
+	switch f.Cause {
+	case CauseCanceled, CauseRequestBody, CauseInternal:
 		return RetryNone
-	case f.Cause == CauseExpired:
+	case CauseExpired:
 		return RetryExpired
+	case CauseConnectionLimit:
+		return RetryConnLimit
 	}
 	return RetryDial
 }
@@ -120,7 +127,7 @@
 // load works as it should.
 func HealthOf(f Facts, class Class) Health {
 	switch f.Cause {
-	case CauseCanceled, CauseExpired, CauseRequestBody:
+	case CauseCanceled, CauseExpired, CauseRequestBody, CauseConnectionLimit, CauseInternal:
 		return HealthSilent
 	case CauseNone:
 	default:
