--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/tls"
+	"net"
 	"slices"
 	"time"
 
@@ -135,6 +136,21 @@
 		sendUntil(one, two, "a")
 	})
 
+	// Guards against a host that talks for minutes to a peer that died without
+	// a word.
+	It("notice a peer that falls silent", func() {
+		address, vanish := startVanishingPeer(newKey(ca, "gone", validity))
+		one.Send(address, hostMessage("a"))
+		Eventually(one.counted(CounterHandshakes, handshakeDialed)).WithTimeout(patience).Should(Equal(int64(1)))
+		vanish()
+		silent := func() int64 {
+			one.Send(address, hostMessage("b"))
+			return one.counted(CounterClosed, closedSilent)()
+		}
+		Eventually(silent).WithTimeout(patience).WithPolling(50 * time.Millisecond).Should(Equal(int64(1)))
+		Eventually(one.received).WithTimeout(patience).Should(ContainElement(core.PeerUnreachable{Address: address}))
+	})
+
 	// Guards against a table of peers that grows without bound, and against
 	// addresses that cannot be used.
 	It("bound the number of peers", func() {
@@ -205,13 +221,23 @@
 
 // startSlowPeer accepts connections and reads nothing.
 func startSlowPeer(pair keys.Pair) string {
+	address, _ := startVanishingPeer(pair)
+	return address
+}
+
+// startVanishingPeer accepts connections and reads nothing. It vanishes without
+// closing them.
+func startVanishingPeer(pair keys.Pair) (address string, vanish func()) {
 	certificate, err := tls.X509KeyPair(pair.Certificate, pair.Key)
 	Expect(err).NotTo(HaveOccurred())
-	listener, err := quic.ListenAddr(anyPort, &tls.Config{
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: loopback})
+	Expect(err).NotTo(HaveOccurred())
+	transport := &quic.Transport{Conn: socket}
+	_, err = transport.Listen(&tls.Config{
 		Certificates: []tls.Certificate{certificate},
 		NextProtos:   []string{protocol},
 	}, quicConfig())
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(listener.Close)
-	return listener.Addr().String()
+	DeferCleanup(func() { transport.Close() })
+	return socket.LocalAddr().String(), func() { socket.Close() }
 }
