--- a/peer/measure_test.go
+++ b/peer/measure_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -146,6 +148,56 @@
 		size, float64(sentAfter-sent)/n, float64(receivedAfter-received)/n)
 })
 
+// Measures what connections and messages cost the process, both ends of them
+// together.
+var _ = It("measures memory and processor time", func() {
+	if os.Getenv(measureVariable) == "" {
+		Skip("set " + measureVariable + "=1 to measure")
+	}
+	const hosts, messages = 64, 5_000
+	ca := newCA("deployment")
+	hub := startHost(anyPort, ca.Certificate, newKey(ca, "hub", validity))
+	others := make([]*testHost, hosts)
+	for i := range others {
+		name := fmt.Sprintf("entry-%d", i)
+		others[i] = startHost(anyPort, ca.Certificate, newKey(ca, name, validity))
+	}
+	before, begun := memoryInUse(), processorTime()
+	for _, other := range others {
+		sendUntil(other, hub, "a")
+	}
+	GinkgoWriter.Printf("connection, both ends: %.0f KB, %.2f ms of processor time\n",
+		float64(memoryInUse()-before)/hosts/1e3, (processorTime()-begun).Seconds()*1e3/hosts)
+
+	message := samples()[0].message
+	begun = processorTime()
+	for range messages {
+		others[0].Send(hub.Address(), message)
+		time.Sleep(time.Millisecond)
+	}
+	alone := processorTime() - begun
+	begun = processorTime()
+	for range messages {
+		time.Sleep(time.Millisecond)
+	}
+	idle := processorTime() - begun
+	GinkgoWriter.Printf("message, both ends: %.0f us of processor time\n", float64((alone-idle).Microseconds())/messages)
+})
+
+func memoryInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
+
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	Expect(syscall.Getrusage(syscall.RUSAGE_SELF, &usage)).To(Succeed())
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
 func BenchmarkEncode(b *testing.B) {
 	for _, sample := range samples() {
 		b.Run(sample.name, func(b *testing.B) {
