--- a/cli/keys.go
+++ b/cli/keys.go
@@ -21,6 +21,12 @@
 	Validity  time.Duration `default:"87600h" help:"Time until the CA expires."`
 }
 
+// Help is shown by "keys ca --help".
+func (*keysCACommand) Help() string {
+	return `Example:
+  wisteriapond keys ca ca`
+}
+
 // Run makes a CA.
 func (c *keysCACommand) Run(stdout io.Writer) error {
 	if err := checkValidity(c.Validity); err != nil {
@@ -45,6 +51,12 @@
 	Validity  time.Duration `default:"8760h" help:"Time until the certificate expires."`
 }
 
+// Help is shown by "keys host --help".
+func (*keysHostCommand) Help() string {
+	return `Example:
+  wisteriapond keys host --ca ca --host entry-mtl-a-1 --address 10.1.1.201 host`
+}
+
 // Run makes the key of a host.
 func (c *keysHostCommand) Run(stdout io.Writer) error {
 	if err := checkValidity(c.Validity); err != nil {
--- a/cli/pages_internal_test.go
+++ b/cli/pages_internal_test.go
@@ -23,13 +23,15 @@
 	}
 	for _, help := range []interface{ Help() string }{
 		&serveCommand{}, &checkCommand{}, &explainCommand{}, &statusCommand{}, &demoCommand{}, &loadCommand{},
+		&keysCACommand{}, &keysHostCommand{}, &replayCommand{},
 	} {
 		texts = append(texts, help.Help())
 	}
-	// The keys commands want directories that exist.
+	// The keys and replay commands want paths that exist.
 	GinkgoT().Chdir(GinkgoT().TempDir())
 	Expect(os.Mkdir("ca", 0o700)).To(Succeed())
 	Expect(os.Mkdir("host", 0o700)).To(Succeed())
+	Expect(os.WriteFile("events", nil, 0o600)).To(Succeed())
 	commands := 0
 	for _, text := range texts {
 		text = strings.ReplaceAll(text, "\\\n", " ")
--- a/cli/replay.go
+++ b/cli/replay.go
@@ -12,6 +12,14 @@
 	File string `arg:"" type:"existingfile" help:"Recording of an entry host."`
 }
 
+// Help is shown by "replay --help".
+func (*replayCommand) Help() string {
+	return `The setting record.file makes a process record its events.
+
+Example:
+  wisteriapond replay events`
+}
+
 // Run prints the effects of each recorded event. The output is the same, byte
 // for byte, on every run.
 func (c *replayCommand) Run(stdout io.Writer) error {
