--- a/cli/demo.go
+++ b/cli/demo.go
@@ -162,7 +162,7 @@
 // others from there.
 func (d *demo) startEntryHost(i int) error {
 	name := entryName(i)
-	files, err := d.keys.host(name)
+	files, err := d.keys.forHost(name)
 	if err != nil {
 		return err
 	}
--- a/core/site_test.go
+++ b/core/site_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"io"
 	"reflect"
 	"slices"
 	"strings"
@@ -12,6 +13,7 @@
 
 	"wisteriapond/config"
 	"wisteriapond/core"
+	"wisteriapond/outcome"
 )
 
 // site is a number of reducers with the messages between them and a platform,
@@ -19,6 +21,7 @@
 type site struct {
 	now     core.Instant
 	hosts   []*entry
+	byName  map[string]*entry
 	network []packet
 	random  uint64
 	// delay is the one-way delay, lose and repeat the percentages of messages
@@ -34,12 +37,24 @@
 	partsGone bool
 	list      []core.HostEntry
 
+	// measure makes sent, bytes and received count messages.
+	measure  bool
 	sent     int
 	bytes    int
 	received map[string]int
-	counted  map[string]int64
-	probes   []probe
-	starts   []started
+	// inSteps is the time spent in the reducers, for measurements.
+	inSteps time.Duration
+	counted map[string]int64
+	probes  []probe
+	starts  []started
+
+	// digest takes a description of every effect.
+	digest io.Writer
+
+	// serve is the time that backend servers take for a request; 0 means that
+	// they do not answer.
+	serve   time.Duration
+	answers []answer
 }
 
 type entry struct {
@@ -75,12 +90,23 @@
 	limit   int64
 }
 
+type answer struct {
+	at      core.Instant
+	host    *entry
+	run     int
+	attempt core.AttemptID
+}
+
 type started struct {
 	at      core.Instant
 	address string
 }
 
-const tick = 10 * time.Millisecond
+const (
+	tick = 10 * time.Millisecond
+	// probesPerHost is each host's share of the measuring budget per minute.
+	probesPerHost = 20
+)
 
 func newSite(hosts int) *site {
 	w := &site{
@@ -91,8 +117,11 @@
 		received:  make(map[string]int),
 		random:    1,
 	}
+	w.byName = make(map[string]*entry)
 	for i := range hosts {
-		w.hosts = append(w.hosts, &entry{name: fmt.Sprintf("entry-%03d", i), region: "mtl", off: true})
+		h := &entry{name: fmt.Sprintf("entry-%03d", i), region: "mtl", off: true}
+		w.hosts = append(w.hosts, h)
+		w.byName[h.name] = h
 	}
 	return w
 }
@@ -130,7 +159,13 @@
 }
 
 func (w *site) step(h *entry, event core.Event) {
-	h.state.Step(w.now, event, &h.effects)
+	if w.measure {
+		begin := time.Now()
+		h.state.Step(w.now, event, &h.effects)
+		w.inSteps += time.Since(begin)
+	} else {
+		h.state.Step(w.now, event, &h.effects)
+	}
 	w.carryOut(h)
 }
 
@@ -138,10 +173,21 @@
 	effects := slices.Clone(h.effects.All())
 	h.effects.Reset()
 	for _, effect := range effects {
+		if w.digest != nil {
+			fmt.Fprintln(w.digest, h.name, describe(effect))
+		}
 		w.effect(h, effect)
 	}
 }
 
+// describe writes an effect without the addresses of pointers.
+func describe(effect core.Effect) string {
+	if e, ok := effect.(core.SendPeer); ok {
+		return fmt.Sprintf("to %s: %x", e.Address, encode(e.Message))
+	}
+	return fmt.Sprintf("%T%+v", effect, effect)
+}
+
 func (w *site) effect(h *entry, effect core.Effect) {
 	switch e := effect.(type) {
 	case core.SendPeer:
@@ -174,6 +220,9 @@
 		w.step(h, core.ProbeFinished{Service: e.Service, Upstream: e.Upstream, Took: time.Millisecond})
 	case core.StartAttempt:
 		w.starts = append(w.starts, started{at: w.now, address: e.Address})
+		if w.serve > 0 {
+			w.answers = append(w.answers, answer{at: w.now.Add(w.serve), host: h, run: h.run, attempt: e.Attempt})
+		}
 	case core.Count:
 		w.counted[string(e.Counter)+"/"+e.Label] += e.Add
 	case core.Exit:
@@ -182,9 +231,12 @@
 }
 
 func (w *site) send(h *entry, e core.SendPeer) {
-	w.sent++
-	w.bytes += encodedSize(e.Message)
-	w.received[e.Address] += encodedSize(e.Message)
+	if w.measure {
+		size := encodedSize(e.Message)
+		w.sent++
+		w.bytes += size
+		w.received[e.Address] += size
+	}
 	if w.below(100) < w.lose {
 		return
 	}
@@ -198,6 +250,7 @@
 	for end := w.now.Add(d); w.now < end; {
 		w.now = w.now.Add(tick)
 		w.deliver()
+		w.answer()
 		for _, h := range w.hosts {
 			w.tickIfDue(h)
 		}
@@ -207,6 +260,18 @@
 	}
 }
 
+// answer ends the attempts whose time has come.
+func (w *site) answer() {
+	for len(w.answers) > 0 && w.answers[0].at <= w.now {
+		a := w.answers[0]
+		w.answers = w.answers[1:]
+		if a.host.run == a.run && !a.host.off && !a.host.paused {
+			facts := outcome.Facts{Wrote: true, Status: 200, Load: -1}
+			w.step(a.host, core.AttemptFinished{Attempt: a.attempt, Facts: facts})
+		}
+	}
+}
+
 func (w *site) deliver() {
 	var due []packet
 	w.network = slices.DeleteFunc(w.network, func(p packet) bool {
@@ -225,14 +290,7 @@
 	}
 }
 
-func (w *site) host(name string) *entry {
-	for _, h := range w.hosts {
-		if h.name == name {
-			return h
-		}
-	}
-	return nil
-}
+func (w *site) host(name string) *entry { return w.byName[name] }
 
 func (w *site) tickIfDue(h *entry) {
 	if h.off || h.paused {
@@ -282,8 +340,8 @@
 func (w *site) publish(generation int, services ...*config.Service) config.Version {
 	manifest := &config.Manifest{
 		Generation: uint64(generation),
-		EntryHosts: len(w.hosts) + 1,
-		Measuring:  config.Measuring{RequestsPerMinute: 20 * (len(w.hosts) + 1), BytesPerMinute: 1 << 30},
+		EntryHosts: len(w.hosts),
+		Measuring:  config.Measuring{RequestsPerMinute: probesPerHost * len(w.hosts), BytesPerMinute: 1 << 30},
 		Links:      config.Links{BytesPerSecond: 500_000_000, LongPercent: 50},
 	}
 	text := fmt.Sprintf("%x,", generation)
@@ -374,16 +432,21 @@
 	}
 }
 
-// encodedSize estimates the bytes of a message: CBOR with numbered fields and
-// without zero ones, as the transport encodes it.
-func encodedSize(message core.Message) int {
-	raw, err := cbor.Marshal(compact(reflect.ValueOf(message)))
+// encodedSize estimates the bytes of a message as the transport encodes it.
+func encodedSize(message core.Message) int { return len(encode(message)) }
+
+// encode writes CBOR with numbered fields in a fixed order and without zero
+// ones.
+func encode(message core.Message) []byte {
+	raw, err := encoder.Marshal(compact(reflect.ValueOf(message)))
 	if err != nil {
 		panic(err)
 	}
-	return len(raw)
+	return raw
 }
 
+var encoder, _ = cbor.CoreDetEncOptions().EncMode()
+
 func compact(v reflect.Value) any {
 	switch v.Kind() {
 	case reflect.Pointer:
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// rotateAfter is the time after which a slot may be recalled for a holder
-	// that has none, when there are more holders than slots.
-	rotateAfter = 200 * time.Millisecond
 	// maxSessions and maxUnits bound the tables of an owner.
 	maxSessions = 4096
 	maxUnits    = 1 << 16
@@ -47,36 +44,6 @@
 	changed  map[string]*session
 }
 
-// ownedUnit is the table of one unit.
-type ownedUnit struct {
-	unit   Unit
-	sizes  []Slots
-	used   []int
-	shares map[string]*share
-	// waiting lists the shares that want slots for waiting requests, the
-	// longest wait first.
-	waiting []*share
-}
-
-// share is what one holder has of a unit.
-type share struct {
-	session *session
-	owned   *ownedUnit
-	granted []int
-	total   int
-	wanted  int
-	spare   int
-	except  []string
-	since   time.Duration
-	recall  bool
-	keep    int
-	refused bool
-	wait    time.Duration
-	// dirty is set until the holder has confirmed answer number changedAt.
-	dirty     bool
-	changedAt uint64
-}
-
 // session is the conversation with one holder.
 type session struct {
 	holder   string
@@ -85,6 +52,8 @@
 	sequence uint64
 	expires  time.Duration
 	shares   map[Unit]*share
+	// dirty lists the shares that the holder has not confirmed.
+	dirty []*share
 }
 
 // NewOwner returns an empty table.
@@ -154,19 +123,21 @@
 
 // confirm notes which answers the holder has received.
 func (s *session) confirm(seen uint64) {
-	for unit, sh := range s.shares {
-		if sh.dirty && sh.changedAt != 0 && sh.changedAt <= seen {
-			sh.dirty = false
+	s.dirty = slices.DeleteFunc(s.dirty, func(sh *share) bool {
+		if sh.changedAt == 0 || sh.changedAt > seen {
+			return false
 		}
-		if sh.idle() && !sh.dirty {
+		sh.dirty = false
+		if sh.idle() {
 			sh.owned.remove(sh)
-			delete(s.shares, unit)
+			if s.shares[sh.owned.unit] == sh {
+				delete(s.shares, sh.owned.unit)
+			}
 		}
-	}
+		return true
+	})
 }
 
-func (sh *share) idle() bool { return sh.total == 0 && sh.wanted == 0 && sh.spare == 0 }
-
 // apply takes what a holder says about one unit.
 func (o *Owner) apply(now time.Duration, s *session, ask UnitAsk) {
 	duty := o.facts.Duty(ask.Unit)
@@ -183,7 +154,7 @@
 	sh.claim(ask.Claims)
 	sh.wanted, sh.spare, sh.except = max(0, ask.Wanted), max(0, ask.Spare), ask.Except
 	if sh.recall && sh.total <= sh.keep {
-		sh.recall = false
+		sh.endRecall()
 	}
 	if duty.Wait > 0 {
 		return
@@ -215,148 +186,29 @@
 	return sh
 }
 
-func (sh *share) mark() {
-	sh.dirty = true
-	sh.changedAt = 0
-}
-
-// claim takes over what the holder says that it holds: slots that it gave back
-// become free, and slots that it uses without a grant are granted if free.
-func (sh *share) claim(claims []Slots) {
-	for i, size := range sh.owned.sizes {
-		claimed := 0
-		for _, c := range claims {
-			if c.Upstream == size.Upstream {
-				claimed = c.Count
-			}
-		}
-		free := max(0, size.Count-sh.owned.used[i])
-		sh.set(i, max(0, min(claimed, sh.granted[i]+free)))
-	}
-}
-
-func (sh *share) set(i, count int) {
-	change := count - sh.granted[i]
-	sh.granted[i] = count
-	sh.total += change
-	sh.owned.used[i] += change
-}
-
 // refuse drops a share because this host does not own the unit.
 func (o *Owner) refuse(now time.Duration, sh *share, wait time.Duration) {
 	for i := range sh.granted {
 		sh.set(i, 0)
 	}
-	sh.wanted, sh.spare, sh.recall = 0, 0, false
+	sh.wanted, sh.spare = 0, 0
+	sh.endRecall()
 	sh.refused, sh.wait = true, wait
 	sh.mark()
 	sh.owned.unqueue(sh)
 	o.changed[sh.session.holder] = sh.session
 }
 
-// queue keeps the place of a share that waits already.
-func (u *ownedUnit) queue(sh *share) {
-	waits := slices.Contains(u.waiting, sh)
+// place makes a share part of a list or not.
+func place(list []*share, sh *share, in bool) []*share {
+	i := slices.Index(list, sh)
 	switch {
-	case sh.wanted > 0 && !waits:
-		u.waiting = append(u.waiting, sh)
-	case sh.wanted == 0 && waits:
-		u.unqueue(sh)
+	case in && i < 0:
+		return append(list, sh)
+	case !in && i >= 0:
+		return slices.Delete(list, i, i+1)
 	}
-}
-
-func (u *ownedUnit) unqueue(sh *share) {
-	u.waiting = slices.DeleteFunc(u.waiting, func(other *share) bool { return other == sh })
-}
-
-// grant gives free slots to the shares that wait, then recalls slots for those
-// that still want some, then gives what is left as spare slots.
-func (o *Owner) grant(now time.Duration, u *ownedUnit) {
-	for o.giveNext(now, u) {
-	}
-	for _, sh := range u.waiting {
-		o.recallFor(now, sh)
-	}
-	if len(u.waiting) > 0 {
-		return
-	}
-	for _, holder := range slices.Sorted(maps.Keys(u.shares)) {
-		sh := u.shares[holder]
-		for sh.spare > 0 && o.give(now, sh) {
-			sh.spare--
-		}
-	}
-}
-
-// giveNext grants one slot to the share with the fewest, the longest waiting
-// one among equals. A slot that was recalled would otherwise return to a host
-// that has many and still wants more.
-func (o *Owner) giveNext(now time.Duration, u *ownedUnit) bool {
-	order := slices.Clone(u.waiting)
-	slices.SortStableFunc(order, func(a, b *share) int { return cmp.Compare(a.total, b.total) })
-	for _, sh := range order {
-		if o.give(now, sh) {
-			sh.wanted--
-			u.queue(sh)
-			return true
-		}
-	}
-	return false
-}
-
-// give grants one slot of the upstream with the most free slots.
-func (o *Owner) give(now time.Duration, sh *share) bool {
-	u := sh.owned
-	best, most := -1, 0
-	for i, size := range u.sizes {
-		free := size.Count - u.used[i]
-		if free > most && !slices.Contains(sh.except, size.Upstream) {
-			best, most = i, free
-		}
-	}
-	if best < 0 || sh.refused || sh.recall {
-		return false
-	}
-	sh.set(best, sh.granted[best]+1)
-	sh.since = now
-	sh.mark()
-	o.changed[sh.session.holder] = sh.session
-	return true
-}
-
-// recallFor asks the holder with the most slots for one of them.
-func (o *Owner) recallFor(now time.Duration, wisher *share) {
-	var victim *share
-	for _, holder := range slices.Sorted(maps.Keys(wisher.owned.shares)) {
-		sh := wisher.owned.shares[holder]
-		if sh == wisher || !sh.usable(wisher.except) {
-			continue
-		}
-		if sh.recall {
-			// One recall at a time: its slot goes to the longest waiting share.
-			return
-		}
-		if victim == nil || sh.total > victim.total || sh.total == victim.total && sh.since < victim.since {
-			victim = sh
-		}
-	}
-	if victim == nil || !mayRecall(now, victim, wisher) {
-		return
-	}
-	victim.recall = true
-	victim.keep = victim.total - 1
-	victim.mark()
-	o.changed[victim.session.holder] = victim.session
-}
-
-// usable reports whether the share has a slot outside of the given upstreams.
-func (sh *share) usable(except []string) bool {
-	for i, granted := range sh.granted {
-		if granted > 0 && !slices.Contains(except, sh.owned.sizes[i].Upstream) {
-			return true
-		}
-	}
-	return false
+	return list
 }
 
 // mayRecall lets slots move towards equal shares. A difference of one slot is
@@ -407,13 +259,6 @@
 	}
 }
 
-func (u *ownedUnit) remove(sh *share) {
-	u.unqueue(sh)
-	if u.shares[sh.session.holder] == sh {
-		delete(u.shares, sh.session.holder)
-	}
-}
-
 // ViewChanged drops the units that this host no longer owns.
 func (o *Owner) ViewChanged(now time.Duration) {
 	for _, unit := range slices.SortedFunc(maps.Keys(o.units), compareUnits) {
@@ -446,29 +291,6 @@
 	o.grant(now, u)
 }
 
-func (u *ownedUnit) resize(sizes []Slots) {
-	old := u.sizes
-	u.sizes = sizes
-	u.used = make([]int, len(sizes))
-	for _, holder := range slices.Sorted(maps.Keys(u.shares)) {
-		u.shares[holder].resize(old)
-	}
-}
-
-func (sh *share) resize(old []Slots) {
-	granted := sh.granted
-	sh.granted = make([]int, len(sh.owned.sizes))
-	sh.total = 0
-	for i, size := range sh.owned.sizes {
-		before := slices.IndexFunc(old, func(s Slots) bool { return s.Upstream == size.Upstream })
-		if before >= 0 {
-			free := max(0, size.Count-sh.owned.used[i])
-			sh.set(i, min(granted[before], free))
-		}
-	}
-	sh.mark()
-}
-
 // Replies returns the answers that are due, in the order of holders.
 func (o *Owner) Replies() []Reply {
 	if len(o.changed) == 0 {
@@ -489,11 +311,7 @@
 	}
 	s.sequence++
 	answer := Answer{Session: s.number, Asked: s.asked, Sequence: s.sequence, For: Longest}
-	for _, unit := range slices.SortedFunc(maps.Keys(s.shares), compareUnits) {
-		sh := s.shares[unit]
-		if !sh.dirty {
-			continue
-		}
+	for _, sh := range s.dirty {
 		if sh.changedAt == 0 {
 			sh.changedAt = s.sequence
 		}
@@ -501,17 +319,3 @@
 	}
 	return answer
 }
-
-func (sh *share) answer() UnitAnswer {
-	answer := UnitAnswer{Unit: sh.owned.unit, Refused: sh.refused, Wait: sh.wait}
-	if sh.refused {
-		return answer
-	}
-	answer.Recall, answer.Keep = sh.recall, sh.keep
-	for i, count := range sh.granted {
-		if count > 0 {
-			answer.Grants = append(answer.Grants, Slots{Upstream: sh.owned.sizes[i].Upstream, Count: count})
-		}
-	}
-	return answer
-}
