--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -189,8 +189,6 @@
 	h.carryOut(&effects)
 }
 
-func (h *fleetHost) service() *service { return h.state.services["catalogue"] }
-
 func (h *fleetHost) carryOut(effects *Effects) {
 	f := h.fleet
 	for _, effect := range effects.All() {
