--- a/core/decision_test.go
+++ b/core/decision_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -120,6 +122,61 @@
 	}
 }
 
+// BenchmarkState measures the memory of the control state by upstream, one
+// Tick without load, and the time to take a whole configuration.
+func BenchmarkState(b *testing.B) {
+	for _, upstreams := range []int{1000, 10_000, 37_000} {
+		b.Run(fmt.Sprint(upstreams, "-upstreams"), func(b *testing.B) {
+			before := heapInUse()
+			begin := time.Now()
+			d := newDecider(upstreams)
+			took := time.Since(begin)
+			for i := range d.arrived {
+				d.run(i)
+			}
+			d.arrived = nil
+			memory := heapInUse() - before
+			for b.Loop() {
+				d.at = d.at.Add(TickInterval)
+				d.state.Step(d.at, Tick{}, &d.effects)
+				d.effects.Reset()
+			}
+			b.ReportMetric(float64(memory)/float64(upstreams), "B/upstream")
+			b.ReportMetric(took.Seconds()*1e6/float64(upstreams), "take-µs/upstream")
+		})
+	}
+}
+
+// BenchmarkChange measures the time that a change of one service takes on the
+// control goroutine.
+func BenchmarkChange(b *testing.B) {
+	for _, upstreams := range []int{1000, 10_000, 37_000} {
+		b.Run(fmt.Sprint(upstreams, "-upstreams"), func(b *testing.B) {
+			s, _ := newSized(upstreams)
+			var effects Effects
+			for generation := uint64(2); b.Loop(); generation++ {
+				manifest := *s.table.Manifest
+				manifest.Generation = generation
+				manifest.Services = slices.Clone(manifest.Services)
+				manifest.Services[0].Hash = config.Hash(fmt.Sprintf("%064x", generation<<32))
+				s.Step(0, ManifestRead{Version: config.Version{Generation: generation}, Manifest: &manifest}, &effects)
+				s.Step(0, PartRead{Hash: manifest.Services[0].Hash, Service: sizedPart(0, upstreamsPerService)}, &effects)
+				effects.Reset()
+			}
+			if s.table.Version.Generation == 1 {
+				b.Fatal("no change was taken")
+			}
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
 // BenchmarkPick measures the choice alone, among 25 upstreams with free slots.
 func BenchmarkPick(b *testing.B) {
 	RegisterTestingT(b)
