core, lease: keep a slot of each upstream for lookups over all hosts

Cause: long requests were kept to slots - 1 of an upstream on each host alone. With 15 hosts and 3 slots that keeps nothing free: lookups waited behind archive pulls as if there were no rule. Change: long requests need a slot of a second lease unit with slots - 1 of each upstream; those without one ask for no ordinary slot; slots that long requests use do not count as a host's share when slots are handed out.

--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -23,10 +23,12 @@
 	hosts     []*fleetHost
 	servers   map[string]*server
 	latencies *hdrhistogram.Histogram
-	refusals  map[outcome.Refusal]int
-	answered  int
-	overruns  int
-	messages  int
+	// delays are the latencies less the work that the requests needed.
+	delays   *hdrhistogram.Histogram
+	refusals map[outcome.Refusal]int
+	answered int
+	overruns int
+	messages int
 	// retryAfter is the wait that a full server asks for.
 	retryAfter time.Duration
 }
@@ -55,6 +57,9 @@
 	at   Instant
 	host int
 	work time.Duration
+	// pull is set for an archive pull, which the service may know as long. Its
+	// own latency is not recorded.
+	pull bool
 }
 
 const (
@@ -67,13 +72,17 @@
 )
 
 func newFleet(policy pick.Policy, leased bool) *fleet {
+	return newFleetOf(fleetPart(), policy, leased)
+}
+
+func newFleetOf(part *config.Service, policy pick.Policy, leased bool) *fleet {
 	f := &fleet{
 		random:    rand.New(rand.NewPCG(7, 11)),
 		servers:   make(map[string]*server),
 		latencies: hdrhistogram.New(1, int64(time.Minute), 3),
+		delays:    hdrhistogram.New(1, int64(time.Minute), 3),
 		refusals:  make(map[outcome.Refusal]int),
 	}
-	part := fleetPart()
 	for _, u := range part.Upstreams {
 		f.servers[u.Address] = &server{name: u.Name, slots: u.Slots, slow: func(Instant) float64 { return 1 }}
 	}
@@ -156,7 +165,8 @@
 			h := f.hosts[a.host]
 			id := RequestID(i + 1)
 			h.arrived[id] = a
-			h.step(RequestArrived{ID: id, BodyKept: true, Request: config.Request{Method: "GET", Path: "/urn"}})
+			path := map[bool]string{false: "/urn", true: "/archive"}[a.pull]
+			h.step(RequestArrived{ID: id, BodyKept: true, Request: config.Request{Method: "GET", Path: path}})
 		})
 	}
 	f.play(f.now.Add(trace[len(trace)-1].at.Sub(0) + 5*time.Second))
@@ -198,7 +208,10 @@
 			f.after(sameRegionTrip, func() { f.servers[e.Address].arrive(h, e) })
 		case PassAnswer:
 			f.answered++
-			Expect(f.latencies.RecordValue(int64(f.now.Sub(h.arrived[e.Attempt.Request].at)))).To(Succeed())
+			if a := h.arrived[e.Attempt.Request]; !a.pull {
+				Expect(f.latencies.RecordValue(int64(f.now.Sub(a.at)))).To(Succeed())
+				Expect(f.delays.RecordValue(int64(f.now.Sub(a.at) - a.work))).To(Succeed())
+			}
 		case Refuse:
 			f.refusals[e.Reason]++
 		case SendPeer:
--- a/core/leases.go
+++ b/core/leases.go
@@ -26,6 +26,9 @@
 	service   *service
 	upstreams []*upstream
 	units     []*leaseUnit
+	// longs are the units of long requests, one for each unit; none when the
+	// service does not tell long requests from short ones.
+	longs []*leaseUnit
 	// turn chooses the other region that is asked next.
 	turn int
 }
@@ -76,16 +79,26 @@
 	if u == nil {
 		return
 	}
+	holding.Tied = 0
 	for i, slot := range holding.Slots {
 		slot.Running = u.upstreams[i].running
-		slot.Size = l.size(u.upstreams[i])
+		if u.unit.Long {
+			slot.Running = u.upstreams[i].long
+		} else {
+			holding.Tied += u.upstreams[i].long
+		}
+		slot.Size = l.size(u.unit, u.upstreams[i])
 	}
 }
 
-// size returns the slots that may be leased: none of a leaving host.
-func (l *leases) size(u *upstream) int {
-	if l.state.leaving(u.config.Host) {
+// size returns the slots that may be leased: none of a leaving host, and for
+// long requests those that are not kept for short ones.
+func (l *leases) size(unit lease.Unit, u *upstream) int {
+	switch {
+	case l.state.leaving(u.config.Host):
 		return 0
+	case unit.Long:
+		return u.slotsForLong()
 	}
 	return u.config.Slots
 }
@@ -109,7 +122,7 @@
 	}
 	sizes := make([]lease.Slots, 0, len(u.upstreams))
 	for _, up := range u.upstreams {
-		sizes = append(sizes, lease.Slots{Upstream: up.config.Name, Count: l.size(up)})
+		sizes = append(sizes, lease.Slots{Upstream: up.config.Name, Count: l.size(unit, up)})
 	}
 	return sizes
 }
@@ -120,7 +133,7 @@
 	l := &s.leases
 	for _, name := range sortedKeys(l.services) {
 		if s.services[name] == nil {
-			l.remove(l.services[name].units)
+			l.remove(l.services[name].all())
 			delete(l.services, name)
 		}
 	}
@@ -137,15 +150,20 @@
 
 // resizeService takes over changed numbers of slots.
 func (s *State) resizeService(known *leaseService) {
-	for _, u := range known.units {
+	for _, u := range known.all() {
 		s.resizeUnit(u)
 	}
 }
 
+// all returns the units of both classes.
+func (known *leaseService) all() []*leaseUnit {
+	return slices.Concat(known.units, known.longs)
+}
+
 func (s *State) resizeUnit(u *leaseUnit) {
 	changed := false
 	for i, slot := range u.holding.Slots {
-		changed = changed || slot.Size != s.leases.size(u.upstreams[i])
+		changed = changed || slot.Size != s.leases.size(u.unit, u.upstreams[i])
 	}
 	if !changed {
 		return
@@ -162,8 +180,8 @@
 		byRegion[u.config.Region] = append(byRegion[u.config.Region], u)
 	}
 	if known != nil {
-		l.remove(slices.DeleteFunc(slices.Clone(known.units), func(u *leaseUnit) bool {
-			return byRegion[u.unit.Region] != nil
+		l.remove(slices.DeleteFunc(known.all(), func(u *leaseUnit) bool {
+			return byRegion[u.unit.Region] != nil && (!u.unit.Long || svc.mixed())
 		}))
 	}
 	regions := sortedKeys(byRegion)
@@ -171,14 +189,18 @@
 		regions = slices.Insert(slices.Delete(regions, i, i+1), 0, s.self.Region)
 	}
 	for _, region := range regions {
-		next.units = append(next.units, s.setLeaseUnit(svc, region, byRegion[region]))
+		unit := lease.Unit{Service: svc.config.Name, Region: region}
+		next.units = append(next.units, s.setLeaseUnit(svc, unit, byRegion[region]))
+		if svc.mixed() {
+			unit.Long = true
+			next.longs = append(next.longs, s.setLeaseUnit(svc, unit, byRegion[region]))
+		}
 	}
 	return next
 }
 
-func (s *State) setLeaseUnit(svc *service, region string, upstreams []*upstream) *leaseUnit {
+func (s *State) setLeaseUnit(svc *service, unit lease.Unit, upstreams []*upstream) *leaseUnit {
 	l := &s.leases
-	unit := lease.Unit{Service: svc.config.Name, Region: region}
 	u := l.units[unit]
 	if u == nil {
 		u = &leaseUnit{unit: unit, key: unitKey(unit)}
@@ -205,7 +227,7 @@
 // hostLeases takes over the leaving mark of a host.
 func (s *State) hostLeases(host string) {
 	for _, name := range sortedKeys(s.leases.services) {
-		for _, u := range s.leases.services[name].units {
+		for _, u := range s.leases.services[name].all() {
 			if slices.ContainsFunc(u.upstreams, func(up *upstream) bool { return up.config.Host == host }) {
 				s.resizeUnit(u)
 			}
@@ -221,17 +243,32 @@
 	if known == nil || len(known.units) == 0 {
 		return
 	}
+	waiting, long := svc.waiting, svc.waitingLong()
+	if len(known.longs) > 0 && long > 0 {
+		s.wantUnits(known, known.longs, long)
+		// A long request without a slot of its class cannot use an ordinary one.
+		waiting -= max(0, long-svc.idleForLong())
+	}
+	if waiting > 0 || long == 0 {
+		s.wantUnits(known, known.units, max(1, waiting))
+		return
+	}
+	for _, u := range known.units {
+		s.leases.holder.Unwant(time.Duration(s.now), u.holding)
+	}
+}
+
+func (s *State) wantUnits(known *leaseService, units []*leaseUnit, waiting int) {
 	now := time.Duration(s.now)
-	waiting := max(1, svc.waiting)
-	near := known.units[0]
+	near := units[0]
 	if near.unit.Region != s.self.Region {
-		s.wantFar(known, known.units, waiting)
+		s.wantFar(known, units, waiting)
 		return
 	}
 	unmet := near.holding.Unmet(now)
 	s.leases.holder.Want(now, near.holding, waiting)
-	if unmet >= farAfter && len(known.units) > 1 {
-		s.wantFar(known, known.units[1:], waiting)
+	if unmet >= farAfter && len(units) > 1 {
+		s.wantFar(known, units[1:], waiting)
 	}
 }
 
@@ -242,7 +279,7 @@
 	if known == nil {
 		return
 	}
-	for _, u := range known.units {
+	for _, u := range known.all() {
 		s.leases.holder.Unwant(time.Duration(s.now), u.holding)
 	}
 }
@@ -265,8 +302,12 @@
 		return
 	}
 	known := s.leases.services[r.service.config.Name]
-	if known != nil && len(known.units) > 0 && known.units[0].unit.Region == s.self.Region {
-		s.leases.holder.Touch(time.Duration(s.now), known.units[0].holding)
+	if known == nil || len(known.units) == 0 || known.units[0].unit.Region != s.self.Region {
+		return
+	}
+	s.leases.holder.Touch(time.Duration(s.now), known.units[0].holding)
+	if r.group.long && len(known.longs) > 0 {
+		s.leases.holder.Touch(time.Duration(s.now), known.longs[0].holding)
 	}
 }
 
@@ -351,14 +392,18 @@
 			continue
 		}
 		for i, slot := range holding.Slots {
-			s.setLease(u.upstreams[i], holding.Leased, slot.Held)
+			s.setLease(u.unit, u.upstreams[i], holding.Leased, slot.Held)
 		}
 		s.drainQueue(u.service)
 	}
 	return len(changed) > 0
 }
 
-func (s *State) setLease(u *upstream, leased bool, held int) {
+func (s *State) setLease(unit lease.Unit, u *upstream, leased bool, held int) {
+	if unit.Long {
+		u.longLeased, u.longHeld = leased, held
+		return
+	}
 	if u.leased && !leased {
 		s.count(CounterLeases, "lapsed")
 	}
--- /dev/null
+++ b/core/pulls_test.go
@@ -0,0 +1,58 @@
+package core
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
+	"wisteriapond/pick"
+)
+
+// withPulls adds archive pulls of a second each to a trace: half of all slots
+// on average, in bursts that need more than all of them.
+func withPulls(lookups []arrival, length time.Duration) []arrival {
+	random := rand.New(rand.NewPCG(9, 5))
+	const burst = 50
+	arrivals := slices.Clone(lookups)
+	for at := Instant(0); at < Instant(length); at = at.Add(2 * time.Second) {
+		for range burst {
+			spread := time.Duration(random.Int64N(int64(100 * time.Millisecond)))
+			arrivals = append(arrivals, arrival{at: at.Add(spread), host: random.IntN(fleetHosts), work: time.Second, pull: true})
+		}
+	}
+	slices.SortStableFunc(arrivals, func(a, b arrival) int { return int(a.at - b.at) })
+	return arrivals
+}
+
+func sharedPart(long bool) *config.Service {
+	part := fleetPart()
+	part.Timeout = 10 * time.Second
+	part.Labels = []config.LabelRule{{Label: "kind", Value: "archive", When: config.Match{PathPrefix: "/archive"}}}
+	if long {
+		part.LongWhen = []string{"kind=archive"}
+	}
+	return part
+}
+
+// Guards against lookups that wait behind archive pulls on upstreams that both
+// use. A slot of each upstream is kept for lookups, over all hosts together.
+var _ = ginkgo.Describe("lookups beside archive pulls", ginkgo.Label("virtual time"), func() {
+	ginkgo.It("are delayed by a tenth at most of what they are without slots kept for them", func() {
+		const length = 12 * time.Second
+		arrivals := withPulls(trace(3, length, func(Instant) float64 { return 0.15 }), length)
+		percentile := make(map[bool]int64)
+		for _, long := range []bool{false, true} {
+			f := newFleetOf(sharedPart(long), pick.Held, true)
+			f.run(arrivals)
+			ginkgo.GinkgoWriter.Println(f.report(map[bool]string{false: "one class", true: "long class"}[long], len(arrivals)))
+			percentile[long] = f.delays.ValueAtPercentile(99)
+			ginkgo.GinkgoWriter.Println("delay p50, p99, p99.9 in ms:", f.delays.ValueAtPercentile(50)/1e6,
+				percentile[long]/1e6, f.delays.ValueAtPercentile(99.9)/1e6)
+		}
+		Expect(percentile[true]).To(BeNumerically("<=", percentile[false]/10))
+	})
+})
--- a/core/service.go
+++ b/core/service.go
@@ -67,8 +67,12 @@
 	long    int
 	// leased says that the number of slots this host may use is held slots of
 	// a lease. Both are set by the holder of the leases.
-	leased  bool
-	held    int
+	leased bool
+	held   int
+	// longLeased and longHeld say the same of long requests.
+	longLeased bool
+	longHeld   int
+
 	leaving bool
 	removed bool
 	// load is the last reported load, known since loadAt.
@@ -93,18 +97,54 @@
 }
 
 // longLimit returns how many long requests of this host may run on an upstream
-// that is shared with short ones: one slot stays free of them. An upstream with
-// a single slot has none to spare.
+// that is shared with short ones.
 func (u *upstream) longLimit() int {
+	if u.longLeased {
+		return u.longHeld
+	}
+	return u.slotsForLong()
+}
+
+// slotsForLong is the number of slots that long requests of all hosts together
+// may use: one stays free of them. An upstream with a single slot has none to
+// spare.
+func (u *upstream) slotsForLong() int {
 	return max(1, u.config.Slots-1)
 }
 
+// mixed reports whether the service has long and short requests on the same
+// upstreams.
+func (svc *service) mixed() bool {
+	return svc.shared && len(svc.config.LongWhen) > 0
+}
+
+// waitingLong is the number of long requests that wait.
+func (svc *service) waitingLong() int {
+	waiting := 0
+	for _, g := range svc.waitingGroups {
+		if g.long {
+			waiting += g.waiting.Len()
+		}
+	}
+	return waiting
+}
+
 // allowed is the limit while the upstream warms up.
 func (s *State) allowed(svc *service, u *upstream) int {
 	ramp := u.health.Slots(time.Duration(s.now), u.config.Slots, svc.config.ColdStart)
 	return min(u.limit(), ramp)
 }
 
+// idleForLong is the number of long requests that the slots of their class
+// would allow this host to start.
+func (svc *service) idleForLong() int {
+	idle := 0
+	for _, u := range svc.upstreams {
+		idle += max(0, u.longLimit()-u.long)
+	}
+	return idle
+}
+
 // updateServices carries the state of services and upstreams over to the
 // table in force. Requests in flight keep pointing at the upstream they use.
 func (s *State) updateServices() {
--- a/core/view.go
+++ b/core/view.go
@@ -109,5 +109,7 @@
 }
 
 func unitKey(unit lease.Unit) uint64 {
+	// Both classes of a service have one owner, so that their messages travel
+	// together.
 	return membership.HashName(unit.Service + "/" + unit.Region)
 }
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -26,7 +26,7 @@
 	// Owner names the host that owns a unit by this host's view, empty when
 	// this host is alone.
 	Owner(Unit) string
-	// Refresh sets Size and Running of the unit's slots.
+	// Refresh sets Size and Running of the unit's slots, and Tied.
 	Refresh(*Holding)
 }
 
--- a/lease/holding.go
+++ b/lease/holding.go
@@ -20,6 +20,8 @@
 type Holding struct {
 	Unit  Unit
 	Slots []*Slot
+	// Tied is the number of slots that long requests use.
+	Tied int
 	// Leased says that Held counts. Otherwise the host relies on its own
 	// counts.
 	Leased bool
@@ -149,7 +151,7 @@
 }
 
 func (holding *Holding) ask() UnitAsk {
-	ask := UnitAsk{Unit: holding.Unit, Wanted: holding.wanted, Spare: holding.spare, Idle: holding.idle()}
+	ask := UnitAsk{Unit: holding.Unit, Wanted: holding.wanted, Spare: holding.spare, Idle: holding.idle(), Tied: holding.Tied}
 	for _, slot := range holding.Slots {
 		if claimed := max(slot.Held, slot.Running); claimed > 0 {
 			ask.Claims = append(ask.Claims, Slots{Upstream: slot.Upstream, Count: claimed})
--- a/lease/message.go
+++ b/lease/message.go
@@ -28,14 +28,9 @@
 type Unit struct {
 	Service string
 	Region  string
-}
-
-// Less orders units by service, then region.
-func (u Unit) Less(v Unit) bool {
-	if u.Service != v.Service {
-		return u.Service < v.Service
-	}
-	return u.Region < v.Region
+	// Long sets the slots that long requests may use apart: they need one of
+	// these besides one of the ordinary unit.
+	Long bool
 }
 
 // Slots is a number of slots of one upstream.
@@ -72,6 +67,9 @@
 	Except []string
 	// Idle is the number of slots held that no request uses.
 	Idle int
+	// Tied is the number of slots that long requests use. They do not count as
+	// a part of the holder's share: its short requests cannot have them.
+	Tied int
 }
 
 // Answer goes from an owner to a holder. It renews all leases of the session.
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -157,7 +157,7 @@
 	sh.refused, sh.wait = duty.Wait > 0, duty.Wait
 	sh.claim(ask.Claims)
 	sh.wanted, sh.spare, sh.except = max(0, ask.Wanted), max(0, ask.Spare), ask.Except
-	sh.idleSlots = max(0, ask.Idle)
+	sh.idleSlots, sh.tied = max(0, ask.Idle), max(0, ask.Tied)
 	o.endRecalled(now, sh, seen)
 	if duty.Wait > 0 {
 		return
@@ -231,10 +231,10 @@
 // left as it is, since moving it would only exchange the places; a holder
 // without any slot gets its turn.
 func mayRecall(now time.Duration, victim, wisher *share) bool {
-	if victim.total >= wisher.total+2 {
+	if victim.size() >= wisher.size()+2 {
 		return true
 	}
-	return wisher.total == 0 && victim.total == 1 && now-victim.since >= rotateAfter
+	return wisher.size() == 0 && victim.size() == 1 && now-victim.since >= rotateAfter
 }
 
 // NextCheck returns the instant at which Tick can go on with a recall.
@@ -262,7 +262,17 @@
 }
 
 func compareUnits(a, b Unit) int {
-	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region))
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Region, b.Region), compareLong(a.Long, b.Long))
+}
+
+func compareLong(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
 }
 
 // end drops a session with all of its grants.
--- a/lease/share.go
+++ b/lease/share.go
@@ -27,6 +27,7 @@
 	owned   *ownedUnit
 	granted []int
 	total   int
+	tied    int
 	wanted  int
 	spare   int
 	except  []string
@@ -46,6 +47,10 @@
 	changedAt uint64
 }
 
+// size is the number of slots that the holder has for short requests. Shares
+// are compared by it.
+func (sh *share) size() int { return max(0, sh.total-sh.tied) }
+
 func (sh *share) idle() bool { return sh.total == 0 && sh.wanted == 0 && sh.spare == 0 }
 
 func (sh *share) mark() {
@@ -100,7 +105,7 @@
 // the longest waiting first among equals.
 func (u *ownedUnit) poorest() []*share {
 	order := slices.Clone(u.waiting)
-	slices.SortStableFunc(order, func(a, b *share) int { return cmp.Compare(a.total, b.total) })
+	slices.SortStableFunc(order, func(a, b *share) int { return cmp.Compare(a.size(), b.size()) })
 	return order
 }
 
@@ -157,8 +162,8 @@
 // richer is a total order, so that the choice does not depend on the order of
 // a map.
 func (sh *share) richer(other *share) bool {
-	if sh.total != other.total {
-		return sh.total > other.total
+	if sh.size() != other.size() {
+		return sh.size() > other.size()
 	}
 	if sh.since != other.since {
 		return sh.since < other.since
