lease: look at all sessions and units at regular ticks only

Cause: recalls of idle slots ask for a tick at an instant, every 5 to 10 ms under load. Each such tick looked at all sessions and at a quarter of all units.

Change: at these ticks only the recalls that are due go on. Sessions and units are looked at every 50 ms at most.

--- a/core/leases.go
+++ b/core/leases.go
@@ -11,6 +11,10 @@
 // one step. An ask and its answer take two.
 const maxExchanges = 4
 
+// leaseScan is the least time between two looks at sessions and units. Ticks
+// come more often than that when something is to be done at an instant.
+const leaseScan = TickInterval / 2
+
 // leases is the state of slot leases: what this host grants as an owner and
 // what it holds.
 type leases struct {
@@ -18,6 +22,8 @@
 	owner  *lease.Owner
 	holder *lease.Holder
 	units  map[lease.Unit]*leaseUnit
+	// nextScan is the instant of the next look at sessions and units.
+	nextScan Instant
 	// services lists the units of each service, that of the own region first.
 	services map[string]*leaseService
 }
@@ -281,9 +287,14 @@
 }
 
 func (s *State) tickLeases() {
-	now := time.Duration(s.now)
-	s.leases.holder.Tick(now)
-	s.leases.owner.Tick(now)
+	l, now := &s.leases, time.Duration(s.now)
+	if s.now < l.nextScan {
+		l.owner.Check(now)
+		return
+	}
+	l.nextScan = s.now.Add(leaseScan)
+	l.holder.Tick(now)
+	l.owner.Tick(now)
 	s.sendAsks(true)
 }
 
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -244,21 +244,36 @@
 
 // Tick expires the sessions that were not renewed and goes on with recalls.
 func (o *Owner) Tick(now time.Duration) {
-	o.checkAt = 0
 	for _, holder := range slices.Sorted(maps.Keys(o.sessions)) {
 		if s := o.sessions[holder]; now >= s.expires {
 			o.end(now, s)
 		}
 	}
-	for _, unit := range slices.SortedFunc(maps.Keys(o.units), compareUnits) {
-		u := o.units[unit]
-		switch {
-		case len(u.shares) == 0:
+	for unit, u := range o.units {
+		if len(u.shares) == 0 {
 			delete(o.units, unit)
-		case len(u.waiting) > 0:
-			o.grant(now, u)
 		}
 	}
+	o.checkAt = now
+	o.Check(now)
+}
+
+// Check goes on with the recalls that are due. It costs nothing when none is.
+func (o *Owner) Check(now time.Duration) {
+	if o.checkAt == 0 || now < o.checkAt {
+		return
+	}
+	o.checkAt = 0
+	var waiting []Unit
+	for unit, u := range o.units {
+		if len(u.waiting) > 0 {
+			waiting = append(waiting, unit)
+		}
+	}
+	slices.SortFunc(waiting, compareUnits)
+	for _, unit := range waiting {
+		o.grant(now, o.units[unit])
+	}
 }
 
 func compareUnits(a, b Unit) int {
