--- a/core/request_test.go
+++ b/core/request_test.go
@@ -175,6 +175,19 @@
 		Expect(b.state.requests[2].upstream.config.Name).To(Equal("b"))
 	})
 
+	// Guards against an order that starts on what a paused host last knew.
+	ginkgo.It("holds orders back after a pause of the process", func() {
+		b := newBench(func(s *config.Service) { s.Timeout = time.Minute })
+		b.after(100 * time.Millisecond)
+		b.after(2 * time.Second)
+		Expect(first[StartAttempt](b.get())).NotTo(BeZero())
+		Expect(first[StartAttempt](b.post())).To(BeZero())
+		for range 9 {
+			Expect(first[StartAttempt](b.after(100 * time.Millisecond))).To(BeZero())
+		}
+		Expect(first[StartAttempt](b.after(100 * time.Millisecond)).Attempt.Request).To(Equal(RequestID(2)))
+	})
+
 	// Guards against downloads that take every slot of a shared upstream.
 	ginkgo.It("keeps one slot free of long requests", func() {
 		b := newBench(only("a"))
@@ -328,6 +341,19 @@
 		Expect(b.state.services["orders"].upstreams[0].running).To(Equal(1))
 	})
 
+	// Guards against first requests to a server whose probe has just failed, and
+	// against probes that outweigh what requests observe.
+	ginkgo.It("avoids an upstream whose probe failed until requests show better", func() {
+		b := newBench(unchanged)
+		b.step(ProbeFinished{Service: "orders", Upstream: "a", Facts: outcome.Facts{Wrote: true, Status: 500}})
+		Expect(first[StartAttempt](b.get()).Upstream).To(Equal("b"))
+		a := first[StartAttempt](b.get())
+		Expect(a.Upstream).To(Equal("a"))
+		b.finish(a, ok)
+		u := b.state.services["orders"].upstreams[0]
+		Expect(b.state.latencyOf(u, time.Second)).To(BeNumerically("<", time.Second))
+	})
+
 	// Guards against chains of nested calls without an end.
 	ginkgo.It("refuses the sixteenth entry host of a chain", func() {
 		at := func(depth int) []Effect {
@@ -382,6 +408,18 @@
 		Expect(first[StartAttempt](b.get()).Upstream).To(BeElementOf("b", "c"))
 	})
 
+	// Guards against leaving the region at once whenever no lease is held, and
+	// against waiting there for a lease that does not come.
+	ginkgo.It("are used without a lease at home only after the time of the trip", func() {
+		b := newBench(far)
+		home := b.state.services["orders"].upstreams[0]
+		home.leased = true
+		Expect(first[StartAttempt](b.get())).To(BeZero())
+		b.after(23 * time.Millisecond)
+		Expect(b.state.services["orders"].waiting).To(Equal(1))
+		Expect(first[StartAttempt](b.after(time.Millisecond)).Upstream).To(BeElementOf("b", "c"))
+	})
+
 	// Guards against downloads that fill a link, and against uncounted bytes.
 	ginkgo.It("share a part of the link among long answers", func() {
 		b := newBench(func(s *config.Service) { far(s); s.Upstreams = s.Upstreams[1:] })
