peer, codec: let messages that wait for one peer share a datagram

Each message had a datagram of its own. The goroutine of a peer now takes what waits behind a message into the same datagram, up to 1,100 bytes and 64 messages. It waits for nothing, so no lease ask is delayed. Messages follow each other in the datagram; a larger one keeps a stream to itself. The protocol is negotiated as wisteriapond/2; a peer that offers only wisteriapond/1 gets one message per datagram, so a rolling upgrade works.

--- a/codec/codec.go
+++ b/codec/codec.go
@@ -94,3 +94,15 @@
 	copyValue(target, wire.Elem())
 	return nil
 }
+
+// DecodeFirst is Decode for the first of several encodings that follow each
+// other. It returns the bytes after it.
+func (c *Codec) DecodeFirst(raw []byte, target reflect.Value) (rest []byte, err error) {
+	wire := reflect.New(c.wire)
+	rest, err = decoder.UnmarshalFirst(raw, wire.Interface())
+	if err != nil {
+		return nil, &Error{Type: c.typ.String(), Err: err}
+	}
+	copyValue(target, wire.Elem())
+	return rest, nil
+}
--- a/peer/link.go
+++ b/peer/link.go
@@ -27,6 +27,8 @@
 const (
 	// datagramLimit fits the smallest packet that QUIC allows.
 	datagramLimit = 1100
+	// maxBatch bounds the messages that share a datagram.
+	maxBatch = 64
 	// maxMalformed is the number of malformed messages after which the
 	// connection is closed.
 	maxMalformed = 8
@@ -45,6 +47,8 @@
 	maxReads = 16
 )
 
+var errTooMany = errors.New("too many messages in one datagram")
+
 // reads holds a token for each stream that is being read. It bounds the memory
 // that large messages take, in the whole process.
 var reads = make(chan struct{}, maxReads)
@@ -59,6 +63,8 @@
 	dialed  net.IP
 	since   time.Time
 	streams chan []byte
+	// batches says that the peer takes several messages in one datagram.
+	batches bool
 
 	queuedBytes atomic.Int64
 	malformed   atomic.Int64
@@ -79,6 +85,7 @@
 		dialed:  dialed,
 		since:   time.Now(),
 		streams: make(chan []byte, streamQueue),
+		batches: conn.ConnectionState().TLS.NegotiatedProtocol == protocol,
 	}
 }
 
@@ -137,7 +144,7 @@
 	return !l.unanswered.IsZero() && now.Sub(l.unanswered) >= silentAfter
 }
 
-// write sends an encoded message. It returns the reason when it cannot.
+// write sends encoded messages. It returns the reason when it cannot.
 func (l *link) write(raw []byte) (way, dropped string) {
 	if l.unanswered.IsZero() {
 		l.unanswered = time.Now()
@@ -240,12 +247,40 @@
 	l.receive(raw, wayStream)
 }
 
+// receive takes the messages of a datagram or stream, up to the first that is
+// malformed.
 func (l *link) receive(raw []byte, way string) {
+	if len(raw) > datagramLimit {
+		l.receiveLarge(raw, way)
+		return
+	}
+	for n := 0; n == 0 || len(raw) > 0; n++ {
+		if n == maxBatch {
+			l.noteMalformed(way, errTooMany)
+			return
+		}
+		message, rest, err := decodeFirst(raw)
+		if err != nil {
+			l.noteMalformed(way, err)
+			return
+		}
+		l.deliver(message, raw[:len(raw)-len(rest)], way)
+		raw = rest
+	}
+}
+
+// receiveLarge takes a message that has a stream to itself. Without this rule,
+// one stream could hold a million messages.
+func (l *link) receiveLarge(raw []byte, way string) {
 	message, err := Decode(raw)
 	if err != nil {
 		l.noteMalformed(way, err)
 		return
 	}
+	l.deliver(message, raw, way)
+}
+
+func (l *link) deliver(message core.Message, raw []byte, way string) {
 	l.t.config.Count(CounterMessagesIn, way, 1)
 	bytesByKind(&message, raw, func(kind string, n int64) { l.t.config.Count(CounterBytesIn, kind, n) })
 	l.t.config.Receive(core.PeerMessage{
--- a/peer/measure_test.go
+++ b/peer/measure_test.go
@@ -148,6 +148,48 @@
 		size, float64(sentAfter-sent)/n, float64(receivedAfter-received)/n)
 })
 
+// Measures bursts of messages to one peer, with a datagram for each message as
+// in the older protocol and with shared datagrams, in turns.
+var _ = It("measures messages that leave together", func() {
+	if os.Getenv(measureVariable) == "" {
+		Skip("set " + measureVariable + "=1 to measure")
+	}
+	const bursts = 1_000
+	ca := newCA("deployment")
+	hub := startHost(anyPort, ca.Certificate, newKey(ca, "hub", validity))
+	senders := map[string]*testHost{}
+	for _, name := range protocols {
+		senders[name] = startHost(anyPort, ca.Certificate, newKey(ca, "sender", validity))
+		senders[name].offered = []string{name}
+		sendUntil(senders[name], hub, name)
+	}
+	for _, size := range []int{1, 2, 4, 8} {
+		idle := processorTime()
+		for range bursts {
+			time.Sleep(time.Millisecond)
+		}
+		idle = processorTime() - idle
+		for _, name := range []string{singleProtocol, protocol, singleProtocol, protocol} {
+			sender := senders[name]
+			stats := sender.allLinks()[0].conn.ConnectionStats
+			time.Sleep(100 * time.Millisecond)
+			before, begun := stats(), processorTime()
+			for range bursts {
+				for range size {
+					sender.Send(hub.Address(), samples()[0].message)
+				}
+				time.Sleep(time.Millisecond)
+			}
+			took, n := processorTime()-begun-idle, float64(bursts*size)
+			time.Sleep(100 * time.Millisecond)
+			after := stats()
+			GinkgoWriter.Printf("| %s | %d | %.3f | %.1f | %.1f | %.1f |\n", name, size,
+				float64(after.PacketsSent-before.PacketsSent)/n, float64(after.BytesSent-before.BytesSent)/n,
+				float64(after.BytesReceived-before.BytesReceived)/n, float64(took.Microseconds())/n)
+		}
+	}
+})
+
 // Measures what connections and messages cost the process, both ends of them
 // together.
 var _ = It("measures memory and processor time", func() {
--- a/peer/message.go
+++ b/peer/message.go
@@ -50,6 +50,13 @@
 	return m, err
 }
 
+// decodeFirst reads the first message of a batch and returns the bytes after
+// it.
+func decodeFirst(raw []byte) (m core.Message, rest []byte, err error) {
+	rest, err = messageCodec.DecodeFirst(raw, reflect.ValueOf(&m).Elem())
+	return m, rest, err
+}
+
 // Kinds lists the kinds of messages. Each field of core.Message is one; a
 // message with several fields counts towards several kinds.
 func Kinds() []string { return kinds }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -124,6 +124,46 @@
 		Eventually(one.counted(CounterDropped, droppedTooLarge)).WithTimeout(patience).Should(Equal(int64(1)))
 	})
 
+	// Guards against messages that get lost, merged or miscounted when they
+	// share a datagram, and against one that holds more than the bound.
+	It("take several messages from one datagram", func() {
+		key := newKey(ca, "entry-3", validity)
+		conn, err := rawClient(one.Address(), &key)
+		Expect(err).NotTo(HaveOccurred())
+		b := &batch{}
+		for n := 0; ; n++ {
+			message := hostMessage(string(rune('a' + n)))
+			raw, err := Encode(&message)
+			Expect(err).NotTo(HaveOccurred())
+			if !b.add(&message, raw) {
+				break
+			}
+		}
+		Expect(len(b.raw)).To(BeNumerically("<=", datagramLimit))
+		Expect(len(b.parts)).To(Equal(maxBatch))
+		arrived := func() []core.PeerMessage {
+			conn.SendDatagram(b.raw)
+			return one.messages()
+		}
+		Eventually(arrived).WithTimeout(patience).Should(HaveLen(maxBatch))
+		for i, message := range one.messages() {
+			Expect(message.Message).To(Equal(*b.parts[i].message))
+			Expect(message.Bytes).To(Equal(len(b.parts[i].raw)))
+		}
+		conn.SendDatagram(append(b.raw, b.raw...)[:datagramLimit])
+		Eventually(one.counted(CounterMalformed, wayDatagram)).WithTimeout(patience).Should(BeNumerically(">", 0))
+	})
+
+	// Guards against a rolling upgrade that cuts the hosts of two releases off
+	// from each other, or sends shared datagrams to one that cannot read them.
+	It("exchange messages with a host of the previous release", func() {
+		old := startHost(anyPort, ca.Certificate, newKey(ca, "entry-3", validity))
+		old.offered = []string{singleProtocol}
+		sendUntil(old, one, "a")
+		sendUntil(one, old, "b")
+		Expect(one.allLinks()[0].batches).To(BeFalse())
+	})
+
 	// Guards against a peer that reads nothing and thereby holds up the
 	// control goroutine or the messages to other peers.
 	It("do not wait for a slow peer", func() {
--- a/peer/send.go
+++ b/peer/send.go
@@ -37,6 +37,8 @@
 type outgoing struct {
 	message core.Message
 	at      time.Time
+	// raw is the encoding, once there is one.
+	raw []byte
 }
 
 // peer is the queue towards one address. Its goroutine encodes and sends.
@@ -148,29 +150,68 @@
 	}
 }
 
+// send sends a message and those that wait behind it.
 func (p *peer) send(o *outgoing) {
-	l := p.connection()
-	if l == nil {
-		p.unreachable()
-		return
+	for o != nil {
+		l := p.connection()
+		if l == nil {
+			p.unreachable()
+			return
+		}
+		o = p.sendBatch(l, o)
+	}
+}
+
+// sendBatch sends a message together with those that wait and fit into the
+// same datagram. It waits for none: messages of one step of the reducer follow
+// each other within microseconds. It returns the first that did not fit.
+func (p *peer) sendBatch(l *link, first *outgoing) (rest *outgoing) {
+	batch := &batch{t: p.t}
+	for o := first; o != nil; o = p.next() {
+		raw := p.encode(o)
+		if raw == nil {
+			continue
+		}
+		if !batch.add(&o.message, raw) {
+			rest = o
+			break
+		}
+		if !l.batches {
+			break
+		}
+	}
+	batch.send(l)
+	return rest
+}
+
+// next returns a message that waits, or nil.
+func (p *peer) next() *outgoing {
+	select {
+	case o := <-p.queue:
+		return o
+	default:
+		return nil
+	}
+}
+
+// encode returns nil for a message that is dropped. The result is kept, since
+// a message that does not fit into a batch begins the next one.
+func (p *peer) encode(o *outgoing) []byte {
+	if o.raw != nil {
+		return o.raw
 	}
 	if time.Since(o.at) > sendExpiry {
 		p.t.config.Count(CounterDropped, droppedExpired, 1)
-		return
+		return nil
 	}
 	raw, err := Encode(&o.message)
 	if err != nil {
 		p.t.config.Count(CounterDropped, droppedTooLarge, 1)
 		p.t.config.Log.WithField("address", p.address.String()).WithError(err).Error("message to peer dropped")
-		return
-	}
-	way, dropped := l.write(raw)
-	if dropped != "" {
-		p.t.config.Count(CounterDropped, dropped, 1)
-		return
+		return nil
 	}
-	p.t.config.Count(CounterMessagesOut, way, 1)
-	bytesByKind(&o.message, raw, func(kind string, n int64) { p.t.config.Count(CounterBytesOut, kind, n) })
+	o.raw = raw
+	return raw
 }
 
 // unreachable drops the message at hand and those that wait. They have one
--- a/peer/tls.go
+++ b/peer/tls.go
@@ -10,9 +10,17 @@
 	"wisteriapond/keys"
 )
 
-// protocol names the protocol between entry hosts in the TLS handshake. The
-// number changes when messages change in a way that older releases misread.
-const protocol = "wisteriapond/1"
+// Names of the protocol between entry hosts in the TLS handshake. The number
+// changes when messages change in a way that older releases misread.
+const (
+	protocol = "wisteriapond/2"
+	// singleProtocol carries one message per datagram or stream. Hosts still
+	// accept it, so that a rolling upgrade keeps them connected.
+	singleProtocol = "wisteriapond/1"
+)
+
+// protocols lists what this release speaks, the preferred one first.
+var protocols = []string{protocol, singleProtocol}
 
 // handshake follows one connection that a peer opens, from its first packet.
 type handshake struct {
@@ -28,7 +36,7 @@
 func baseConfig(bundle *keys.Bundle) *tls.Config {
 	return &tls.Config{
 		MinVersion:             tls.VersionTLS13,
-		NextProtos:             []string{protocol},
+		NextProtos:             protocols,
 		Certificates:           []tls.Certificate{bundle.Certificate},
 		SessionTicketsDisabled: true,
 	}
@@ -70,6 +78,7 @@
 func (t *Transport) dialConfig(address net.IP, refusal *error) *tls.Config {
 	bundle := t.config.Keys.Current()
 	config := baseConfig(bundle)
+	config.NextProtos = t.offered
 	config.ServerName = address.String()
 	config.InsecureSkipVerify = true
 	config.VerifyConnection = func(state tls.ConnectionState) error {
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -3,7 +3,8 @@
 // anything: its handshake fails before a message is read or written.
 //
 // Small messages travel as datagrams, which may be lost; larger ones as one
-// stream each. Messages are not ordered among each other. Sending never
+// stream each. Small messages to one peer that wait at the same time share a
+// datagram. Messages are not ordered among each other. Sending never
 // blocks: each peer has a bounded queue and a goroutine of its own.
 package peer
 
@@ -79,6 +80,8 @@
 	own      netip.AddrPort
 	refusals refusalLog
 	reports  chan string
+	// offered lists the protocols that this host offers when it dials.
+	offered []string
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -106,6 +109,7 @@
 		own:      unmapped(socket.LocalAddr().(*net.UDPAddr).AddrPort()),
 		refusals: refusalLog{log: config.Log},
 		reports:  make(chan string, pendingReportLimit),
+		offered:  protocols,
 		peers:    make(map[netip.AddrPort]*peer),
 		links:    make(map[*link]struct{}),
 		routes:   make(map[netip.AddrPort]*link),
