peer, entryhost: send queued messages to peers before a planned stop ends

The end of the control loop closed the connections at once, and QUIC drops what it still holds on a close. A planned stop now waits up to 1 s until the queues are empty and two round trips and one acknowledgement delay have passed since the last write. Lost packets are not waited for. A message to a peer that cannot be reached holds the stop up for at most that second.

--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -148,6 +148,7 @@
 		defer cancel()
 		err := h.loop.Run(h.ctx)
 		endRecording()
+		h.flushPeers()
 		h.finishCallers()
 		h.admin.Close()
 		return err
--- a/entryhost/peers.go
+++ b/entryhost/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"wisteriapond/core"
 	"wisteriapond/keys"
@@ -11,6 +12,10 @@
 	"wisteriapond/peer"
 )
 
+// flushTimeout bounds the wait for messages to peers at a planned stop. A peer
+// that cannot be reached would otherwise hold the stop up.
+const flushTimeout = time.Second
+
 // PeerError says why the connections to other entry hosts cannot be set up.
 type PeerError struct {
 	Err error
@@ -68,6 +73,19 @@
 	})
 }
 
+// flushPeers sends what is queued for other entry hosts before a planned stop
+// ends the process, such as returned leases and the word that it leaves.
+func (h *Host) flushPeers() {
+	if h.peers == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(h.ctx, flushTimeout)
+	defer cancel()
+	if !h.peers.Flush(ctx) && h.ctx.Err() == nil {
+		h.log.Warn("messages to other entry hosts were still queued at the end")
+	}
+}
+
 // PeerAddress returns the address for other entry hosts, empty for a host that
 // runs alone.
 func (h *Host) PeerAddress() string {
--- a/peer/batch.go
+++ b/peer/batch.go
@@ -34,6 +34,7 @@
 		return
 	}
 	n := int64(len(b.parts))
+	defer b.t.waiting.Add(-n)
 	way, dropped := l.write(b.raw)
 	if dropped != "" {
 		b.t.config.Count(CounterDropped, dropped, n)
--- a/peer/link.go
+++ b/peer/link.go
@@ -67,8 +67,12 @@
 	batches bool
 
 	queuedBytes atomic.Int64
-	malformed   atomic.Int64
-	closed      sync.Once
+	// sentBefore is the number of packets sent before the last write, writtenAt
+	// its time, counted from since in nanoseconds.
+	sentBefore atomic.Uint64
+	writtenAt  atomic.Int64
+	malformed  atomic.Int64
+	closed     sync.Once
 
 	// The following belong to the goroutine that sends. Unanswered is the time
 	// of the first message since the last packet of the peer came.
@@ -149,6 +153,7 @@
 	if l.unanswered.IsZero() {
 		l.unanswered = time.Now()
 	}
+	l.noteWrite()
 	if len(raw) <= datagramLimit {
 		err := l.writeDatagram(raw)
 		var tooLarge *quic.DatagramTooLargeError
@@ -204,6 +209,7 @@
 		stream.CancelWrite(0)
 		return err
 	}
+	l.noteWrite()
 	return stream.Close()
 }
 
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -124,6 +124,28 @@
 		Eventually(one.counted(CounterDropped, droppedTooLarge)).WithTimeout(patience).Should(Equal(int64(1)))
 	})
 
+	// Guards against a planned stop that drops queued messages, also those to
+	// a peer without a connection, and against one that an unreachable peer
+	// holds up.
+	It("send what is queued before they stop, within a bounded time", func() {
+		part := core.Message{Part: bytes.Repeat([]byte{7}, 5_000)}
+		one.Send(two.Address(), part)
+		one.Send(two.Address(), hostMessage("a"))
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		Expect(one.Flush(ctx)).To(BeTrue())
+		one.stop()
+		Eventually(two.messages).WithTimeout(patience).Should(ContainElements(
+			HaveField("Message", part), HaveField("Message", hostMessage("a"))))
+
+		address, vanish := startVanishingPeer(newKey(ca, "gone", validity))
+		vanish()
+		two.Send(address, hostMessage("b"))
+		short, cancelShort := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancelShort()
+		Expect(two.Flush(short)).To(BeFalse())
+	})
+
 	// Guards against messages that get lost, merged or miscounted when they
 	// share a datagram, and against one that holds more than the bound.
 	It("take several messages from one datagram", func() {
--- a/peer/send.go
+++ b/peer/send.go
@@ -68,9 +68,11 @@
 	p := t.peerAt(parsed)
 	full := false
 	if p != nil {
+		t.waiting.Add(1)
 		select {
 		case p.queue <- &outgoing{message: message, at: time.Now()}:
 		default:
+			t.waiting.Add(-1)
 			full = true
 		}
 	}
@@ -170,6 +172,7 @@
 	for o := first; o != nil; o = p.next() {
 		raw := p.encode(o)
 		if raw == nil {
+			p.t.waiting.Add(-1)
 			continue
 		}
 		if !batch.add(&o.message, raw) {
@@ -225,6 +228,7 @@
 		<-p.queue
 		dropped++
 	}
+	p.t.waiting.Add(-dropped)
 	p.t.config.Count(CounterDropped, droppedUnreachable, dropped)
 	p.t.config.Receive(core.PeerUnreachable{Address: p.address.String()})
 }
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -82,6 +83,8 @@
 	reports  chan string
 	// offered lists the protocols that this host offers when it dials.
 	offered []string
+	// waiting counts the messages that are queued or about to be written.
+	waiting atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
