peer: bound handshakes under way and validate addresses under load

Anybody could begin any number of handshakes, each with a connection and its goroutines until it timed out. At most 256 handshakes that others began are now under way at once; more are refused and counted as too_many. From 32 on, QUIC first validates the address of a new connection (Retry), so that forged addresses cannot fill the bound. Dialing hosts try again after their usual wait.

--- a/metrics/transport.go
+++ b/metrics/transport.go
@@ -65,7 +65,7 @@
 		string(PeerHandshakes), KindCounter,
 		[]string{"result"},
 		"handshakes",
-		"Handshakes with other entry hosts: `accepted`, `dialed`, `refused` by this host, `refused_by_peer` or `failed`.",
+		"Handshakes with other entry hosts: `accepted`, `dialed`, `refused` by this host, `refused_by_peer`, `failed`, or `too_many` under way.",
 	},
 	{
 		string(PeerClosed), KindCounter,
--- a/peer/counters.go
+++ b/peer/counters.go
@@ -48,6 +48,7 @@
 	handshakeRefused   = "refused"
 	handshakeRefusedBy = "refused_by_peer"
 	handshakeFailed    = "failed"
+	handshakeTooMany   = "too_many"
 )
 
 // Reasons why the host closed a connection.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -268,6 +268,20 @@
 		}, "unknown authority"),
 	)
 
+	// Guards against outsiders that take up memory with handshakes without
+	// bound, against places that are not given back, and against address
+	// validation that keeps peers out.
+	It("finds a bound on handshakes under way", func() {
+		two := startHost(anyPort, ca.Certificate, newKey(ca, "entry-2", validity))
+		one.handshakes.Store(maxHandshakes)
+		_, err := rawClient(one.Address(), nil)
+		Expect(err).To(HaveOccurred())
+		Expect(one.counted(CounterHandshakes, handshakeTooMany)()).To(BeNumerically(">", 0))
+		one.handshakes.Store(validateFrom)
+		sendUntil(two, one, "a")
+		Expect(one.handshakes.Load()).To(BeEquivalentTo(validateFrom))
+	})
+
 	// Guards against a host that hands its messages to an impostor at a
 	// peer's address.
 	It("gets no message from a host that dials it", func() {
--- a/peer/tls.go
+++ b/peer/tls.go
@@ -27,6 +27,8 @@
 	remote   string
 	refusal  atomic.Pointer[string]
 	accepted atomic.Bool
+	// release gives the place among the handshakes under way back, once.
+	release func()
 }
 
 type handshakeKey struct{}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -37,6 +37,11 @@
 	idleTimeout      = 5 * time.Minute
 	handshakeTimeout = 2 * time.Second
 	connectionIDSize = 8
+	// maxHandshakes bounds the handshakes under way that others began. The
+	// sender of one is not known yet.
+	maxHandshakes = 256
+	// validateFrom is the number of them from which addresses are validated.
+	validateFrom = 32
 	// Each connection may hold this many unread streams. Their flow control
 	// windows bound what a slow reader has to keep.
 	maxStreams         = 4
@@ -48,6 +53,8 @@
 	pendingReportLimit = 256
 )
 
+var errTooManyHandshakes = errors.New("too many handshakes")
+
 // Config is what a transport needs.
 type Config struct {
 	// Listen is the UDP address of this host for its peers.
@@ -85,6 +92,8 @@
 	offered []string
 	// waiting counts the messages that are queued or about to be written.
 	waiting atomic.Int64
+	// handshakes counts those under way that other processes began.
+	handshakes atomic.Int64
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -126,6 +135,8 @@
 		ConnectionIDLength: connectionIDSize,
 		StatelessResetKey:  &reset,
 		ConnContext:        t.beginHandshake,
+		// Forged addresses could otherwise fill the bound on handshakes.
+		VerifySourceAddress: t.validateAddress,
 	}
 	if t.listener, err = t.quic.Listen(t.serverConfig(), quicConfig()); err != nil {
 		t.cancel()
@@ -200,11 +211,24 @@
 // with the connection, so that a handshake which fails anywhere is counted.
 func (t *Transport) beginHandshake(ctx context.Context, info *quic.ClientInfo) (context.Context, error) {
 	h := &handshake{remote: info.RemoteAddr.String()}
+	if t.handshakes.Add(1) > maxHandshakes {
+		t.handshakes.Add(-1)
+		t.config.Count(CounterHandshakes, handshakeTooMany, 1)
+		return nil, errTooManyHandshakes
+	}
+	h.release = sync.OnceFunc(func() { t.handshakes.Add(-1) })
 	context.AfterFunc(ctx, func() { t.handshakeEnded(h, context.Cause(ctx)) })
 	return context.WithValue(ctx, handshakeKey{}, h), nil
 }
 
+// validateAddress reports whether a new connection must first prove that it
+// receives packets at its address, which costs it a round trip.
+func (t *Transport) validateAddress(net.Addr) bool {
+	return t.handshakes.Load() >= validateFrom
+}
+
 func (t *Transport) handshakeEnded(h *handshake, cause error) {
+	h.release()
 	if h.accepted.Load() || t.ctx.Err() != nil {
 		return
 	}
@@ -221,6 +245,7 @@
 	h, _ := conn.Context().Value(handshakeKey{}).(*handshake)
 	if h != nil {
 		h.accepted.Store(true)
+		h.release()
 	}
 	certificates := conn.ConnectionState().TLS.PeerCertificates
 	host, err := t.config.Keys.Current().VerifyPeer(certificates, nil, time.Now())
