--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -124,6 +124,68 @@
 		Eventually(one.counted(CounterDropped, droppedTooLarge)).WithTimeout(patience).Should(Equal(int64(1)))
 	})
 
+	// Guards against a planned stop that drops queued messages, also those to
+	// a peer without a connection, and against one that an unreachable peer
+	// holds up.
+	It("send what is queued before they stop, within a bounded time", func() {
+		part := core.Message{Part: bytes.Repeat([]byte{7}, 5_000)}
+		one.Send(two.Address(), part)
+		one.Send(two.Address(), hostMessage("a"))
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		Expect(one.Flush(ctx)).To(BeTrue())
+		one.stop()
+		Eventually(two.messages).WithTimeout(patience).Should(ContainElements(
+			HaveField("Message", part), HaveField("Message", hostMessage("a"))))
+
+		address, vanish := startVanishingPeer(newKey(ca, "gone", validity))
+		vanish()
+		two.Send(address, hostMessage("b"))
+		short, cancelShort := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancelShort()
+		Expect(two.Flush(short)).To(BeFalse())
+	})
+
+	// Guards against messages that get lost, merged or miscounted when they
+	// share a datagram, and against one that holds more than the bound.
+	It("take several messages from one datagram", func() {
+		key := newKey(ca, "entry-3", validity)
+		conn, err := rawClient(one.Address(), &key)
+		Expect(err).NotTo(HaveOccurred())
+		b := &batch{}
+		for n := 0; ; n++ {
+			message := hostMessage(string(rune('a' + n)))
+			raw, err := Encode(&message)
+			Expect(err).NotTo(HaveOccurred())
+			if !b.add(&message, raw) {
+				break
+			}
+		}
+		Expect(len(b.raw)).To(BeNumerically("<=", datagramLimit))
+		Expect(len(b.parts)).To(Equal(maxBatch))
+		arrived := func() []core.PeerMessage {
+			conn.SendDatagram(b.raw)
+			return one.messages()
+		}
+		Eventually(arrived).WithTimeout(patience).Should(HaveLen(maxBatch))
+		for i, message := range one.messages() {
+			Expect(message.Message).To(Equal(*b.parts[i].message))
+			Expect(message.Bytes).To(Equal(len(b.parts[i].raw)))
+		}
+		conn.SendDatagram(append(b.raw, b.raw...)[:datagramLimit])
+		Eventually(one.counted(CounterMalformed, wayDatagram)).WithTimeout(patience).Should(BeNumerically(">", 0))
+	})
+
+	// Guards against a rolling upgrade that cuts the hosts of two releases off
+	// from each other, or sends shared datagrams to one that cannot read them.
+	It("exchange messages with a host of the previous release", func() {
+		old := startHost(anyPort, ca.Certificate, newKey(ca, "entry-3", validity))
+		old.offered = []string{singleProtocol}
+		sendUntil(old, one, "a")
+		sendUntil(one, old, "b")
+		Expect(one.allLinks()[0].batches).To(BeFalse())
+	})
+
 	// Guards against a peer that reads nothing and thereby holds up the
 	// control goroutine or the messages to other peers.
 	It("do not wait for a slow peer", func() {
@@ -206,6 +268,20 @@
 		}, "unknown authority"),
 	)
 
+	// Guards against outsiders that take up memory with handshakes without
+	// bound, against places that are not given back, and against address
+	// validation that keeps peers out.
+	It("finds a bound on handshakes under way", func() {
+		two := startHost(anyPort, ca.Certificate, newKey(ca, "entry-2", validity))
+		one.handshakes.Store(maxHandshakes)
+		_, err := rawClient(one.Address(), nil)
+		Expect(err).To(HaveOccurred())
+		Expect(one.counted(CounterHandshakes, handshakeTooMany)()).To(BeNumerically(">", 0))
+		one.handshakes.Store(validateFrom)
+		sendUntil(two, one, "a")
+		Expect(one.handshakes.Load()).To(BeEquivalentTo(validateFrom))
+	})
+
 	// Guards against a host that hands its messages to an impostor at a
 	// peer's address.
 	It("gets no message from a host that dials it", func() {
