--- a/backend/answer_test.go
+++ b/backend/answer_test.go
@@ -13,6 +13,7 @@
 	"wisteriapond/config"
 	"wisteriapond/core"
 	"wisteriapond/outcome"
+	"wisteriapond/standin"
 )
 
 const ok = "HTTP/1.1 200 OK\r\n"
@@ -21,12 +22,12 @@
 // that carry the rest of one answer into the next exchange.
 var _ = DescribeTable("an answer",
 	func(raw string, cause outcome.Cause, body string) {
-		s := answeringOnce(raw)
+		s := serve(standin.AnswerOnce(raw))
 		b := newBench()
 		for range 2 {
 			// The server closes each connection, and its end may come after the
 			// idle check of the next attempt.
-			command := b.command(s.address())
+			command := b.command(s.Address())
 			command.MaxIdle = 0
 			x := b.run(command, get())
 			Expect(x.Facts.Cause).To(Equal(cause))
@@ -36,7 +37,7 @@
 				Expect(x.Facts.Bytes).To(BeEquivalentTo(len(body)))
 			}
 		}
-		Expect(s.accepted.Load()).To(BeEquivalentTo(2))
+		Expect(s.Accepted()).To(BeEquivalentTo(2))
 	},
 	Entry("with its length", ok+"Content-Length: 4\r\n\r\nurns", outcome.CauseNone, "urns"),
 	Entry("in chunks", ok+"Transfer-Encoding: chunked\r\n\r\n2\r\nur\r\n2\r\nns\r\n0\r\n\r\n", outcome.CauseNone, "urns"),
@@ -60,13 +61,13 @@
 // Guards against pooling a connection that is not at the start of an answer.
 var _ = DescribeTable("a kept-alive connection",
 	func(raw string, connections int) {
-		s := answering(raw)
+		s := serve(standin.AnswerEach(raw))
 		b := newBench()
 		for range 3 {
-			x := b.run(b.command(s.address()), get())
+			x := b.run(b.command(s.Address()), get())
 			Expect(x.Facts.Cause).To(Equal(outcome.CauseNone))
 		}
-		Expect(s.accepted.Load()).To(BeEquivalentTo(connections))
+		Expect(s.Accepted()).To(BeEquivalentTo(connections))
 	},
 	Entry("is used again", ok+"Content-Length: 4\r\n\r\nurns", 1),
 	Entry("is used again after chunks", ok+"Transfer-Encoding: chunked\r\n\r\n4\r\nurns\r\n0\r\n\r\n", 1),
@@ -81,25 +82,25 @@
 var _ = Describe("the end of an attempt", func() {
 	// Guards against a hidden retry of the library: one attempt is one run.
 	It("is a reset when the server reads all and closes, with one run", func() {
-		s := serve(func(s *fakeServer, c *peer, _ int64) { s.readRequest(c) })
+		s := serve(func(c *standin.RawConn) { c.ReadRequest() })
 		b := newBench()
-		command := b.command(s.address())
+		command := b.command(s.Address())
 		command.MaxIdle = 0
 		x := b.run(command, post("order"))
 		Expect(x.Facts).To(HaveField("Cause", outcome.CauseReset))
 		Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.Unknown))
-		Consistently(s.requests, 200*time.Millisecond).Should(HaveLen(1))
+		Consistently(s.Heads, 200*time.Millisecond).Should(HaveLen(1))
 	})
 
 	// Guards against taking a reset for the end of a body.
 	It("is truncated when the connection is reset within the body", func() {
-		s := serve(func(s *fakeServer, c *peer, _ int64) {
-			s.readRequest(c)
+		s := serve(func(c *standin.RawConn) {
+			c.ReadRequest()
 			io.WriteString(c, ok+"\r\nurns")
 			c.Conn.(*net.TCPConn).SetLinger(0)
 		})
 		b := newBench()
-		x := b.run(b.command(s.address()), get())
+		x := b.run(b.command(s.Address()), get())
 		Expect(x.Facts.Cause).To(BeElementOf(outcome.CauseTruncated, outcome.CauseReset))
 	})
 
@@ -120,17 +121,17 @@
 	// request is not reached in either case.
 	DescribeTable("is not run when the command expired",
 		func(readings int64, connections int) {
-			s := answering(ok + "Content-Length: 0\r\n\r\n")
+			s := serve(standin.AnswerEach(ok + "Content-Length: 0\r\n\r\n"))
 			b := newBench()
-			command := b.command(s.address())
+			command := b.command(s.Address())
 			command.Deadline = command.StartBefore.Add(time.Hour)
 			b.clock.jump(readings, 2*time.Minute)
 			x := b.run(command, get())
 			Expect(x.Facts.Cause).To(Equal(outcome.CauseExpired))
 			Expect(x.Facts.Wrote).To(BeFalse())
-			Expect(b.pool.Open(s.address())).To(BeZero())
-			Eventually(s.accepted.Load).WithTimeout(patience).Should(BeEquivalentTo(connections))
-			Expect(s.requests()).To(BeEmpty())
+			Expect(b.pool.Open(s.Address())).To(BeZero())
+			Eventually(s.Accepted).WithTimeout(patience).Should(BeEquivalentTo(connections))
+			Expect(s.Heads()).To(BeEmpty())
 		},
 		Entry("before it was taken up", int64(0), 0),
 		Entry("while the connection was opened", int64(1), 1),
@@ -138,9 +139,9 @@
 
 	// Guards against a silent server that holds a request for ever.
 	It("is a timeout when no answer comes", func() {
-		s := serve(func(s *fakeServer, c *peer, _ int64) { s.readRequest(c); s.readRequest(c) })
+		s := serve(func(c *standin.RawConn) { c.ReadRequest(); c.ReadRequest() })
 		b := newBench()
-		command := b.command(s.address())
+		command := b.command(s.Address())
 		command.Deadline = b.clock.Now().Add(50 * time.Millisecond)
 		x := b.run(command, get())
 		Expect(x.Facts.Cause).To(Equal(outcome.CauseTimeout))
@@ -150,14 +151,14 @@
 	// Guards against work that goes on after the caller hung up.
 	It("is cancelled at once, and closes the connection", func() {
 		closed := make(chan struct{})
-		s := serve(func(s *fakeServer, c *peer, _ int64) {
-			s.readRequest(c)
-			s.readRequest(c)
+		s := serve(func(c *standin.RawConn) {
+			c.ReadRequest()
+			c.ReadRequest()
 			close(closed)
 		})
 		b := newBench()
-		started, ended := b.background(b.command(s.address()), get())
-		Eventually(s.requests).WithTimeout(patience).Should(HaveLen(1))
+		started, ended := b.background(b.command(s.Address()), get())
+		Eventually(s.Heads).WithTimeout(patience).Should(HaveLen(1))
 		(<-started).Cancel()
 		Eventually(ended).WithTimeout(patience).Should(Receive(HaveField("Facts.Cause", outcome.CauseCanceled)))
 		Eventually(closed).WithTimeout(patience).Should(BeClosed())
@@ -165,10 +166,10 @@
 
 	// Guards against losing what a backend server says about itself.
 	It("carries the facts of the head", func() {
-		s := answering("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nWisteriapond-Load: 3\r\nWisteriapond-Draining: 1\r\n" +
-			"Wisteriapond-Gave-Up: 1\r\nWisteriapond-Outcome: not-run\r\nRetry-After: 2\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 1\r\nContent-Length: 0\r\n\r\n")
+		s := serve(standin.AnswerEach("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nWisteriapond-Load: 3\r\nWisteriapond-Draining: 1\r\n" +
+			"Wisteriapond-Gave-Up: 1\r\nWisteriapond-Outcome: not-run\r\nRetry-After: 2\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 1\r\nContent-Length: 0\r\n\r\n"))
 		b := newBench()
-		command := b.command(s.address())
+		command := b.command(s.Address())
 		command.NotRun = config.NotRunForm{Status: 503, Header: "X-Not-Run", Value: "1"}
 		x := b.run(command, get())
 		Expect(x.Facts).To(Equal(outcome.Facts{
@@ -199,27 +200,27 @@
 	}
 
 	It("reports the answer", func() {
-		s := answering("HTTP/1.1 200 OK\r\nWisteriapond-Load: 2\r\nContent-Length: 4\r\n\r\nfine")
-		Expect(probe(s.address(), 1024, 0)).To(Equal(outcome.Facts{Wrote: true, Status: 200, Load: 2, Bytes: 4}))
-		Expect(s.requests()).To(ConsistOf(ContainSubstring("GET /load HTTP/1.1\r\n")))
+		s := serve(standin.AnswerEach("HTTP/1.1 200 OK\r\nWisteriapond-Load: 2\r\nContent-Length: 4\r\n\r\nfine"))
+		Expect(probe(s.Address(), 1024, 0)).To(Equal(outcome.Facts{Wrote: true, Status: 200, Load: 2, Bytes: 4}))
+		Expect(s.Heads()).To(ConsistOf(ContainSubstring("GET /load HTTP/1.1\r\n")))
 	})
 
 	It("cuts the answer off at the limit", func() {
-		s := serve(func(s *fakeServer, c *peer, _ int64) {
-			s.readRequest(c)
+		s := serve(func(c *standin.RawConn) {
+			c.ReadRequest()
 			io.WriteString(c, ok+"Content-Length: 1000000\r\n\r\n")
 			io.WriteString(c, strings.Repeat("x", 4096))
-			s.readRequest(c)
+			c.ReadRequest()
 		})
-		facts := probe(s.address(), 1024, 0)
+		facts := probe(s.Address(), 1024, 0)
 		Expect(facts.Cause).To(Equal(outcome.CauseNone))
 		Expect(facts.Status).To(Equal(200))
 		Expect(facts.Bytes).To(BeNumerically("<", 1024))
 	})
 
 	It("does not start after its expiry", func() {
-		s := answering(ok + "Content-Length: 0\r\n\r\n")
-		Expect(probe(s.address(), 1024, time.Hour).Cause).To(Equal(outcome.CauseExpired))
-		Expect(s.accepted.Load()).To(BeZero())
+		s := serve(standin.AnswerEach(ok + "Content-Length: 0\r\n\r\n"))
+		Expect(probe(s.Address(), 1024, time.Hour).Cause).To(Equal(outcome.CauseExpired))
+		Expect(s.Accepted()).To(BeZero())
 	})
 })
--- a/backend/body_test.go
+++ b/backend/body_test.go
@@ -14,6 +14,7 @@
 	"wisteriapond/backend"
 	"wisteriapond/core"
 	"wisteriapond/outcome"
+	"wisteriapond/standin"
 )
 
 // long is a body beyond the hold limit.
@@ -49,9 +50,9 @@
 	// Guards against loss at the border between held and streamed bytes.
 	DescribeTable("is streamed whole",
 		func(raw string) {
-			s := answeringOnce(ok + raw)
+			s := serve(standin.AnswerOnce(ok + raw))
 			b := newBench()
-			body, end, err := drain(b.run(b.command(s.address()), get()))
+			body, end, err := drain(b.run(b.command(s.Address()), get()))
 			Expect(err).NotTo(HaveOccurred())
 			Expect(bytes.Equal(body, []byte(long))).To(BeTrue())
 			Expect(end.whole).To(BeTrue())
@@ -66,10 +67,10 @@
 	DescribeTable("begins beyond the hold limit",
 		func(length int, framed func(string) string, streaming bool) {
 			want := long[:length]
-			s := answering(ok + framed(want))
+			s := serve(standin.AnswerEach(ok + framed(want)))
 			b := newBench()
 			for range 2 {
-				x := b.run(b.command(s.address()), get())
+				x := b.run(b.command(s.Address()), get())
 				Expect(x.Facts.Cause).To(Equal(outcome.CauseNone))
 				Expect(x.Streaming).To(Equal(streaming))
 				got := x.Held()
@@ -78,7 +79,7 @@
 				}
 				Expect(string(got) == want).To(BeTrue())
 			}
-			Expect(s.accepted.Load()).To(BeEquivalentTo(1))
+			Expect(s.Accepted()).To(BeEquivalentTo(1))
 		},
 		Entry("with its length", core.HoldBytes, fixed, false),
 		Entry("with its length, one more", core.HoldBytes+1, fixed, true),
@@ -89,13 +90,13 @@
 	// Guards against a broken download that looks complete.
 	DescribeTable("breaks",
 		func(raw string) {
-			s := answeringOnce(ok + raw)
+			s := serve(standin.AnswerOnce(ok + raw))
 			b := newBench()
-			_, end, err := drain(b.run(b.command(s.address()), get()))
+			_, end, err := drain(b.run(b.command(s.Address()), get()))
 			Expect(err).To(MatchError(io.ErrUnexpectedEOF))
 			Expect(end.whole).To(BeFalse())
 			Expect(end.facts.Cause).To(Equal(outcome.CauseTruncated))
-			Expect(b.pool.Open(s.address())).To(BeZero())
+			Expect(b.pool.Open(s.Address())).To(BeZero())
 		},
 		Entry("before its length", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long)+1, long)),
 		Entry("before its last chunk", chunked(long)),
@@ -103,9 +104,9 @@
 
 	// Guards against an attempt that nobody ends when the caller breaks off.
 	It("ends not whole when passing it on failed", func() {
-		s := answeringOnce(ok + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long))
+		s := serve(standin.AnswerOnce(ok + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long)))
 		b := newBench()
-		x := b.run(b.command(s.address()), get())
+		x := b.run(b.command(s.Address()), get())
 		ends := make(chan delivery, 1)
 		stream := x.Body(func(facts outcome.Facts, whole bool) { ends <- delivery{facts, whole} })
 		_, err := stream.Read(make([]byte, 100))
@@ -114,15 +115,15 @@
 		end := <-ends
 		Expect(end.whole).To(BeFalse())
 		Expect(end.facts.Cause).To(Equal(outcome.CauseCanceled))
-		Expect(b.pool.Open(s.address())).To(BeZero())
+		Expect(b.pool.Open(s.Address())).To(BeZero())
 	})
 
 	// Guards against a download that outlives its cancel, also while it waits
 	// for its pace.
 	It("ends when it is cancelled under a slow pace", func() {
-		s := answeringOnce(ok + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long))
+		s := serve(standin.AnswerOnce(ok + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long)))
 		b := newBench()
-		command := b.command(s.address())
+		command := b.command(s.Address())
 		command.Rate = 1
 		x := b.run(command, get())
 		ended := make(chan struct{})
@@ -140,9 +141,9 @@
 
 	// Guards against a pace that cannot be lifted while a read waits for it.
 	It("goes on at once when its pace is lifted", func() {
-		s := answeringOnce(ok + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long))
+		s := serve(standin.AnswerOnce(ok + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(long), long)))
 		b := newBench()
-		command := b.command(s.address())
+		command := b.command(s.Address())
 		command.Rate = 1
 		x := b.run(command, get())
 		ended := make(chan struct{})
@@ -162,44 +163,44 @@
 var _ = Describe("a streamed request body", func() {
 	// Guards against sending a request with a part of its body.
 	It("cannot be sent twice", func() {
-		s := answering(empty)
+		s := serve(standin.AnswerEach(empty))
 		b := newBench()
 		request := upload(strings.NewReader(long), int64(len(long)), func() {})
-		first := b.run(b.command(s.address()), request)
+		first := b.run(b.command(s.Address()), request)
 		Expect(first.Facts.Cause).To(Equal(outcome.CauseNone))
 		Expect(first.Facts.BodyTaken).To(BeTrue())
-		second := b.run(b.command(s.address()), request)
+		second := b.run(b.command(s.Address()), request)
 		Expect(second.Facts.Cause).To(Equal(outcome.CauseRequestBody))
 		Expect(second.Facts.Wrote).To(BeFalse())
-		Expect(s.requests()).To(HaveLen(1))
+		Expect(s.Heads()).To(HaveLen(1))
 	})
 
 	// Guards against blaming the backend server for a caller that hung up.
 	It("that breaks off is reported as such", func() {
-		s := serve(func(s *fakeServer, c *peer, _ int64) { s.readRequest(c) })
+		s := serve(func(c *standin.RawConn) { c.ReadRequest() })
 		b := newBench()
 		broken := io.MultiReader(strings.NewReader(long), errorReader{})
-		x := b.run(b.command(s.address()), upload(broken, int64(2*len(long)), func() {}))
+		x := b.run(b.command(s.Address()), upload(broken, int64(2*len(long)), func() {}))
 		Expect(x.Facts.Cause).To(Equal(outcome.CauseRequestBody))
 		Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.Unknown))
-		Expect(b.pool.Open(s.address())).To(BeZero())
+		Expect(b.pool.Open(s.Address())).To(BeZero())
 	})
 
 	// Guards against a dead wait when the server answers without reading.
 	It("is given up after an early answer, with its connection", func() {
-		s := serve(func(_ *fakeServer, c *peer, _ int64) {
-			c.readHead()
+		s := serve(func(c *standin.RawConn) {
+			c.ReadHead()
 			io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nlarge")
-			c.reader.ReadByte()
+			c.Reader.ReadByte()
 			time.Sleep(50 * time.Millisecond)
 		})
 		b := newBench()
 		reader, writer := io.Pipe()
-		x := b.run(b.command(s.address()), upload(reader, 1<<30, func() { writer.CloseWithError(io.ErrClosedPipe) }))
+		x := b.run(b.command(s.Address()), upload(reader, 1<<30, func() { writer.CloseWithError(io.ErrClosedPipe) }))
 		Expect(x.Facts.Status).To(Equal(413))
 		Expect(x.Facts.Cause).To(Equal(outcome.CauseNone))
 		Expect(string(x.Held())).To(Equal("large"))
-		Expect(b.pool.Open(s.address())).To(BeZero())
+		Expect(b.pool.Open(s.Address())).To(BeZero())
 	})
 })
 
--- a/backend/fresh_test.go
+++ b/backend/fresh_test.go
@@ -1,33 +1,23 @@
 package backend_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"wisteriapond/outcome"
+	"wisteriapond/standin"
 )
 
 // BenchmarkFresh measures an order on a connection of its own beside a lookup
 // on a kept-alive one. Run it with a fixed count, such as -benchtime 5000x:
 // every order uses up a port of the loopback interface for a while.
 func BenchmarkFresh(b *testing.B) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := standin.ServeRaw(answerOrders)
 	if err != nil {
 		b.Fatal(err)
 	}
-	defer l.Close()
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answerOrders(c)
-		}
-	}()
+	defer s.Close()
 	for _, fresh := range []bool{false, true} {
 		name := map[bool]string{false: "kept-alive", true: "fresh"}[fresh]
 		b.Run(name, func(b *testing.B) {
@@ -35,7 +25,7 @@
 			request := post("urn")
 			b.ReportAllocs()
 			for range b.N {
-				command := bench.command(l.Addr().String())
+				command := bench.command(s.Address())
 				if fresh {
 					command.MaxIdle = 0
 				}
@@ -47,11 +37,9 @@
 	}
 }
 
-func answerOrders(c net.Conn) {
-	defer c.Close()
-	r := bufio.NewReaderSize(c, 512)
+func answerOrders(c *standin.RawConn) {
 	for {
-		request, err := http.ReadRequest(r)
+		request, err := http.ReadRequest(c.Reader)
 		if err != nil {
 			return
 		}
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriapond/outcome"
+	"wisteriapond/standin"
 )
 
 const empty = ok + "Content-Length: 0\r\n\r\n"
@@ -15,100 +16,100 @@
 var _ = Describe("the pool", func() {
 	// Guards against sending an order into a connection that may be closing.
 	It("opens a connection of its own for a fresh attempt", func() {
-		s := answering(empty)
+		s := serve(standin.AnswerEach(empty))
 		b := newBench()
 		for range 3 {
-			command := b.command(s.address())
+			command := b.command(s.Address())
 			command.MaxIdle = 0
 			Expect(b.run(command, post("order")).Facts.Cause).To(Equal(outcome.CauseNone))
 		}
-		Expect(s.accepted.Load()).To(BeEquivalentTo(3))
+		Expect(s.Accepted()).To(BeEquivalentTo(3))
 	})
 
 	// Guards against an order on a connection that its server is about to close
 	// for being idle, and against the loss of that connection for lookups.
 	It("leaves a connection that was idle too long to others", func() {
-		s := answering(empty)
+		s := serve(standin.AnswerEach(empty))
 		b := newBench()
-		Expect(b.run(b.command(s.address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
-		command := b.command(s.address())
+		Expect(b.run(b.command(s.Address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
+		command := b.command(s.Address())
 		command.MaxIdle = time.Nanosecond
 		Expect(b.run(command, post("order")).Facts.Cause).To(Equal(outcome.CauseNone))
-		Expect(s.accepted.Load()).To(BeEquivalentTo(2))
-		Expect(b.pool.Open(s.address())).To(Equal(2))
+		Expect(s.Accepted()).To(BeEquivalentTo(2))
+		Expect(b.pool.Open(s.Address())).To(Equal(2))
 	})
 
 	// Guards against an unknown outcome where nothing was written yet.
 	It("replaces an idle connection that was closed", func() {
 		closed := make(chan struct{}, 2)
-		s := serve(func(s *fakeServer, c *peer, _ int64) {
-			s.readRequest(c)
+		s := serve(func(c *standin.RawConn) {
+			c.ReadRequest()
 			io.WriteString(c, empty)
 			c.Close()
 			closed <- struct{}{}
 		})
 		b := newBench()
 		for range 2 {
-			Expect(b.run(b.command(s.address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
+			Expect(b.run(b.command(s.Address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
 			Eventually(closed).WithTimeout(patience).Should(Receive())
 			// The end of the connection crosses the loopback interface after Close.
-			Eventually(func() bool { return b.pool.IdleUsable(s.address()) }).WithTimeout(patience).Should(BeFalse())
+			Eventually(func() bool { return b.pool.IdleUsable(s.Address()) }).WithTimeout(patience).Should(BeFalse())
 		}
-		Expect(s.requests()).To(HaveLen(2))
+		Expect(s.Heads()).To(HaveLen(2))
 	})
 
 	// Guards against a second run when a kept-alive connection is closed under
 	// a request: bytes were written, so nothing in this layer may send it again.
 	It("does not replace a connection that was closed under a request", func() {
-		s := serve(func(s *fakeServer, c *peer, _ int64) {
-			s.readRequest(c)
+		s := serve(func(c *standin.RawConn) {
+			c.ReadRequest()
 			io.WriteString(c, empty)
-			s.readRequest(c)
+			c.ReadRequest()
 		})
 		b := newBench()
-		Expect(b.run(b.command(s.address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
-		x := b.run(b.command(s.address()), post("order"))
+		Expect(b.run(b.command(s.Address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
+		x := b.run(b.command(s.Address()), post("order"))
 		Expect(x.Facts.Cause).To(Equal(outcome.CauseReset))
 		Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.Unknown))
-		Expect(s.accepted.Load()).To(BeEquivalentTo(1))
-		Expect(s.requests()).To(HaveLen(2))
+		Expect(s.Accepted()).To(BeEquivalentTo(1))
+		Expect(s.Heads()).To(HaveLen(2))
 	})
 
 	// Guards against giving bytes that nobody asked for to the next caller.
 	It("replaces an idle connection with stray bytes", func() {
 		stray := make(chan struct{})
-		s := serve(func(s *fakeServer, c *peer, number int64) {
-			s.readRequest(c)
+		s := serve(func(c *standin.RawConn) {
+			c.ReadRequest()
 			io.WriteString(c, empty)
-			if number == 1 {
+			if c.Number == 1 {
 				<-stray
 				io.WriteString(c, ok+"Content-Length: 5\r\n\r\nother")
 			}
-			s.readRequest(c)
+			c.ReadRequest()
 		})
 		b := newBench()
-		Expect(b.run(b.command(s.address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
+		Expect(b.run(b.command(s.Address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
 		close(stray)
-		Eventually(func() bool { return b.pool.IdleUsable(s.address()) }).WithTimeout(patience).Should(BeFalse())
-		x := b.run(b.command(s.address()), get())
+		Eventually(func() bool { return b.pool.IdleUsable(s.Address()) }).WithTimeout(patience).Should(BeFalse())
+		x := b.run(b.command(s.Address()), get())
 		Expect(x.Facts.Cause).To(Equal(outcome.CauseNone))
 		Expect(x.Held()).To(BeEmpty())
-		Expect(s.accepted.Load()).To(BeEquivalentTo(2))
+		Expect(s.Accepted()).To(BeEquivalentTo(2))
 	})
 
 	// Guards against more connections than the share of an upstream.
 	It("refuses a connection beyond the limit as not run", func() {
 		release := make(chan struct{})
-		s := serve(func(s *fakeServer, c *peer, _ int64) {
-			s.readRequest(c)
+		s := serve(func(c *standin.RawConn) {
+			c.ReadRequest()
 			<-release
 			io.WriteString(c, empty)
 		})
 		b := newBench()
-		command := b.command(s.address())
+		command := b.command(s.Address())
 		command.Connections = 1
 		_, ended := b.background(command, get())
-		Eventually(s.requests).WithTimeout(patience).Should(HaveLen(1))
+		Eventually(s.Heads).WithTimeout(patience).Should(HaveLen(1))
 		x := b.run(command, get())
 		Expect(x.Facts.Cause).To(Equal(outcome.CauseConnectionLimit))
 		Expect(x.Facts.Wrote).To(BeFalse())
@@ -119,40 +120,40 @@
 
 	// Guards against a limit that idle connections use up.
 	It("closes an idle connection to make room for a fresh one", func() {
-		s := answering(empty)
+		s := serve(standin.AnswerEach(empty))
 		b := newBench()
-		command := b.command(s.address())
+		command := b.command(s.Address())
 		command.Connections = 1
 		Expect(b.run(command, get()).Facts.Cause).To(Equal(outcome.CauseNone))
 		command.MaxIdle = 0
 		Expect(b.run(command, post("order")).Facts.Cause).To(Equal(outcome.CauseNone))
-		Expect(s.accepted.Load()).To(BeEquivalentTo(2))
+		Expect(s.Accepted()).To(BeEquivalentTo(2))
 	})
 
 	// Guards against new work on a leaving host through old connections.
 	It("does not keep a connection that was in use during CloseIdle", func() {
 		release := make(chan struct{})
-		s := serve(func(s *fakeServer, c *peer, _ int64) {
-			for s.readRequest(c) {
+		s := serve(func(c *standin.RawConn) {
+			for c.ReadRequest() != nil {
 				<-release
 				io.WriteString(c, empty)
 			}
 		})
 		b := newBench()
-		_, ended := b.background(b.command(s.address()), get())
-		Eventually(s.requests).WithTimeout(patience).Should(HaveLen(1))
-		b.pool.CloseIdle(s.address())
+		_, ended := b.background(b.command(s.Address()), get())
+		Eventually(s.Heads).WithTimeout(patience).Should(HaveLen(1))
+		b.pool.CloseIdle(s.Address())
 		close(release)
 		Eventually(ended).WithTimeout(patience).Should(Receive(HaveField("Facts.Cause", outcome.CauseNone)))
-		Expect(b.pool.Open(s.address())).To(BeZero())
+		Expect(b.pool.Open(s.Address())).To(BeZero())
 	})
 
 	// Guards against idle connections that are kept for ever.
 	It("closes connections that were idle too long", func() {
-		s := answering(empty)
+		s := serve(standin.AnswerEach(empty))
 		b := newBench()
 		b.pool.SetIdleTimes(10*time.Millisecond, 10*time.Millisecond)
-		Expect(b.run(b.command(s.address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
-		Eventually(func() int { return b.pool.Open(s.address()) }).WithTimeout(patience).Should(BeZero())
+		Expect(b.run(b.command(s.Address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
+		Eventually(func() int { return b.pool.Open(s.Address()) }).WithTimeout(patience).Should(BeZero())
 	})
 })
--- a/backend/suite_test.go
+++ b/backend/suite_test.go
@@ -1,11 +1,7 @@
 package backend_test
 
 import (
-	"bufio"
 	"io"
-	"net"
-	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -15,6 +11,7 @@
 
 	"wisteriapond/backend"
 	"wisteriapond/core"
+	"wisteriapond/standin"
 )
 
 // patience is the limit of every wait for a condition.
@@ -25,108 +22,15 @@
 	RunSpecs(t, "backend")
 }
 
-// fakeServer is a backend server whose connections a test handles itself.
-type fakeServer struct {
-	net.Listener
-	accepted atomic.Int64
-	mu       sync.Mutex
-	heads    []string
-}
-
-// serve starts a server that handles each connection with f; f gets the number
-// of the connection, from 1.
-func serve(f func(s *fakeServer, c *peer, number int64)) *fakeServer {
+// serve starts a backend server that handles each connection with f.
+func serve(f func(c *standin.RawConn)) *standin.RawServer {
 	GinkgoHelper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := standin.ServeRaw(f)
 	Expect(err).NotTo(HaveOccurred())
-	s := &fakeServer{Listener: l}
-	DeferCleanup(l.Close)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				f(s, &peer{Conn: c, reader: bufio.NewReader(c)}, s.accepted.Add(1))
-			}()
-		}
-	}()
+	DeferCleanup(s.Close)
 	return s
 }
 
-// answering serves every request of a connection with the same bytes.
-func answering(raw string) *fakeServer {
-	GinkgoHelper()
-	return serve(func(s *fakeServer, c *peer, _ int64) {
-		for s.readRequest(c) {
-			io.WriteString(c, raw)
-		}
-	})
-}
-
-// answeringOnce closes the connection after one answer.
-func answeringOnce(raw string) *fakeServer {
-	GinkgoHelper()
-	return serve(func(s *fakeServer, c *peer, _ int64) {
-		s.readRequest(c)
-		io.WriteString(c, raw)
-	})
-}
-
-func (s *fakeServer) address() string { return s.Addr().String() }
-
-// requests returns the heads of the requests that came in whole.
-func (s *fakeServer) requests() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]string(nil), s.heads...)
-}
-
-type peer struct {
-	net.Conn
-	reader *bufio.Reader
-}
-
-// readHead reads up to the empty line.
-func (c *peer) readHead() (string, bool) {
-	var head strings.Builder
-	for {
-		line, err := c.reader.ReadString('\n')
-		head.WriteString(line)
-		if err != nil {
-			return "", false
-		}
-		if line == "\r\n" {
-			return head.String(), true
-		}
-	}
-}
-
-// readRequest reads a request with a body of known length and notes its head.
-func (s *fakeServer) readRequest(c *peer) bool {
-	head, ok := c.readHead()
-	if !ok {
-		return false
-	}
-	length := 0
-	for line := range strings.SplitSeq(head, "\r\n") {
-		if value, found := strings.CutPrefix(line, "Content-Length: "); found {
-			for _, digit := range value {
-				length = length*10 + int(digit-'0')
-			}
-		}
-	}
-	if _, err := c.reader.Discard(length); err != nil {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.heads = append(s.heads, head)
-	return true
-}
-
 // clock is the process's clock; ahead moves it on without waiting.
 type clock struct {
 	origin time.Time
--- a/caller/answer_test.go
+++ b/caller/answer_test.go
@@ -1,35 +1,26 @@
 package caller_test
 
 import (
-	"bufio"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"wisteriapond/standin"
 )
 
 var long = strings.Repeat("archive ", 40000)
 
-// onceThenClose answers one request and closes the connection.
-func onceThenClose(raw string) *fake {
-	GinkgoHelper()
-	return serve(func(s *fake, c net.Conn, r *bufio.Reader) {
-		s.read(r)
-		io.WriteString(c, raw)
-	})
-}
-
 var _ = Describe("an answer", func() {
 	// Guards against a change of status, head or framing on the way.
 	DescribeTable("passes as it is",
 		func(method, raw string, want func(*http.Response, string)) {
-			s := answering(raw)
-			sys := start(service(s.address()))
+			s := serve(standin.AnswerEach(raw))
+			sys := start(service(s.Address()))
 			c := sys.dial()
 			for range 2 {
 				c.send(method + " /a HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -85,15 +76,15 @@
 	// says less than what is known.
 	DescribeTable("that is not whole makes the outcome of an order unknown, after one run",
 		func(raw, reason string) {
-			a, b := onceThenClose(raw), onceThenClose(raw)
-			sys := start(service(a.address(), b.address()))
+			a, b := serve(standin.AnswerOnce(raw)), serve(standin.AnswerOnce(raw))
+			sys := start(service(a.Address(), b.Address()))
 			response, body := sys.ask(order + "Content-Length: 4\r\n\r\nurns")
 			Expect(response.StatusCode).To(Equal(502))
 			Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("unknown"))
 			Expect(response.Header.Get("Wisteriapond-Reason")).To(Equal(reason))
 			Expect(response.Header.Get("Wisteriapond-Gave-Up")).To(Equal("1"))
 			Expect(body).To(ContainSubstring(`"service":"catalogue"`))
-			Expect(append(a.requests(), b.requests()...)).To(HaveLen(1))
+			Expect(append(a.Requests(), b.Requests()...)).To(HaveLen(1))
 		},
 		Entry("none at all", "", "reset"),
 		Entry("short of its length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nurns", "truncated"),
@@ -104,9 +95,9 @@
 	// Guards against a truncated answer that reaches a caller although another
 	// backend server has the whole one.
 	It("that is short and broken is read again elsewhere for a lookup", func() {
-		a := onceThenClose("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nur\r\n")
-		b := answering(plain)
-		sys := start(service(a.address(), b.address(), b.address()))
+		a := serve(standin.AnswerOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nur\r\n"))
+		b := serve(standin.AnswerEach(plain))
+		sys := start(service(a.Address(), b.Address(), b.Address()))
 		for range 4 {
 			_, body := sys.ask(lead + "\r\n")
 			Expect(body).To(Equal("urns"))
@@ -116,8 +107,8 @@
 	// Guards against a broken download that looks complete to the caller.
 	DescribeTable("that breaks after its first bytes breaks the caller's connection",
 		func(version, raw string) {
-			s := onceThenClose("HTTP/1.1 200 OK\r\n" + raw)
-			sys := start(service(s.address()))
+			s := serve(standin.AnswerOnce("HTTP/1.1 200 OK\r\n" + raw))
+			sys := start(service(s.Address()))
 			c := sys.dial()
 			c.send("GET /a " + version + "\r\nHost: h\r\n\r\n")
 			response, err := http.ReadResponse(c.reader, nil)
@@ -135,8 +126,8 @@
 	// Guards against chunks for a caller that cannot read them.
 	DescribeTable("in chunks reaches a caller of HTTP/1.0",
 		func(want string) {
-			s := answering(fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(want), want))
-			sys := start(service(s.address()))
+			s := serve(standin.AnswerEach(fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(want), want)))
+			sys := start(service(s.Address()))
 			response, body := sys.ask("GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
 			Expect(response.TransferEncoding).To(BeEmpty())
 			Expect(body == want).To(BeTrue())
@@ -147,11 +138,8 @@
 
 	// Guards against a deadline that nobody keeps.
 	It("that comes too late is a timeout", func() {
-		s := serve(func(s *fake, _ net.Conn, r *bufio.Reader) {
-			s.read(r)
-			s.read(r)
-		})
-		sys := start(service(s.address()))
+		s := serve(func(c *standin.RawConn) { c.ReadRequest(); c.ReadRequest() })
+		sys := start(service(s.Address()))
 		response, _ := sys.ask(order + "Wisteriapond-Timeout: 100\r\nContent-Length: 4\r\n\r\nurns")
 		Expect(response.StatusCode).To(Equal(504))
 		Expect(response.Header.Get("Wisteriapond-Reason")).To(Equal("timeout"))
@@ -159,12 +147,12 @@
 
 	// Guards against a wait for the rest of a body that nobody wants.
 	It("that comes before the whole request reaches the caller", func() {
-		s := serve(func(_ *fake, c net.Conn, r *bufio.Reader) {
-			http.ReadRequest(r)
+		s := serve(func(c *standin.RawConn) {
+			http.ReadRequest(c.Reader)
 			io.WriteString(c, "HTTP/1.1 413 Too Large\r\nContent-Length: 5\r\n\r\nlarge")
 			time.Sleep(50 * time.Millisecond)
 		})
-		sys := start(service(s.address()))
+		sys := start(service(s.Address()))
 		c := sys.dial()
 		c.send(order + "Content-Length: 2000000\r\n\r\n" + strings.Repeat("urns", 5000))
 		response, body := c.answer("POST")
@@ -175,12 +163,12 @@
 
 	// Guards against a download that is cut since the upload is not over.
 	It("that is long and comes before the whole request reaches the caller whole", func() {
-		s := serve(func(_ *fake, c net.Conn, r *bufio.Reader) {
-			http.ReadRequest(r)
+		s := serve(func(c *standin.RawConn) {
+			http.ReadRequest(c.Reader)
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 320000\r\n\r\n"+long)
-			io.Copy(io.Discard, r)
+			io.Copy(io.Discard, c.Reader)
 		})
-		sys := start(service(s.address()))
+		sys := start(service(s.Address()))
 		c := sys.dial()
 		c.send(order + "Content-Length: 2000000\r\n\r\n" + strings.Repeat("urns", 5000))
 		response, body := c.answer("POST")
--- a/caller/hangup_test.go
+++ b/caller/hangup_test.go
@@ -1,7 +1,6 @@
 package caller_test
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -10,12 +9,14 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"wisteriapond/standin"
 )
 
 // waiting is a backend server that reads requests and answers on release. Its
 // closed channel gets one value for every connection that ended under it.
 type waiting struct {
-	*fake
+	*standin.RawServer
 	release chan struct{}
 	closed  chan struct{}
 }
@@ -23,13 +24,13 @@
 func serveWaiting() *waiting {
 	GinkgoHelper()
 	w := &waiting{release: make(chan struct{}), closed: make(chan struct{}, 16)}
-	w.fake = serve(func(s *fake, c net.Conn, r *bufio.Reader) {
-		if s.read(r) == nil {
+	w.RawServer = serve(func(c *standin.RawConn) {
+		if c.ReadRequest() == nil {
 			return
 		}
 		ended := make(chan struct{})
 		go func() {
-			r.ReadByte()
+			c.Reader.ReadByte()
 			close(ended)
 		}()
 		select {
@@ -48,10 +49,10 @@
 	DescribeTable("while its request runs frees the attempt",
 		func(request string) {
 			w := serveWaiting()
-			sys := start(service(w.address()))
+			sys := start(service(w.Address()))
 			c := sys.dial()
 			c.send(request)
-			Eventually(w.requests).WithTimeout(patience).Should(HaveLen(1))
+			Eventually(w.Requests).WithTimeout(patience).Should(HaveLen(1))
 			c.Close()
 			Eventually(w.closed).WithTimeout(patience).Should(Receive())
 			Eventually(func() int { return sys.loop.Open() }).WithTimeout(patience).Should(BeZero())
@@ -64,18 +65,18 @@
 	// Guards against a place in the queue for nobody.
 	It("while its request waits frees its place", func() {
 		w := serveWaiting()
-		config := service(w.address())
+		config := service(w.Address())
 		config.Upstreams = config.Upstreams[:1]
 		config.Upstreams[0].Slots = 1
 		sys := start(config)
 		running, queued := sys.dial(), sys.dial()
 		running.send(lead + "\r\n")
-		Eventually(w.requests).WithTimeout(patience).Should(HaveLen(1))
+		Eventually(w.Requests).WithTimeout(patience).Should(HaveLen(1))
 		queued.send(lead + "\r\n")
 		Eventually(sys.loop.Open).WithTimeout(patience).Should(Equal(2))
 		queued.Close()
 		Eventually(sys.loop.Open).WithTimeout(patience).Should(Equal(1))
-		Expect(w.requests()).To(HaveLen(1))
+		Expect(w.Requests()).To(HaveLen(1))
 		close(w.release)
 		_, body := running.answer("GET")
 		Expect(body).To(Equal("urns"))
@@ -84,18 +85,18 @@
 	// Guards against a backend server that gets the rest of a body from nobody.
 	It("within its streamed body frees the attempt", func() {
 		read := make(chan int, 1)
-		s := serve(func(_ *fake, _ net.Conn, r *bufio.Reader) {
-			request, err := http.ReadRequest(r)
+		s := serve(func(c *standin.RawConn) {
+			request, err := http.ReadRequest(c.Reader)
 			if err != nil {
 				return
 			}
 			body, _ := io.ReadAll(request.Body)
 			read <- len(body)
 		})
-		sys := start(service(s.address()))
+		sys := start(service(s.Address()))
 		c := sys.dial()
 		c.send(order + "Content-Length: 200000\r\n\r\n" + strings.Repeat("urns", 5000))
-		Eventually(s.accepted.Load).WithTimeout(patience).Should(BeEquivalentTo(1))
+		Eventually(s.Accepted).WithTimeout(patience).Should(BeEquivalentTo(1))
 		c.Close()
 		Eventually(read).WithTimeout(patience).Should(Receive(BeNumerically("<=", 20000)))
 		Eventually(func() int { return sys.loop.Open() }).WithTimeout(patience).Should(BeZero())
@@ -105,13 +106,13 @@
 	// the backend server is silent.
 	It("within a download frees the attempt", func() {
 		closed := make(chan struct{})
-		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
-			s.read(r)
+		s := serve(func(c *standin.RawConn) {
+			c.ReadRequest()
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"+long)
-			r.ReadByte()
+			c.Reader.ReadByte()
 			close(closed)
 		})
-		sys := start(service(s.address()))
+		sys := start(service(s.Address()))
 		c := sys.dial()
 		c.send(lead + "\r\n")
 		_, err := c.reader.Peek(1000)
@@ -123,17 +124,13 @@
 
 	// Guards against answers that reach the wrong request of a connection.
 	It("is told apart from one that sends its next request early", func() {
-		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
-			for {
-				request := s.read(r)
-				if request == nil {
-					return
-				}
+		s := serve(func(c *standin.RawConn) {
+			for request := c.ReadRequest(); request != nil; request = c.ReadRequest() {
 				time.Sleep(5 * time.Millisecond)
 				answerWith(c, request.RequestURI)
 			}
 		})
-		sys := start(service(s.address()))
+		sys := start(service(s.Address()))
 		c := sys.dial()
 		const requests = 40
 		go func() {
@@ -148,21 +145,17 @@
 			_, body := c.answer("GET")
 			Expect(body).To(Equal("/" + strings.Repeat("x", i)))
 		}
-		Expect(s.requests()).To(HaveLen(requests))
+		Expect(s.Requests()).To(HaveLen(requests))
 	})
 
 	// Guards against bytes lost between the outstanding read and the body.
 	It("is told apart from one that sends a body and the next request together", func() {
-		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
-			for {
-				request := s.read(r)
-				if request == nil {
-					return
-				}
+		s := serve(func(c *standin.RawConn) {
+			for request := c.ReadRequest(); request != nil; request = c.ReadRequest() {
 				answerWith(c, request.RequestURI)
 			}
 		})
-		sys := start(service(s.address()))
+		sys := start(service(s.Address()))
 		c := sys.dial()
 		body := strings.Repeat("urns", 50000)
 		go func() {
@@ -177,8 +170,8 @@
 			_, answer = c.answer("GET")
 			Expect(answer).To(Equal("/a"))
 		}
-		Expect(s.requests()).To(HaveLen(8))
-		for i, request := range s.requests() {
+		Expect(s.Requests()).To(HaveLen(8))
+		for i, request := range s.Requests() {
 			if i%2 == 0 {
 				Expect(request == "POST /a "+body).To(BeTrue())
 			}
--- a/caller/load_test.go
+++ b/caller/load_test.go
@@ -1,9 +1,7 @@
 package caller_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	goruntime "runtime"
 	"strconv"
@@ -12,18 +10,16 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"wisteriapond/standin"
 )
 
 var _ = Describe("many callers", func() {
 	// Guards against head-of-line blocking: downloads whose callers read
 	// nothing must not hold up lookups.
 	It("do not wait for those that read slowly", func() {
-		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
-			for {
-				request := s.read(r)
-				if request == nil {
-					return
-				}
+		s := serve(func(c *standin.RawConn) {
+			for request := c.ReadRequest(); request != nil; request = c.ReadRequest() {
 				if strings.HasPrefix(request.RequestURI, "/files/") {
 					sendDownload(c)
 					continue
@@ -31,7 +27,7 @@
 				io.WriteString(c, plain)
 			}
 		})
-		config := service(s.address())
+		config := service(s.Address())
 		for i := range config.Upstreams {
 			config.Upstreams[i].Slots = 64
 		}
@@ -54,9 +50,9 @@
 	// Guards against goroutines and requests that stay behind,
 	// whatever way requests end.
 	It("leave nothing behind", func() {
-		s := serve(func(_ *fake, c net.Conn, r *bufio.Reader) {
+		s := serve(func(c *standin.RawConn) {
 			for {
-				request, err := http.ReadRequest(r)
+				request, err := http.ReadRequest(c.Reader)
 				if err != nil {
 					return
 				}
@@ -70,7 +66,7 @@
 				case "/reset":
 					return
 				case "/silent":
-					r.ReadByte()
+					c.Reader.ReadByte()
 					return
 				case "/long":
 					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n"+long)
@@ -79,7 +75,7 @@
 				io.WriteString(c, plain)
 			}
 		})
-		config := service(s.address())
+		config := service(s.Address())
 		for i := range config.Upstreams {
 			config.Upstreams[i].Slots = 64
 		}
--- a/caller/release_test.go
+++ b/caller/release_test.go
@@ -1,10 +1,8 @@
 package caller
 
 import (
-	"bufio"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -18,6 +16,7 @@
 	"wisteriapond/config"
 	"wisteriapond/core"
 	"wisteriapond/runtime"
+	"wisteriapond/standin"
 )
 
 type noEffects struct{}
@@ -94,30 +93,18 @@
 
 // longAnswer starts a backend server whose answers are too long to be held.
 func longAnswer(t testing.TB) string {
-	return listen(t, func(c net.Conn, r *bufio.Reader) {
-		http.ReadRequest(r)
+	return listen(t, func(c *standin.RawConn) {
+		http.ReadRequest(c.Reader)
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
 		io.Copy(io.Discard, c)
 	})
 }
 
-func listen(t testing.TB, serve func(c net.Conn, r *bufio.Reader)) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func listen(t testing.TB, handle func(c *standin.RawConn)) string {
+	s, err := standin.ServeRaw(handle)
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c, bufio.NewReader(c))
-			}()
-		}
-	}()
-	return l.Addr().String()
+	t.Cleanup(func() { s.Close() })
+	return s.Address()
 }
--- a/caller/request_test.go
+++ b/caller/request_test.go
@@ -1,14 +1,14 @@
 package caller_test
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"wisteriapond/standin"
 )
 
 const (
@@ -21,8 +21,8 @@
 // refusals that a program cannot tell from the backend server's answers.
 var _ = DescribeTable("a malformed request is refused before any backend server sees it",
 	func(raw string, status int, reason string) {
-		s := answering(plain)
-		sys := start(service(s.address()))
+		s := serve(standin.AnswerEach(plain))
+		sys := start(service(s.Address()))
 		response, body := sys.ask(raw)
 		Expect(response.StatusCode).To(Equal(status))
 		Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("not-run"))
@@ -30,7 +30,7 @@
 		Expect(response.Header.Get("Content-Type")).To(Equal("application/json"))
 		Expect(response.Close).To(BeTrue())
 		Expect(body).To(MatchRegexp(`^\{"outcome":"not-run","reason":"` + reason + `","message":".+"\}$`))
-		Expect(s.accepted.Load()).To(BeZero())
+		Expect(s.Accepted()).To(BeZero())
 		Expect(sys.refused).To(Receive(BeEquivalentTo(reason)))
 	},
 	Entry("with length and coding", order+"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, "malformed"),
@@ -57,8 +57,8 @@
 var _ = Describe("a request", func() {
 	// Guards against a call that is nested without end.
 	It("is refused when it is nested too deep", func() {
-		s := answering(plain)
-		sys := start(service(s.address()))
+		s := serve(standin.AnswerEach(plain))
+		sys := start(service(s.Address()))
 		response, _ := sys.ask(lead + "Wisteriapond-Depth: 15\r\n\r\n")
 		Expect(response.StatusCode).To(Equal(503))
 		Expect(response.Header.Get("Wisteriapond-Reason")).To(Equal("depth"))
@@ -68,11 +68,11 @@
 	// against headers of its connection that reach the backend server.
 	It("passes with its own headers only", func() {
 		seen := make(chan *http.Request, 1)
-		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
-			seen <- s.read(r)
+		s := serve(func(c *standin.RawConn) {
+			seen <- c.ReadRequest()
 			io.WriteString(c, plain)
 		})
-		sys := start(service(s.address()))
+		sys := start(service(s.Address()))
 		sys.ask("GET /a//b/../c?x=%2f HTTP/1.1\r\nHost: gravure.example\r\nConnection: close, X-Hop, Host\r\nX-Hop: 1\r\n" +
 			"Te: trailers\r\nUpgrade: x\r\nKeep-Alive: 5\r\nWisteriapond-Upstream: forged\r\nWisteriapond-Depth: 3\r\n" +
 			"X-Forwarded-For: 192.0.2.1\r\nX-Forwarded-For: 192.0.2.2\r\nCookie: a=b; c\r\nX-Kept: 1\r\n\r\n")
@@ -94,11 +94,11 @@
 	// against routing by another host than the one that it sees.
 	It("with an absolute target passes as one for the named host", func() {
 		seen := make(chan *http.Request, 1)
-		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
-			seen <- s.read(r)
+		s := serve(func(c *standin.RawConn) {
+			seen <- c.ReadRequest()
 			io.WriteString(c, plain)
 		})
-		sys := start(service(s.address()))
+		sys := start(service(s.Address()))
 		sys.ask("GET http://gravure.example/a?x=1 HTTP/1.1\r\nHost: other.example\r\n\r\n")
 		var request *http.Request
 		Eventually(seen).WithTimeout(patience).Should(Receive(&request))
@@ -109,11 +109,11 @@
 	// Guards against a body that is changed on its way.
 	DescribeTable("passes its body",
 		func(head, body, want string) {
-			s := answering(plain)
-			sys := start(service(s.address()))
+			s := serve(standin.AnswerEach(plain))
+			sys := start(service(s.Address()))
 			response, _ := sys.ask(order + head + "\r\n" + body)
 			Expect(response.StatusCode).To(Equal(200))
-			Expect(s.requests()).To(Equal([]string{"POST /a " + want}))
+			Expect(s.Requests()).To(Equal([]string{"POST /a " + want}))
 		},
 		Entry("of known length", "Content-Length: 4\r\n", "urns", "urns"),
 		Entry("in chunks", "Transfer-Encoding: chunked\r\n", "2\r\nur\r\n2\r\nns\r\n0\r\n\r\n", "urns"),
@@ -130,8 +130,8 @@
 	// Guards against a caller that waits for a permission that never comes.
 	DescribeTable("waits for 100 Continue",
 		func(length string, body string) {
-			s := answering(plain)
-			sys := start(service(s.address()))
+			s := serve(standin.AnswerEach(plain))
+			sys := start(service(s.Address()))
 			c := sys.dial()
 			c.send(order + "Expect: 100-continue\r\nContent-Length: " + length + "\r\n\r\n")
 			line, err := c.reader.ReadString('\n')
@@ -142,7 +142,7 @@
 			c.send(body)
 			response, _ := c.answer("POST")
 			Expect(response.StatusCode).To(Equal(200))
-			Expect(s.requests()).To(Equal([]string{"POST /a " + body}))
+			Expect(s.Requests()).To(Equal([]string{"POST /a " + body}))
 		},
 		Entry("with a short body", "4", "urns"),
 		Entry("with a long body", "200000", strings.Repeat("urns", 50000)),
@@ -161,27 +161,27 @@
 
 	// Guards against a retry that sends a part of a body.
 	It("with a long body is not sent again once the body was read", func() {
-		refusing := func() *fake {
-			return answering("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		refusing := func() *standin.RawServer {
+			return serve(standin.AnswerEach("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
 		}
 		a, b := refusing(), refusing()
-		sys := start(service(a.address(), b.address()))
+		sys := start(service(a.Address(), b.Address()))
 		response, _ := sys.ask(order + "Content-Length: 200000\r\n\r\n" + strings.Repeat("urns", 50000))
 		Expect(response.StatusCode).To(Equal(503))
 		Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("not-run"))
-		Expect(append(a.requests(), b.requests()...)).To(HaveLen(1))
+		Expect(append(a.Requests(), b.Requests()...)).To(HaveLen(1))
 	})
 
 	// Guards against losing an order that another backend server would take.
 	It("with a short body is sent elsewhere when it was not run", func() {
-		a := answering("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
-		b := answering(plain)
-		sys := start(service(a.address(), b.address(), b.address()))
+		a := serve(standin.AnswerEach("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"))
+		b := serve(standin.AnswerEach(plain))
+		sys := start(service(a.Address(), b.Address(), b.Address()))
 		for range 4 {
 			response, body := sys.ask(order + "Content-Length: 4\r\n\r\nurns")
 			Expect(response.StatusCode).To(Equal(200))
 			Expect(body).To(Equal("urns"))
 		}
-		Expect(b.requests()).To(HaveLen(4))
+		Expect(b.Requests()).To(HaveLen(4))
 	})
 })
--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -19,12 +19,8 @@
 	// Guards against cutting a download, or the last bytes of one, and against
 	// new callers that are not told to go elsewhere.
 	It("lets a download to a slow reader run to its end", func() {
-		s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
-			for {
-				request := s.read(r)
-				if request == nil {
-					return
-				}
+		s := serve(func(c *standin.RawConn) {
+			for request := c.ReadRequest(); request != nil; request = c.ReadRequest() {
 				if request.RequestURI == "/a" {
 					io.WriteString(c, plain)
 					continue
@@ -32,7 +28,7 @@
 				sendDownload(c)
 			}
 		})
-		sys := start(service(s.address()))
+		sys := start(service(s.Address()))
 		slow, idle, busy := sys.dial(), sys.dial(), sys.dial()
 		slow.SetDeadline(time.Now().Add(4 * patience))
 		idle.send(lead + "\r\n")
@@ -70,7 +66,7 @@
 
 	// Guards against an exit that waits for callers that ask nothing.
 	It("does not wait for idle connections", func() {
-		sys := start(service(answering(plain).address()))
+		sys := start(service(serve(standin.AnswerEach(plain)).Address()))
 		for range 10 {
 			c := sys.dial()
 			c.send(lead + "\r\n")
--- a/caller/suite_test.go
+++ b/caller/suite_test.go
@@ -8,8 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,6 +22,7 @@
 	"wisteriapond/core"
 	"wisteriapond/outcome"
 	"wisteriapond/runtime"
+	"wisteriapond/standin"
 )
 
 // patience is the limit of every wait for a condition.
@@ -111,70 +110,15 @@
 	return sys
 }
 
-// fake is a backend server whose connections a test handles itself.
-type fake struct {
-	net.Listener
-	accepted atomic.Int64
-	mu       sync.Mutex
-	seen     []string
-}
-
-func serve(f func(s *fake, c net.Conn, r *bufio.Reader)) *fake {
+// serve starts a backend server that handles each connection with f.
+func serve(f func(c *standin.RawConn)) *standin.RawServer {
 	GinkgoHelper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := standin.ServeRaw(f)
 	Expect(err).NotTo(HaveOccurred())
-	s := &fake{Listener: l}
-	DeferCleanup(l.Close)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			s.accepted.Add(1)
-			go func() {
-				defer c.Close()
-				f(s, c, bufio.NewReader(c))
-			}()
-		}
-	}()
+	DeferCleanup(s.Close)
 	return s
 }
 
-// answering serves every request with the same bytes.
-func answering(raw string) *fake {
-	GinkgoHelper()
-	return serve(func(s *fake, c net.Conn, r *bufio.Reader) {
-		for s.read(r) != nil {
-			io.WriteString(c, raw)
-		}
-	})
-}
-
-func (s *fake) address() string { return s.Addr().String() }
-
-// read reads one request with its body, and notes it as "METHOD target body".
-func (s *fake) read(r *bufio.Reader) *http.Request {
-	request, err := http.ReadRequest(r)
-	if err != nil {
-		return nil
-	}
-	body, err := io.ReadAll(request.Body)
-	if err != nil {
-		return nil
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.seen = append(s.seen, fmt.Sprintf("%s %s %s", request.Method, request.RequestURI, body))
-	return request
-}
-
-func (s *fake) requests() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]string(nil), s.seen...)
-}
-
 // client is a caller on a raw connection.
 type client struct {
 	net.Conn
--- a/caller/throughput_test.go
+++ b/caller/throughput_test.go
@@ -7,15 +7,17 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"wisteriapond/standin"
 )
 
 // BenchmarkCall measures what lookups cost at full load: 6 callers for each
 // core, on kept-alive connections, against a backend server that does nothing
 // but answer.
 func BenchmarkCall(b *testing.B) {
-	address := listen(b, func(c net.Conn, r *bufio.Reader) {
+	address := listen(b, func(c *standin.RawConn) {
 		for {
-			if _, err := http.ReadRequest(r); err != nil {
+			if _, err := http.ReadRequest(c.Reader); err != nil {
 				return
 			}
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nurns")
--- /dev/null
+++ b/standin/raw.go
@@ -0,0 +1,154 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+)
+
+// RawServer is a backend server on loopback that hands each connection to a
+// function. It stands in for servers that write what no HTTP library would
+// write: malformed answers, parts of answers, resets and silence.
+type RawServer struct {
+	listener net.Listener
+	handle   func(c *RawConn)
+	accepted atomic.Int64
+	mu       sync.Mutex
+	heads    []string
+	requests []string
+}
+
+// RawConn is an accepted connection of a RawServer.
+type RawConn struct {
+	net.Conn
+	// Reader reads from the connection.
+	Reader *bufio.Reader
+	// Number is the place of the connection among all of the server, from 1.
+	Number int64
+	server *RawServer
+}
+
+// ServeRaw starts a server that handles each connection with the given function
+// and closes it afterwards.
+func ServeRaw(handle func(c *RawConn)) (*RawServer, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	s := &RawServer{listener: l, handle: handle}
+	go s.accept()
+	return s, nil
+}
+
+// AnswerEach answers every request of a connection with the same bytes.
+func AnswerEach(raw string) func(c *RawConn) {
+	return func(c *RawConn) {
+		for c.ReadRequest() != nil {
+			io.WriteString(c, raw)
+		}
+	}
+}
+
+// AnswerOnce answers the first request of a connection, which then closes.
+func AnswerOnce(raw string) func(c *RawConn) {
+	return func(c *RawConn) {
+		c.ReadRequest()
+		io.WriteString(c, raw)
+	}
+}
+
+func (s *RawServer) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		conn := &RawConn{Conn: c, Reader: bufio.NewReader(c), Number: s.accepted.Add(1), server: s}
+		go func() {
+			defer c.Close()
+			s.handle(conn)
+		}()
+	}
+}
+
+// Close ends accepting. Connections end with their function.
+func (s *RawServer) Close() error { return s.listener.Close() }
+
+// Address returns the host and port of the server.
+func (s *RawServer) Address() string { return s.listener.Addr().String() }
+
+// Accepted returns the number of accepted connections.
+func (s *RawServer) Accepted() int64 { return s.accepted.Load() }
+
+// Requests returns the requests that came in whole, as "METHOD target body".
+func (s *RawServer) Requests() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.requests)
+}
+
+// Heads returns the heads of the requests that came in whole, as received.
+func (s *RawServer) Heads() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.heads)
+}
+
+// ReadHead reads up to and with the next empty line.
+func (c *RawConn) ReadHead() (string, error) {
+	var head strings.Builder
+	for {
+		line, err := c.Reader.ReadString('\n')
+		if err != nil {
+			return "", fmt.Errorf("reading a head: %w", err)
+		}
+		head.WriteString(line)
+		if line == "\r\n" {
+			return head.String(), nil
+		}
+	}
+}
+
+// ReadRequest reads a request with its body and notes it. It returns nil when
+// none comes in whole. Bytes after the request stay in the reader.
+func (c *RawConn) ReadRequest() *http.Request {
+	head, err := c.ReadHead()
+	if err != nil {
+		return nil
+	}
+	request, err := http.ReadRequest(bufio.NewReader(strings.NewReader(head)))
+	if err != nil {
+		return nil
+	}
+	body, err := c.readBody(request)
+	if err != nil {
+		return nil
+	}
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.server.heads = append(c.server.heads, head)
+	c.server.requests = append(c.server.requests, fmt.Sprintf("%s %s %s", request.Method, request.RequestURI, body))
+	return request
+}
+
+func (c *RawConn) readBody(request *http.Request) ([]byte, error) {
+	if !slices.Contains(request.TransferEncoding, "chunked") {
+		body := make([]byte, request.ContentLength)
+		_, err := io.ReadFull(c.Reader, body)
+		return body, err
+	}
+	body, err := io.ReadAll(httputil.NewChunkedReader(c.Reader))
+	if err != nil {
+		return nil, err
+	}
+	// The trailers end like a head.
+	_, err = c.ReadHead()
+	return body, err
+}
