--- a/core/suite_test.go
+++ b/core/suite_test.go
@@ -10,11 +10,8 @@
 
 // Fixed inputs of the property tests. Another seed is given by -rapid.seed.
 func init() {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
-		if f := flag.Lookup(name); f != nil {
-			f.Value.Set(value)
-		}
-	}
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
 }
 
 func TestCore(t *testing.T) {
