tests: let gomega check an error and its value in one expression

One spec polled a channel by hand, and one turned events into a list of any that HaveExactElements takes as it is.

Error() also requires the other results to be zero when an error comes, which is stricter. Gate's spec uses Receive(BeNil()).

Conclusion: the same checks in fewer lines.

--- a/backend/body_test.go
+++ b/backend/body_test.go
@@ -109,8 +109,7 @@
 		x := b.run(b.command(s.Address()), get())
 		ends := make(chan delivery, 1)
 		stream := x.Body(func(facts outcome.Facts, whole bool) { ends <- delivery{facts, whole} })
-		_, err := stream.Read(make([]byte, 100))
-		Expect(err).NotTo(HaveOccurred())
+		Expect(stream.Read(make([]byte, 100))).Error().NotTo(HaveOccurred())
 		stream.CloseWithError(errors.New("caller gone"))
 		end := <-ends
 		Expect(end.whole).To(BeFalse())
--- a/caller/load_test.go
+++ b/caller/load_test.go
@@ -35,8 +35,7 @@
 		for range 10 {
 			slow := sys.dial()
 			slow.send("GET /files/proof HTTP/1.1\r\nHost: h\r\n\r\n")
-			_, err := slow.reader.Peek(1)
-			Expect(err).NotTo(HaveOccurred())
+			Expect(slow.reader.Peek(1)).Error().NotTo(HaveOccurred())
 		}
 		c := sys.dial()
 		for range 200 {
--- a/caller/stop_test.go
+++ b/caller/stop_test.go
@@ -34,8 +34,7 @@
 		idle.send(lead + "\r\n")
 		idle.answer("GET")
 		slow.send("GET /files/proof HTTP/1.1\r\nHost: h\r\n\r\n")
-		_, err := slow.reader.Peek(1)
-		Expect(err).NotTo(HaveOccurred())
+		Expect(slow.reader.Peek(1)).Error().NotTo(HaveOccurred())
 
 		sys.loop.Send(core.StopRequested{})
 		Eventually(func() bool { return sys.loop.View().Closing }).WithTimeout(patience).Should(BeTrue())
@@ -58,10 +57,8 @@
 			}
 		}
 		Eventually(sys.ended).WithTimeout(patience).Should(BeClosed())
-		_, err = idle.reader.ReadByte()
-		Expect(err).To(MatchError(io.EOF))
-		_, err = net.Dial("tcp", sys.address)
-		Expect(err).To(HaveOccurred())
+		Expect(idle.reader.ReadByte()).Error().To(MatchError(io.EOF))
+		Expect(net.Dial("tcp", sys.address)).Error().To(HaveOccurred())
 	})
 
 	// Guards against an exit that waits for callers that ask nothing.
--- a/caller/suite_test.go
+++ b/caller/suite_test.go
@@ -136,8 +136,7 @@
 
 func (c *client) send(raw string) {
 	GinkgoHelper()
-	_, err := io.WriteString(c, raw)
-	Expect(err).NotTo(HaveOccurred())
+	Expect(io.WriteString(c, raw)).Error().NotTo(HaveOccurred())
 }
 
 // answer reads one answer to a request of the given method.
--- a/cli/demo_internal_test.go
+++ b/cli/demo_internal_test.go
@@ -57,8 +57,7 @@
 		}
 		response, err := http.DefaultClient.Do(request)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = io.Copy(io.Discard, response.Body)
-		Expect(err).NotTo(HaveOccurred())
+		Expect(io.Copy(io.Discard, response.Body)).Error().NotTo(HaveOccurred())
 		response.Body.Close()
 		return response
 	}
@@ -168,9 +167,7 @@
 		defer response.Body.Close()
 		control("entries/entry-3/stop")
 		Eventually(d.hosts[2].Ready).WithTimeout(demoLimit).Should(BeFalse())
-		read, err := io.Copy(io.Discard, response.Body)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(read).To(Equal(response.ContentLength))
+		Expect(io.Copy(io.Discard, response.Body)).To(Equal(response.ContentLength))
 		Eventually(func() error {
 			_, err := http.Get("http://" + d.hosts[2].AdminAddress() + "/livez")
 			return err
--- a/cli/pages_internal_test.go
+++ b/cli/pages_internal_test.go
@@ -39,8 +39,7 @@
 			line, _, _ := strings.Cut(match[1], " 2")
 			parser, err := newParser(io.Discard, io.Discard)
 			Expect(err).NotTo(HaveOccurred())
-			_, err = parser.Parse(splitWords(line))
-			Expect(err).NotTo(HaveOccurred(), line)
+			Expect(parser.Parse(splitWords(line))).Error().NotTo(HaveOccurred(), line)
 			commands++
 		}
 	}
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -81,8 +81,7 @@
 // Guards against a document that exhausts the stack or the memory of a host.
 var _ = DescribeTable("Service refuses outright",
 	func(raw, want string) {
-		_, err := document.Service("part", []byte(raw))
-		Expect(err).To(MatchError(want))
+		Expect(document.Service("part", []byte(raw))).Error().To(MatchError(want))
 	},
 	Entry("an empty document", "", "part:1: column 1: parsing value: unexpected EOF"),
 	Entry("a list", "[]", "part:1: must be an object, got a list"),
@@ -104,8 +103,7 @@
 
 var _ = DescribeTable("HostList reports",
 	func(raw, want string) {
-		_, err := document.HostList("hosts", []byte(raw))
-		Expect(err).To(MatchError(want))
+		Expect(document.HostList("hosts", []byte(raw))).Error().To(MatchError(want))
 	},
 	Entry("an unknown role", `{"hosts": [{"host": "a", "role": "press", "state": "live"}]}`,
 		`hosts:1: hosts[0].role: must be "backend" or "entry"`),
@@ -123,8 +121,7 @@
 			Expect(err).To(HaveOccurred())
 			return
 		}
-		Expect(err).NotTo(HaveOccurred())
-		Expect(size).To(Equal(want))
+		Expect(size, err).To(Equal(want))
 	},
 	Entry(nil, "64KiB", int64(64<<10)),
 	Entry(nil, "2 MB", int64(2e6)),
--- a/entryhost/gate_test.go
+++ b/entryhost/gate_test.go
@@ -44,18 +44,11 @@
 		g.mu.Unlock()
 		done := make(chan error, 1)
 		go func() { done <- g.wait(context.Background()) }()
-		recover := func() bool {
+		Eventually(func() chan error {
 			g.note(false)
 			g.note(true)
-			select {
-			case err := <-done:
-				Expect(err).NotTo(HaveOccurred())
-				return true
-			default:
-				return false
-			}
-		}
-		Eventually(recover).WithTimeout(patience).Should(BeTrue())
+			return done
+		}).WithTimeout(patience).Should(Receive(BeNil()))
 	})
 
 	// Guards against a goroutine that outlives its host.
--- a/entryhost/path_test.go
+++ b/entryhost/path_test.go
@@ -42,9 +42,7 @@
 		order, err := http.Post(base+"/catalogue/orders", "text/plain", strings.NewReader("urn"))
 		Expect(err).NotTo(HaveOccurred())
 		defer order.Body.Close()
-		answer, err := io.ReadAll(order.Body)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(string(answer)).To(Equal("backend-1 POST /catalogue/orders 3 bytes\n"))
+		Expect(io.ReadAll(order.Body)).To(BeEquivalentTo("backend-1 POST /catalogue/orders 3 bytes\n"))
 	})
 
 	It("streams a download byte for byte", func() {
--- a/entryhost/peers_test.go
+++ b/entryhost/peers_test.go
@@ -140,8 +140,7 @@
 		d := newDeployment()
 		s := d.settings("entry-1", "127.0.0.1:0")
 		s.Host = "entry-2"
-		_, err := entryhost.New(s, &log.Logger{Handler: discard.New()})
-		Expect(err).To(MatchError(ContainSubstring("the certificate is for host entry-1")))
+		Expect(entryhost.New(s, &log.Logger{Handler: discard.New()})).Error().To(MatchError(ContainSubstring("the certificate is for host entry-1")))
 	})
 })
 
--- a/entryhost/stop_test.go
+++ b/entryhost/stop_test.go
@@ -47,9 +47,7 @@
 			return err
 		}).WithTimeout(20 * time.Second).Should(HaveOccurred())
 		Expect(ended).NotTo(Receive())
-		n, err := io.Copy(io.Discard, response.Body)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(n).To(BeEquivalentTo(standin.DownloadBytes))
+		Expect(io.Copy(io.Discard, response.Body)).To(BeEquivalentTo(standin.DownloadBytes))
 		Eventually(ended).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
 	})
 })
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -148,7 +148,7 @@
 			Expect(len(raw)).To(BeNumerically("<=", limit))
 			got, err := read(raw)
 			Expect(err).To(Equal(io.EOF))
-			Expect(got).To(HaveExactElements(convert(events[:len(got)])...))
+			Expect(got).To(HaveExactElements(events[:len(got)]))
 		}
 	})
 
@@ -184,25 +184,13 @@
 		got, err := read(raw[:len(raw)-1])
 		Expect(err).To(MatchError(ErrTruncated))
 		Expect(got).To(HaveLen(len(events) - 1))
-		_, err = read([]byte("wisteriapond events 1 0000000000000000\n"))
-		Expect(err).To(MatchError(ContainSubstring("another build")))
-		_, err = read(nil)
-		Expect(err).To(MatchError(ContainSubstring("no header")))
-		_, err = read(append([]byte(header()), 2, 0xff, 0xff))
-		Expect(err).To(MatchError(ContainSubstring("malformed")))
-		_, err = read(append([]byte(header()), 0xff, 0xff, 0xff, 0xff, 0x7f))
-		Expect(err).To(MatchError(ContainSubstring("too large")))
+		Expect(read([]byte("wisteriapond events 1 0000000000000000\n"))).Error().To(MatchError(ContainSubstring("another build")))
+		Expect(read(nil)).Error().To(MatchError(ContainSubstring("no header")))
+		Expect(read(append([]byte(header()), 2, 0xff, 0xff))).Error().To(MatchError(ContainSubstring("malformed")))
+		Expect(read(append([]byte(header()), 0xff, 0xff, 0xff, 0xff, 0x7f))).Error().To(MatchError(ContainSubstring("too large")))
 	})
 })
 
-func convert(events []core.Event) []any {
-	values := make([]any, len(events))
-	for i := range events {
-		values[i] = events[i]
-	}
-	return values
-}
-
 // FuzzReader guards against logs that crash the reader, and against records
 // that it accepts but could not have written.
 func FuzzReader(f *testing.F) {
--- a/generation/generation_test.go
+++ b/generation/generation_test.go
@@ -147,8 +147,7 @@
 
 	// Guards against a host that is brought down by a peer's message.
 	DescribeTable("refuses", func(edit generation.Edit) {
-		_, err := generation.Apply([]byte("abc"), &generation.Patch{Edits: []generation.Edit{edit}}, 4)
-		Expect(err).To(MatchError(generation.ErrPatch))
+		Expect(generation.Apply([]byte("abc"), &generation.Patch{Edits: []generation.Edit{edit}}, 4)).Error().To(MatchError(generation.ErrPatch))
 	},
 		Entry("a negative offset", generation.Edit{Offset: -1, Length: 1}),
 		Entry("a negative length", generation.Edit{Offset: 1, Length: -1}),
--- a/label/selector_test.go
+++ b/label/selector_test.go
@@ -32,8 +32,7 @@
 
 var _ = DescribeTable("Parse refuses",
 	func(source string) {
-		_, err := label.Parse(source)
-		Expect(err).To(MatchError(label.ErrSyntax))
+		Expect(label.Parse(source)).Error().To(MatchError(label.ErrSyntax))
 	},
 	Entry("an empty term", "a=b,,c=d"),
 	Entry("an empty value", "a="),
--- a/settings/peers_test.go
+++ b/settings/peers_test.go
@@ -37,8 +37,6 @@
 
 	// Guards against a recording without a bound.
 	It("bound a recording by default", func() {
-		s, err := parse(`"record": {"file": "events"},`)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(s.Record.MaxSize).To(Equal(document.Size(settings.DefaultRecordSize)))
+		Expect(parse(`"record": {"file": "events"},`)).To(HaveField("Record.MaxSize", document.Size(settings.DefaultRecordSize)))
 	})
 })
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -72,8 +72,7 @@
 	It("ends the work when the caller hangs up", func() {
 		backend.Change(func(b *standin.Behaviour) { b.ExtraDelay = time.Hour })
 		client := &http.Client{Timeout: 50 * time.Millisecond}
-		_, err := client.Get(base)
-		Expect(err).To(HaveOccurred())
+		Expect(client.Get(base)).Error().To(HaveOccurred())
 		Eventually(backend.Running).WithTimeout(limit).Should(Equal(0))
 	})
 
@@ -84,8 +83,7 @@
 		request, err := http.NewRequest(http.MethodGet, base, nil)
 		Expect(err).NotTo(HaveOccurred())
 		request.Header.Set("Wisteriapond-Timeout", "20")
-		_, err = http.DefaultClient.Do(request)
-		Expect(err).To(HaveOccurred())
+		Expect(http.DefaultClient.Do(request)).Error().To(HaveOccurred())
 	})
 
 	It("reports a load of 0 when told to mislead", func() {
