entryhost: share one deployment between the specs

Cause: three specs set up a stand-in backend server, a platform and a host by hand beside the deployment fixture that the specs with peers have.

Change: path, stop and measure use newDeployment with the number of slots that they had (3, 3, 1000), and alone gives the settings of a host without peers. run takes the limit of its end: 10 s for path as before, and patience for the specs with peers.

The expectations are the same.

Conclusion: one fixture in place of four.

--- a/entryhost/measure_test.go
+++ b/entryhost/measure_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"slices"
 	"sync"
@@ -14,8 +13,6 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
-
-	"wisteriapond/standin"
 )
 
 const (
@@ -39,14 +36,8 @@
 
 	DescribeTable("of",
 		func(request string, callers int) {
-			backend := httptest.NewServer(standin.NewBackend("backend-1", 1000, 0))
-			DeferCleanup(backend.Close)
-			platform := standin.NewPlatform()
-			direct := backend.Listener.Addr().String()
-			platform.PublishConfiguration(1, map[string][]byte{"catalogue": part(direct)}, nil)
-			platformServer := httptest.NewServer(platform)
-			DeferCleanup(platformServer.Close)
-			through := startHost(platformServer.URL)[len("http://"):]
+			d := newDeployment(1000)
+			direct, through := d.backend, d.startHost()[len("http://"):]
 
 			var group sync.WaitGroup
 			plain, added := make([][]time.Duration, callers), make([][]time.Duration, callers)
--- a/entryhost/path_test.go
+++ b/entryhost/path_test.go
@@ -1,21 +1,15 @@
 package entryhost_test
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"wisteriapond/entryhost"
-	"wisteriapond/settings"
 	"wisteriapond/standin"
 )
 
@@ -25,13 +19,7 @@
 	var base string
 
 	BeforeEach(func() {
-		backend := httptest.NewServer(standin.NewBackend("backend-1", 3, 0))
-		DeferCleanup(backend.Close)
-		platform := standin.NewPlatform()
-		platform.PublishConfiguration(1, map[string][]byte{"catalogue": part(backend.Listener.Addr().String())}, nil)
-		platformServer := httptest.NewServer(platform)
-		DeferCleanup(platformServer.Close)
-		base = startHost(platformServer.URL)
+		base = newDeployment(3).startHost()
 	})
 
 	It("answers a lookup and an order", func() {
@@ -66,23 +54,9 @@
 	}`, address)
 }
 
-func startHost(platform string) string {
-	host, err := entryhost.New(&settings.Settings{
-		Host:          "entry-1",
-		Region:        "mtl",
-		FailureDomain: "mtl-a",
-		Listen:        "127.0.0.1:0",
-		Admin:         "127.0.0.1:0",
-		Platform:      platform,
-	}, &log.Logger{Handler: discard.New()})
-	Expect(err).NotTo(HaveOccurred())
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- host.Run(ctx) }()
-	DeferCleanup(func() {
-		cancel()
-		Eventually(ended).WithTimeout(10 * time.Second).Should(Receive(BeNil()))
-	})
+func (d *deployment) startHost() string {
+	host := newHost(d.alone("entry-1"))
+	run(host, 10*time.Second)
 	Eventually(host.Ready).WithTimeout(10 * time.Second).Should(BeTrue())
 	return "http://" + host.Address()
 }
--- a/entryhost/peers_test.go
+++ b/entryhost/peers_test.go
@@ -34,8 +34,8 @@
 	ca       keys.Pair
 }
 
-func newDeployment() *deployment {
-	backend := httptest.NewServer(standin.NewBackend("backend-1", 3, 0))
+func newDeployment(slots int) *deployment {
+	backend := httptest.NewServer(standin.NewBackend("backend-1", slots, 0))
 	DeferCleanup(backend.Close)
 	platform := standin.NewPlatform()
 	server := httptest.NewServer(platform)
@@ -59,31 +59,27 @@
 	Expect(keys.WriteHost(directory, name, pair)).To(Succeed())
 	ca := filepath.Join(directory, keys.CACertificateFile)
 	Expect(os.WriteFile(ca, d.ca.Certificate, 0o600)).To(Succeed())
+	s := d.alone(name)
+	s.PeerListen, s.Peers = listen, peers
+	s.Keys = settings.Keys{CA: ca, Certificate: filepath.Join(directory, name+".pem"), Key: filepath.Join(directory, name+".key")}
+	return s
+}
+
+// alone returns the settings of a host without peers.
+func (d *deployment) alone(name string) *settings.Settings {
 	return &settings.Settings{
-		Host:          name,
-		Region:        "mtl",
-		FailureDomain: "mtl-a",
-		Listen:        "127.0.0.1:0",
-		Admin:         "127.0.0.1:0",
-		Platform:      d.url,
-		PeerListen:    listen,
-		Peers:         peers,
-		Keys: settings.Keys{
-			CA:          ca,
-			Certificate: filepath.Join(directory, name+".pem"),
-			Key:         filepath.Join(directory, name+".key"),
-		},
+		Host: name, Region: "mtl", FailureDomain: "mtl-a", Listen: "127.0.0.1:0", Admin: "127.0.0.1:0", Platform: d.url,
 	}
 }
 
-// run runs a host and returns what ends it.
-func run(host *entryhost.Host) (stop func()) {
+// run runs a host and returns what ends it, which it must do within a limit.
+func run(host *entryhost.Host, limit time.Duration) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- host.Run(ctx) }()
 	stop = sync.OnceFunc(func() {
 		cancel()
-		Eventually(ended).WithTimeout(patience).Should(Receive(BeNil()))
+		Eventually(ended).WithTimeout(limit).Should(Receive(BeNil()))
 	})
 	DeferCleanup(stop)
 	return stop
@@ -109,14 +105,14 @@
 	// Guards against a host that depends on the configuration service to start
 	// or to come back, although a peer has everything.
 	It("pass the configuration on while the service is down", func() {
-		d := newDeployment()
+		d := newDeployment(3)
 		one := newHost(d.settings("entry-1", "127.0.0.1:0"))
-		stopOne := run(one)
+		stopOne := run(one, patience)
 		Eventually(one.Ready).WithTimeout(patience).Should(BeTrue())
 
 		d.platform.SetDown(true)
 		two := newHost(d.settings("entry-2", "127.0.0.1:0", one.PeerAddress()))
-		run(two)
+		run(two, patience)
 		Eventually(two.Ready).WithTimeout(patience).Should(BeTrue())
 		Expect(generationOf(two)()).To(Equal(uint64(1)))
 		body, _ := get("http://" + two.Address() + "/catalogue/urn-7")
@@ -125,7 +121,7 @@
 		address := one.PeerAddress()
 		stopOne()
 		again := newHost(d.settings("entry-1", address, two.PeerAddress()))
-		run(again)
+		run(again, patience)
 		Eventually(again.Ready).WithTimeout(patience).Should(BeTrue())
 		Expect(generationOf(again)()).To(Equal(uint64(1)))
 
@@ -137,7 +133,7 @@
 
 	// Guards against a host that starts under a name it cannot prove.
 	It("refuse the key of another host", func() {
-		d := newDeployment()
+		d := newDeployment(3)
 		s := d.settings("entry-1", "127.0.0.1:0")
 		s.Host = "entry-2"
 		Expect(entryhost.New(s, &log.Logger{Handler: discard.New()})).Error().To(MatchError(ContainSubstring("the certificate is for host entry-1")))
@@ -148,10 +144,10 @@
 	// Guards against decisions that depend on anything but the events, and
 	// against events that change on their way through the log.
 	It("gives the same effects when it is replayed", func() {
-		d := newDeployment()
+		d := newDeployment(3)
 		file := filepath.Join(GinkgoT().TempDir(), "events")
 		one := newHost(d.settings("entry-1", "127.0.0.1:0"))
-		run(one)
+		run(one, patience)
 		s := d.settings("entry-2", "127.0.0.1:0", one.PeerAddress())
 		s.Record = settings.Record{File: file, MaxSize: document.Size(settings.DefaultRecordSize)}
 		two := newHost(s)
@@ -160,7 +156,7 @@
 			defer GinkgoRecover()
 			Expect(eventlog.WriteStep(&live, at, event, effects)).To(Succeed())
 		})
-		stop := run(two)
+		stop := run(two, patience)
 		Eventually(two.Ready).WithTimeout(patience).Should(BeTrue())
 		for range 20 {
 			get("http://" + two.Address() + "/catalogue/urn-7")
