core: share the start of a site and the load of the fleet benchmark

Cause: the specs over several reducers repeated the publication, the start of all hosts and a first run; two measurements had the same load; probes noted a host and a limit that no check reads.

Change: site.begin and site.requestsInTurn, with the times and services that each spec had; encodedSize and the two fields go. The fleet finds a host with slices.IndexFunc.

Conclusion: the same traces with less set-up. The benchmarks were not run.

--- a/core/configuration_test.go
+++ b/core/configuration_test.go
@@ -43,10 +43,7 @@
 
 var _ = Describe("the configuration", func() {
 	running := func(hosts int) *site {
-		w := newSite(hosts)
-		w.publish(1, changed("catalogue", 1), changed("proofs", 1))
-		w.startAll()
-		w.run(8 * time.Second)
+		w := newSite(hosts).begin(8*time.Second, changed("catalogue", 1), changed("proofs", 1))
 		ExpectWithOffset(1, w.inForce(config.Version{Generation: 1, Hash: w.manifest})).To(Equal(hosts))
 		return w
 	}
@@ -313,9 +310,7 @@
 			s.Timeout += time.Duration(i) * time.Millisecond
 			services = append(services, s)
 		}
-		w.publish(1, services...)
-		w.startAll()
-		w.run(20 * time.Second)
+		w.begin(20*time.Second, services...)
 		w.measure = true
 		w.run(5 * time.Second)
 		quiet := w.bytes
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -140,12 +141,7 @@
 }
 
 func (f *fleet) hostAt(address string) *fleetHost {
-	for _, h := range f.hosts {
-		if h.name == address {
-			return h
-		}
-	}
-	return nil
+	return f.hosts[slices.IndexFunc(f.hosts, func(h *fleetHost) bool { return h.name == address })]
 }
 
 // run plays a trace to its end.
--- a/core/hosts_test.go
+++ b/core/hosts_test.go
@@ -30,13 +30,7 @@
 }
 
 var _ = Describe("leaving marks", func() {
-	running := func(hosts int) *site {
-		w := newSite(hosts)
-		w.publish(1, service("catalogue", 3))
-		w.startAll()
-		w.run(5 * time.Second)
-		return w
-	}
+	running := func(hosts int) *site { return newSite(hosts).begin(5*time.Second, service("catalogue", 3)) }
 
 	// Guards against a host that goes on sending work to a leaving backend
 	// server because its host list lags.
@@ -96,9 +90,7 @@
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			w := newSite(rapid.IntRange(2, 5).Draw(t, "hosts"))
 			w.random = rapid.Uint64().Draw(t, "network")
-			w.publish(1, service("catalogue", 3))
-			w.startAll()
-			w.run(3 * time.Second)
+			w.begin(3*time.Second, service("catalogue", 3))
 			w.lose = rapid.IntRange(0, 20).Draw(t, "lose")
 			w.repeat = rapid.IntRange(0, 20).Draw(t, "repeat")
 			stale := []core.HostEntry{entryOf("backend-1", rapid.Uint64Range(1, 2).Draw(t, "stale epoch"), false)}
--- a/core/leases_test.go
+++ b/core/leases_test.go
@@ -76,13 +76,7 @@
 }
 
 var _ = Describe("slot leases between hosts", func() {
-	running := func(hosts int) *site {
-		w := newSite(hosts)
-		w.publish(1, service("catalogue", 3))
-		w.startAll()
-		w.run(4 * time.Second)
-		return w
-	}
+	running := func(hosts int) *site { return newSite(hosts).begin(4*time.Second, service("catalogue", 3)) }
 
 	// Guards against a host that waits for a message at each request.
 	It("are held by the hosts that have requests", func() {
@@ -100,10 +94,7 @@
 	// Guards against requests that are held up by a lease that nobody can
 	// grant.
 	It("are not used by a host that is alone or cut off", func() {
-		w := newSite(1)
-		w.publish(1, service("catalogue", 3))
-		w.start(w.hosts[0])
-		w.run(time.Second)
+		w := newSite(1).begin(time.Second, service("catalogue", 3))
 		w.want(w.hosts[0], "catalogue", 2)
 		w.run(2 * time.Second)
 		Expect(w.status(w.hosts[0]).Leases.Leased).To(BeZero())
@@ -169,9 +160,7 @@
 			w := newSite(rapid.IntRange(2, 5).Draw(t, "hosts"))
 			w.random = rapid.Uint64().Draw(t, "network")
 			w.delay = time.Duration(rapid.IntRange(1, 30).Draw(t, "delay")) * time.Millisecond
-			w.publish(1, service("catalogue", 3))
-			w.startAll()
-			w.run(4 * time.Second)
+			w.begin(4*time.Second, service("catalogue", 3))
 			w.lose = rapid.IntRange(0, 10).Draw(t, "lose")
 			w.repeat = rapid.IntRange(0, 10).Draw(t, "repeat")
 			busy := rapid.IntRange(1, 10).Draw(t, "busy")
--- a/core/messages_test.go
+++ b/core/messages_test.go
@@ -92,15 +92,10 @@
 	gone := w.hosts[len(w.hosts)-1]
 	gone.off = true
 	begin := w.now
-	turn := 0
+	load := w.requestsInTurn(list)
 	var known, leased time.Duration
 	for leased == 0 && w.now.Sub(begin) < 2*time.Minute {
-		w.run(100*time.Millisecond, func() {
-			turn++
-			for i, h := range w.live() {
-				w.request(h, "GET", "/"+list[(turn+7*i)%len(list)].Name)
-			}
-		})
+		w.run(100*time.Millisecond, load)
 		if known == 0 && w.agree() {
 			known = w.now.Sub(begin)
 		}
@@ -112,6 +107,17 @@
 	b.ReportMetric(leased.Seconds()*1000, "death-ms-leased")
 }
 
+// requestsInTurn sends each running host a request, over all services in turn.
+func (w *site) requestsInTurn(list []*config.Service) func() {
+	turn := 0
+	return func() {
+		turn++
+		for i, h := range w.live() {
+			w.request(h, "GET", "/"+list[(turn+7*i)%len(list)].Name)
+		}
+	}
+}
+
 // onOwnCounts returns the number of units in use without a lease.
 func (w *site) onOwnCounts() int {
 	count := 0
@@ -125,13 +131,7 @@
 // services in turn, and reports what the leases cost.
 func (w *site) useServices(b *testing.B, list []*config.Service, serve time.Duration) {
 	w.serve = serve
-	turn := 0
-	load := func() {
-		turn++
-		for i, h := range w.live() {
-			w.request(h, "GET", "/"+list[(turn+7*i)%len(list)].Name)
-		}
-	}
+	load := w.requestsInTurn(list)
 	w.run(3*time.Second, load)
 	w.measureFor(b, 10*time.Second, "leases", load)
 	held := 0
--- a/core/pauses_test.go
+++ b/core/pauses_test.go
@@ -11,13 +11,7 @@
 )
 
 var _ = Describe("a pause of the process", func() {
-	running := func(hosts int) *site {
-		w := newSite(hosts)
-		w.publish(1, service("catalogue", 3))
-		w.startAll()
-		w.run(4 * time.Second)
-		return w
-	}
+	running := func(hosts int) *site { return newSite(hosts).begin(4*time.Second, service("catalogue", 3)) }
 
 	pauseHost := func(w *site, h *entry, d time.Duration) {
 		h.paused = true
@@ -112,10 +106,7 @@
 var _ = Describe("a planned stop", func() {
 	// Guards against duties and slots that stay with a host after its stop.
 	It("hands leases back and tells the peers", func() {
-		w := newSite(4)
-		w.publish(1, service("catalogue", 3))
-		w.startAll()
-		w.run(4 * time.Second)
+		w := newSite(4).begin(4*time.Second, service("catalogue", 3))
 		w.want(w.hosts[1], "catalogue", 3)
 		w.run(200 * time.Millisecond)
 		Expect(w.status(w.hosts[1]).Leases.Held).To(BeNumerically(">", 0))
--- a/core/probes_test.go
+++ b/core/probes_test.go
@@ -53,10 +53,7 @@
 
 	// Guards against each host measuring what another has just measured.
 	It("are not repeated for what a peer has measured", func() {
-		w := newSite(4)
-		w.publish(1, service("catalogue", 3))
-		w.startAll()
-		w.run(2 * time.Minute)
+		w := newSite(4).begin(2*time.Minute, service("catalogue", 3))
 		perUpstream := make(map[string]int)
 		for _, p := range w.probes {
 			perUpstream[p.address]++
@@ -70,10 +67,7 @@
 
 	// Guards against budgets that are not spent at all.
 	It("reach every upstream", func() {
-		w := newSite(1)
-		w.publish(1, service("catalogue", 10))
-		w.start(w.hosts[0])
-		w.run(time.Minute)
+		w := newSite(1).begin(time.Minute, service("catalogue", 10))
 		var addresses []string
 		for _, p := range w.probes {
 			if !slices.Contains(addresses, p.address) {
--- a/core/site_test.go
+++ b/core/site_test.go
@@ -85,9 +85,7 @@
 
 type probe struct {
 	at      core.Instant
-	host    string
 	address string
-	limit   int64
 }
 
 type answer struct {
@@ -152,6 +150,14 @@
 	})
 }
 
+// begin publishes the first configuration, starts all hosts and runs them.
+func (w *site) begin(d time.Duration, services ...*config.Service) *site {
+	w.publish(1, services...)
+	w.startAll()
+	w.run(d)
+	return w
+}
+
 func (w *site) startAll() {
 	for _, h := range w.hosts {
 		w.start(h)
@@ -216,7 +222,7 @@
 	case core.ParsePart:
 		w.parsePart(h, e.Raw, e.From)
 	case core.StartProbe:
-		w.probes = append(w.probes, probe{at: w.now, host: h.name, address: e.Address, limit: e.Probe.AnswerLimit})
+		w.probes = append(w.probes, probe{at: w.now, address: e.Address})
 		w.step(h, core.ProbeFinished{Service: e.Service, Upstream: e.Upstream, Took: time.Millisecond})
 	case core.StartAttempt:
 		w.starts = append(w.starts, started{at: w.now, address: e.Address})
@@ -232,7 +238,7 @@
 
 func (w *site) send(h *entry, e core.SendPeer) {
 	if w.measure {
-		size := encodedSize(e.Message)
+		size := len(encode(e.Message))
 		w.sent++
 		w.bytes += size
 		w.received[e.Address] += size
@@ -432,11 +438,8 @@
 	}
 }
 
-// encodedSize estimates the bytes of a message as the transport encodes it.
-func encodedSize(message core.Message) int { return len(encode(message)) }
-
 // encode writes CBOR with numbered fields in a fixed order and without zero
-// ones.
+// ones. Its size is an estimate of what the transport sends.
 func encode(message core.Message) []byte {
 	raw, err := encoder.Marshal(compact(reflect.ValueOf(message)))
 	if err != nil {
