lease, core: use the usual terms in names

Cause: names such as wisher, poorest, thawed and news need explaining. Change: requester, smallestFirst, formerExpired, updates and others; comments follow. No behaviour changes; the tests of lease and core pass.

--- a/core/configuration.go
+++ b/core/configuration.go
@@ -41,10 +41,10 @@
 	return &version
 }
 
-// isNews reports whether a version is higher than the one in force and was not
+// isNewer reports whether a version is higher than the one in force and was not
 // refused. It raises an alarm for two documents of one generation: an operator
 // has published a generation twice.
-func (s *State) isNews(version config.Version) bool {
+func (s *State) isNewer(version config.Version) bool {
 	force := s.inForce()
 	if version == force {
 		return false
@@ -79,7 +79,7 @@
 		s.requestDocuments()
 		return
 	}
-	if !s.isNews(e.Version) {
+	if !s.isNewer(e.Version) {
 		return
 	}
 	if s.pending != nil && !s.pending.version.Less(e.Version) {
--- a/core/coordination.go
+++ b/core/coordination.go
@@ -89,7 +89,7 @@
 	// maxDirectPeers is the number of peers up to which all are told directly.
 	maxDirectPeers = 32
 	// fanoutPeers is the number of peers told in a larger fleet. With eight,
-	// news reach 4,096 hosts in four to five hops, and the pings make up for
+	// an update reaches 4,096 hosts in four to five hops, and the pings make up for
 	// hosts that were missed.
 	fanoutPeers = 8
 )
--- a/core/documents.go
+++ b/core/documents.go
@@ -75,11 +75,11 @@
 	d.reported = make(map[string]config.Hash)
 }
 
-// documentsHeard takes the parts of a message that are about documents.
-func (s *State) documentsHeard(e PeerMessage) {
+// handleDocuments takes the parts of a message that are about documents.
+func (s *State) handleDocuments(e PeerMessage) {
 	m := &e.Message
 	if m.Accepted != nil {
-		s.versionHeard(*m.Accepted, e.Address)
+		s.notePeerVersion(*m.Accepted, e.Address)
 	}
 	if m.WantManifest != nil {
 		s.serveManifest(e.Address, *m.WantManifest)
@@ -102,9 +102,9 @@
 	s.requestDocuments()
 }
 
-// versionHeard notes that a peer has a version in force.
-func (s *State) versionHeard(version config.Version, address string) {
-	if !s.isNews(version) || address == "" {
+// notePeerVersion notes that a peer has a version in force.
+func (s *State) notePeerVersion(version config.Version, address string) {
+	if !s.isNewer(version) || address == "" {
 		return
 	}
 	if s.pending != nil && s.pending.version == version {
--- a/core/hosts.go
+++ b/core/hosts.go
@@ -25,11 +25,11 @@
 	// ever holds the hosts that were leaving at some time: a full exchange
 	// names them, live again or not.
 	ever map[string]bool
-	// listed is set once a host list came. The first one is no news to a fleet
+	// listed is set once a host list came. The first one is not new to a fleet
 	// that this host has just joined.
 	listed bool
 	// digest identifies the marks known, in any order. Peers attach theirs to
-	// pings: lost news, and those of the other side of a partition, show as a
+	// pings: lost marks, and those of the other side of a partition, show as a
 	// difference.
 	digest   uint64
 	changed  Instant
@@ -40,7 +40,7 @@
 // epoch is not below the one known, so that a lagging list cannot bring a
 // leaving host back.
 func (s *State) hostListRead(e HostListRead) {
-	var news []HostEntry
+	var changed []HostEntry
 	for _, entry := range e.Hosts {
 		known, ok := s.hosts[entry.Host]
 		if ok && !supersedes(entry, known) {
@@ -54,14 +54,14 @@
 			continue
 		}
 		s.count(CounterLeavingMarks, "host_list")
-		news = append(news, markOf(entry))
+		changed = append(changed, markOf(entry))
 	}
 	peers := s.fanout()
 	if !s.marks.listed {
 		peers = s.members.Sample(1)
 	}
 	s.marks.listed = true
-	s.spreadMarks(news, peers)
+	s.spreadMarks(changed, peers)
 	s.pauseAnswered()
 }
 
@@ -85,15 +85,15 @@
 	entry.Leaving = true
 	if s.setHost(entry) {
 		s.count(CounterLeavingMarks, "backend")
-		news := []HostEntry{markOf(entry)}
-		s.spreadMarks(news, s.fanout())
+		changed := []HostEntry{markOf(entry)}
+		s.spreadMarks(changed, s.fanout())
 	}
 }
 
-// marksHeard takes leaving marks from a peer and passes on those that are new
+// mergeMarks takes leaving marks from a peer and passes on those that are new
 // here, at once: the peer may have told this host only.
-func (s *State) marksHeard(heard []HostEntry) {
-	var news []HostEntry
+func (s *State) mergeMarks(heard []HostEntry) {
+	var changed []HostEntry
 	for _, mark := range heard {
 		known, ok := s.hosts[mark.Host]
 		if mark.Host == "" || ok && !supersedes(mark, known) {
@@ -103,10 +103,10 @@
 		entry.Host, entry.Role, entry.Epoch, entry.Leaving = mark.Host, mark.Role, mark.Epoch, mark.Leaving
 		if s.setHost(entry) {
 			s.count(CounterLeavingMarks, "peer")
-			news = append(news, mark)
+			changed = append(changed, mark)
 		}
 	}
-	s.spreadMarks(news, s.fanout())
+	s.spreadMarks(changed, s.fanout())
 }
 
 // setHost is the only writer of the host table. It reports whether the leaving
@@ -170,11 +170,11 @@
 
 // spreadMarks tells the peers at once, and attaches the marks to later
 // messages in case that one was lost.
-func (s *State) spreadMarks(news []HostEntry, peers []membership.Member) {
-	for _, mark := range news {
+func (s *State) spreadMarks(changed []HostEntry, peers []membership.Member) {
+	for _, mark := range changed {
 		s.marks.rumors.Add(mark.Host, mark)
 	}
-	for chunk := range slices.Chunk(news, hostsPerMessage) {
+	for chunk := range slices.Chunk(changed, hostsPerMessage) {
 		s.sendTo(peers, Message{Hosts: chunk})
 	}
 }
--- a/core/leases.go
+++ b/core/leases.go
@@ -278,7 +278,7 @@
 	}
 }
 
-// slotsUnwanted takes the wish for slots back once no request of the service
+// slotsUnwanted withdraws the request for slots once no request of the service
 // waits any more.
 func (s *State) slotsUnwanted(svc *service) {
 	known := s.leases.services[svc.config.Name]
--- a/core/peers.go
+++ b/core/peers.go
@@ -24,9 +24,9 @@
 		s.sendMembership()
 	}
 	s.startupAnswer(e)
-	s.marksHeard(m.Hosts)
+	s.mergeMarks(m.Hosts)
 	s.exchangeMarks(m)
-	s.documentsHeard(e)
+	s.handleDocuments(e)
 	s.leaseMessage(e)
 	s.measurementsHeard(m.Measured)
 	s.pauseMessage(e)
@@ -53,7 +53,7 @@
 	s.updateReady()
 }
 
-// sendMembership sends the messages of the membership protocol, with news
+// sendMembership sends the messages of the membership protocol, with updates
 // attached, and follows the changes that came with the call.
 func (s *State) sendMembership() {
 	out := &s.memberOut
@@ -65,14 +65,14 @@
 		s.updateWatch()
 	}
 	for _, send := range out.Sends {
-		s.send(send.Address, s.withNews(send.Message))
+		s.send(send.Address, s.withUpdates(send.Message))
 	}
 	out.Reset()
 }
 
-// withNews attaches leaving marks, results of probes and the version in force
-// to a message, so that news that were lost elsewhere still arrive.
-func (s *State) withNews(m membership.Message) Message {
+// withUpdates attaches leaving marks, results of probes and the version in force
+// to a message, so that updates that were lost elsewhere still arrive.
+func (s *State) withUpdates(m membership.Message) Message {
 	message := Message{Membership: &m}
 	peers := s.members.Live() + 1
 	message.Hosts = s.marks.rumors.Take(marksPerMessage, peers)
--- a/core/queueing.go
+++ b/core/queueing.go
@@ -124,7 +124,7 @@
 }
 
 // drainLater looks at the queue of a service when the step ends. One event may
-// carry news of several hosts, and no request may start on a host of which the
+// change several hosts, and no request may start on a host of which the
 // same event says that it is leaving.
 func (s *State) drainLater(svc *service) {
 	if !svc.drainDue {
--- a/lease/grant.go
+++ b/lease/grant.go
@@ -38,7 +38,7 @@
 // one among equals. A slot that was recalled would otherwise return to a host
 // that has many and still wants more.
 func (o *Owner) giveNext(now time.Duration, u *ownedUnit) bool {
-	for _, sh := range u.poorest() {
+	for _, sh := range u.smallestFirst() {
 		if o.give(now, sh) {
 			sh.wanted--
 			u.queue(sh)
@@ -72,25 +72,25 @@
 // that waits, the one with the fewest first.
 func (o *Owner) recall(now time.Duration, u *ownedUnit) {
 	limit := min(len(u.waiting), maxRecalls)
-	for _, wisher := range u.poorest() {
+	for _, requester := range u.smallestFirst() {
 		if u.recalls >= limit {
 			return
 		}
-		victim, idleOnly := u.victimFor(wisher), false
-		if victim == nil || !mayRecall(now, victim, wisher) {
+		source, idleOnly := u.largestFor(requester), false
+		if source == nil || !mayRecall(now, source, requester) {
 			var at time.Duration
-			victim, at = u.idleFor(now, wisher)
+			source, at = u.idleFor(now, requester)
 			idleOnly = true
-			if victim == nil {
+			if source == nil {
 				o.checkAt = earlier(o.checkAt, at)
 				continue
 			}
 		}
-		victim.recall = true
-		victim.idleOnly = idleOnly
-		victim.keep = victim.total - 1
+		source.recall = true
+		source.idleOnly = idleOnly
+		source.keep = source.total - 1
 		u.recalls++
-		victim.mark()
-		o.changed[victim.session.holder] = victim.session
+		source.mark()
+		o.changed[source.session.holder] = source.session
 	}
 }
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -156,7 +156,7 @@
 	h.touch(now, holding)
 }
 
-// Unwant takes back the wish for further slots, since no request waits.
+// Unwant withdraws the request for further slots, since no request waits.
 func (h *Holder) Unwant(now time.Duration, holding *Holding) {
 	if holding.wanted > 0 {
 		h.Want(now, holding, 0)
@@ -192,7 +192,7 @@
 		h.note(holding)
 	}
 	holding.Leased = false
-	holding.frozenUntil = 0
+	holding.formerUntil = 0
 	for _, slot := range holding.Slots {
 		slot.Held = 0
 	}
@@ -230,7 +230,7 @@
 		return
 	}
 	before := holding.held()
-	holding.frozenUntil = 0
+	holding.formerUntil = 0
 	holding.Leased = now < holding.link.expires
 	for _, slot := range holding.Slots {
 		slot.Held = min(countOf(answer.Grants, slot.Upstream), slot.Size)
@@ -256,9 +256,9 @@
 	} else {
 		holding.nextAsk = now + RenewEvery
 		h.detach(holding)
-		holding.frozenUntil = expired
+		holding.formerUntil = expired
 	}
-	if now >= holding.frozenUntil {
+	if now >= holding.formerUntil {
 		h.lapse(holding)
 	}
 }
@@ -308,7 +308,7 @@
 // watch follows a unit that uses more slots than it holds, so that its owner
 // hears at once when one becomes free.
 func (h *Holder) watch(holding *Holding) {
-	if !holding.settling && holding.overdrawn() > 0 {
+	if !holding.settling && holding.excess() > 0 {
 		holding.settling = true
 		h.settling = append(h.settling, holding)
 	}
@@ -321,9 +321,9 @@
 		return
 	}
 	h.settling = slices.DeleteFunc(h.settling, func(holding *Holding) bool {
-		before := holding.overdrawn()
+		before := holding.excess()
 		h.use.Refresh(holding)
-		after := holding.overdrawn()
+		after := holding.excess()
 		if after < before && holding.link != nil {
 			holding.dirty = true
 			h.enqueue(holding)
@@ -359,7 +359,7 @@
 	if holding.link != nil && holding.link.owner != owner {
 		h.detach(holding)
 	}
-	if holding.thawed(now) {
+	if holding.formerExpired(now) {
 		h.lapse(holding)
 	}
 	if holding.link == nil {
--- a/lease/holding.go
+++ b/lease/holding.go
@@ -39,9 +39,9 @@
 	nextAsk  time.Duration
 	queued   bool
 	settling bool
-	// frozenUntil is the end of leases granted by an earlier owner. They count
+	// formerUntil is the end of leases granted by an earlier owner. They count
 	// until then, since the next owner waits that long.
-	frozenUntil time.Duration
+	formerUntil time.Duration
 	peak        int
 	peakBefore  int
 	peakUntil   time.Duration
@@ -109,7 +109,7 @@
 	return sum
 }
 
-func (holding *Holding) overdrawn() int {
+func (holding *Holding) excess() int {
 	sum := 0
 	for _, slot := range holding.Slots {
 		sum += max(0, slot.Running-slot.Held)
@@ -117,9 +117,9 @@
 	return sum
 }
 
-// thawed reports whether leases that an earlier owner granted have expired.
-func (holding *Holding) thawed(now time.Duration) bool {
-	return holding.Leased && holding.frozenUntil > 0 && now >= holding.frozenUntil
+// formerExpired reports whether leases that an earlier owner granted have expired.
+func (holding *Holding) formerExpired(now time.Duration) bool {
+	return holding.Leased && holding.formerUntil > 0 && now >= holding.formerUntil
 }
 
 // observe remembers the highest use of the last one to two windows.
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -243,7 +243,7 @@
 
 	// Guards against a host that counts as waiting after its requests have
 	// ended: no other one would be given its idle slots.
-	It("forget a wish that is taken back", func() {
+	It("forget a request for slots that is withdrawn", func() {
 		g := newGroup(2)
 		g.wantMany(0, 8)
 		g.exchange()
--- a/lease/link.go
+++ b/lease/link.go
@@ -49,7 +49,7 @@
 		return
 	}
 	holding.link = nil
-	holding.frozenUntil = l.expires
+	holding.formerUntil = l.expires
 	l.holdings = slices.DeleteFunc(l.holdings, func(other *Holding) bool { return other == holding })
 }
 
--- a/lease/owner.go
+++ b/lease/owner.go
@@ -230,11 +230,11 @@
 // mayRecall lets slots move towards equal shares. A difference of one slot is
 // left as it is, since moving it would only exchange the places; a holder
 // without any slot gets its turn.
-func mayRecall(now time.Duration, victim, wisher *share) bool {
-	if victim.size() >= wisher.size()+2 {
+func mayRecall(now time.Duration, source, requester *share) bool {
+	if source.size() >= requester.size()+2 {
 		return true
 	}
-	return wisher.size() == 0 && victim.size() == 1 && now-victim.since >= rotateAfter
+	return requester.size() == 0 && source.size() == 1 && now-source.since >= rotateAfter
 }
 
 // NextCheck returns the instant at which Tick can go on with a recall.
--- a/lease/share.go
+++ b/lease/share.go
@@ -101,42 +101,42 @@
 	u.sparing = place(u.sparing, sh, false)
 }
 
-// poorest returns the shares that wait, those with the fewest slots first and
+// smallestFirst returns the shares that wait, those with the fewest slots first and
 // the longest waiting first among equals.
-func (u *ownedUnit) poorest() []*share {
+func (u *ownedUnit) smallestFirst() []*share {
 	order := slices.Clone(u.waiting)
 	slices.SortStableFunc(order, func(a, b *share) int { return cmp.Compare(a.size(), b.size()) })
 	return order
 }
 
-// victimFor returns the share with the most slots, the longest held among
+// largestFor returns the share with the most slots, the longest held among
 // equals.
-func (u *ownedUnit) victimFor(wisher *share) *share {
-	var victim *share
+func (u *ownedUnit) largestFor(requester *share) *share {
+	var source *share
 	for _, sh := range u.shares {
-		if sh == wisher || sh.recall || !sh.usable(wisher.except) {
+		if sh == requester || sh.recall || !sh.usable(requester.except) {
 			continue
 		}
-		if victim == nil || sh.richer(victim) {
-			victim = sh
+		if source == nil || sh.larger(source) {
+			source = sh
 		}
 	}
-	return victim
+	return source
 }
 
 // idleFor returns the share that is most likely to have an idle slot: its
 // holder has no request that waits, and had the time to use its last slot.
 // Without one, at is the instant at which there may be one, 0 for never.
-func (u *ownedUnit) idleFor(now time.Duration, wisher *share) (found *share, at time.Duration) {
+func (u *ownedUnit) idleFor(now time.Duration, requester *share) (found *share, at time.Duration) {
 	for _, sh := range u.shares {
-		if sh == wisher || sh.recall || sh.wanted > 0 || !sh.usable(wisher.except) {
+		if sh == requester || sh.recall || sh.wanted > 0 || !sh.usable(requester.except) {
 			continue
 		}
 		if askable := max(sh.busyUntil, sh.since+busyFor); now < askable {
 			at = earlier(at, askable)
 			continue
 		}
-		if found == nil || sh.idler(found) {
+		if found == nil || sh.moreIdle(found) {
 			found = sh
 		}
 	}
@@ -151,17 +151,17 @@
 	return a
 }
 
-// idler is a total order, as richer is.
-func (sh *share) idler(other *share) bool {
+// moreIdle is a total order, as larger is.
+func (sh *share) moreIdle(other *share) bool {
 	if sh.idleSlots != other.idleSlots {
 		return sh.idleSlots > other.idleSlots
 	}
-	return sh.richer(other)
+	return sh.larger(other)
 }
 
-// richer is a total order, so that the choice does not depend on the order of
+// larger is a total order, so that the choice does not depend on the order of
 // a map.
-func (sh *share) richer(other *share) bool {
+func (sh *share) larger(other *share) bool {
 	if sh.size() != other.size() {
 		return sh.size() > other.size()
 	}
