entryhost: name refused parts from peers as those from the service

Cause: the same refused part was reported as 'part HASH' by hosts that had it from a peer, and as services/NAME.json by the others and by check. Change: document.PartFile takes the name from the content. Before: two texts for one problem. After: one; the new spec covers parts with other problems, without a name, and with a name that is no key.

--- a/document/service.go
+++ b/document/service.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wisteriapond/config"
+	"wisteriapond/label"
 )
 
 // Defaults of the service part.
@@ -91,6 +92,18 @@
 	return s, nil
 }
 
+// PartFile returns the file name of a service part by the name that it gives
+// itself. A part whose name cannot be told is named by its hash.
+func PartFile(raw []byte) string {
+	var f serviceFile
+	// Problems are reported when the part is read as a whole.
+	_, err := Decode("", raw, &f)
+	if err != nil || !label.ValidKey(f.Service) {
+		return "part " + string(HashOf(raw))
+	}
+	return FileOf(PartKey(f.Service))
+}
+
 // serviceDefaults returns the service part of an empty document.
 func serviceDefaults() serviceFile {
 	return serviceFile{
--- a/entryhost/documents.go
+++ b/entryhost/documents.go
@@ -46,7 +46,7 @@
 	hash := document.HashOf(raw)
 	file := document.FileOf(key)
 	if key == "" {
-		file = "part " + string(hash)
+		file = document.PartFile(raw)
 	}
 	service, err := document.Service(file, raw)
 	if err != nil {
