lease: hand free slots to the host that lacks the largest part of its need

Cause: free slots went to the host with the fewest, so a host with eight pulls waiting got as many as one with a single one: 20 of 4857 requests were refused by their deadline beside archive pulls. Change: shares that wait are ordered by the part of their need that they have.

--- a/lease/grant.go
+++ b/lease/grant.go
@@ -38,7 +38,7 @@
 // one among equals. A slot that was recalled would otherwise return to a host
 // that has many and still wants more.
 func (o *Owner) giveNext(now time.Duration, u *ownedUnit) bool {
-	for _, sh := range u.smallestFirst() {
+	for _, sh := range u.neediestFirst() {
 		if o.give(now, sh) {
 			sh.wanted--
 			u.queue(sh)
@@ -72,7 +72,7 @@
 // that waits, the one with the fewest first.
 func (o *Owner) recall(now time.Duration, u *ownedUnit) {
 	limit := min(len(u.waiting), maxRecalls)
-	for _, requester := range u.smallestFirst() {
+	for _, requester := range u.neediestFirst() {
 		if u.recalls >= limit {
 			return
 		}
--- a/lease/share.go
+++ b/lease/share.go
@@ -101,11 +101,13 @@
 	u.sparing = place(u.sparing, sh, false)
 }
 
-// smallestFirst returns the shares that wait, those with the fewest slots first and
-// the longest waiting first among equals.
-func (u *ownedUnit) smallestFirst() []*share {
+// neediestFirst returns the shares that wait, those with the smallest part of
+// the slots that they need first, and the longest waiting first among equals.
+func (u *ownedUnit) neediestFirst() []*share {
 	order := slices.Clone(u.waiting)
-	slices.SortStableFunc(order, func(a, b *share) int { return cmp.Compare(a.size(), b.size()) })
+	slices.SortStableFunc(order, func(a, b *share) int {
+		return cmp.Compare(a.size()*(b.size()+b.wanted), b.size()*(a.size()+a.wanted))
+	})
 	return order
 }
 
