--- a/proof/invariants_test.go
+++ b/proof/invariants_test.go
@@ -131,10 +131,11 @@
 func (w *world) actArrive(t *rapid.T) {
 	h := w.drawHost(t)
 	method := rapid.SampledFrom([]string{"GET", "POST"}).Draw(t, "method")
+	path := rapid.SampledFrom([]string{"/urn", "/urn", "/archive/1"}).Draw(t, "path")
 	kept := rapid.Bool().Draw(t, "body kept")
 	timeout := rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond, 300 * time.Millisecond}).Draw(t, "timeout")
 	for range rapid.IntRange(1, 12).Draw(t, "requests") {
-		w.arrive(h, method, kept, timeout)
+		w.arrive(h, method, path, kept, timeout)
 	}
 }
 
--- a/proof/platform_test.go
+++ b/proof/platform_test.go
@@ -43,6 +43,8 @@
 	part := &config.Service{
 		Name:      "catalogue",
 		Match:     []config.Match{{PathPrefix: "/"}},
+		Labels:    []config.LabelRule{{Label: "kind", Value: "archive", When: config.Match{PathPrefix: "/archive"}}},
+		LongWhen:  []string{"kind=archive"},
 		Timeout:   time.Second + time.Duration(generation)*time.Millisecond,
 		Queue:     16,
 		ColdStart: time.Second,
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -218,14 +218,14 @@
 }
 
 // arrive sends a caller's request to a host.
-func (w *world) arrive(h *entryHost, method string, kept bool, timeout time.Duration) {
+func (w *world) arrive(h *entryHost, method, path string, kept bool, timeout time.Duration) {
 	h.nextID++
 	c := &call{number: len(w.calls), idempotent: method == "GET"}
 	w.calls = append(w.calls, c)
 	h.calls[h.nextID] = c
 	w.step(h, core.RequestArrived{
 		ID:       h.nextID,
-		Request:  config.Request{Method: method, Host: "desk", Path: "/catalogue/urn"},
+		Request:  config.Request{Method: method, Host: "desk", Path: path},
 		Timeout:  timeout,
 		BodyKept: kept,
 	})
