cmd: test the program as a process that takes signals

Cause: SIGTERM and a suspended process were tested inside the test process only. Change: the test binary runs main in a process of its own: a download that is under way at SIGTERM arrives whole and the exit status is 0; an order that came while the process was stopped by SIGSTOP runs once after SIGCONT.

--- /dev/null
+++ b/cmd/wisteriapond/main_test.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/standin"
+)
+
+// asProgram makes the test binary run main, so that the tests have a process
+// that takes signals.
+const asProgram = "WISTERIAPOND_AS_PROGRAM"
+
+const patience = 30 * time.Second
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+func TestProgram(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "program")
+}
+
+// program is one running "wisteriapond serve".
+type program struct {
+	*exec.Cmd
+	base, admin string
+	ended       chan error
+}
+
+func serve(platform string) *program {
+	p := &program{base: "http://" + freeAddress(), admin: "http://" + freeAddress(), ended: make(chan error, 1)}
+	file := filepath.Join(GinkgoT().TempDir(), "settings.json")
+	Expect(os.WriteFile(file, fmt.Appendf(nil, `{
+		"host": "entry-1", "region": "mtl", "failure_domain": "mtl-a", "accept_for": "100ms",
+		"listen": %q, "admin": %q, "platform": %q,
+	}`, strings.TrimPrefix(p.base, "http://"), strings.TrimPrefix(p.admin, "http://"), platform), 0o600)).To(Succeed())
+	p.Cmd = exec.Command(os.Args[0], "serve", "--settings", file)
+	p.Env = append(os.Environ(), asProgram+"=1")
+	Expect(p.Start()).To(Succeed())
+	go func() { p.ended <- p.Wait() }()
+	DeferCleanup(func() { p.Process.Kill() })
+	Eventually(func() (int, error) { return status(p.admin + "/readyz") }).WithTimeout(patience).Should(Equal(http.StatusOK))
+	return p
+}
+
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func status(url string) (int, error) {
+	response, err := http.Get(url)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
+
+var _ = Describe("a process", func() {
+	var p *program
+	var backend *standin.Backend
+
+	BeforeEach(func() {
+		backend = standin.NewBackend("backend-1", 3, 0)
+		server := httptest.NewServer(backend)
+		DeferCleanup(server.Close)
+		platform := standin.NewPlatform()
+		platform.PublishConfiguration(1, map[string][]byte{"all": fmt.Appendf(nil, `{
+			"service": "all", "match": [{"path_prefix": "/"}],
+			"upstreams": [{"name": "backend-1", "host": "backend-1", "address": %q,
+				"region": "mtl", "failure_domain": "mtl-a", "slots": 3, "connections": 220}],
+		}`, server.Listener.Addr().String())}, nil)
+		platformServer := httptest.NewServer(platform)
+		DeferCleanup(platformServer.Close)
+		p = serve(platformServer.URL)
+	})
+
+	// Guards against a SIGTERM that cuts a download, or after which the process
+	// does not end with status 0.
+	It("ends after a download that was under way at SIGTERM", func() {
+		response, err := http.Get(p.base + "/files/proof")
+		Expect(err).NotTo(HaveOccurred())
+		defer response.Body.Close()
+		Expect(p.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Eventually(func() (int, error) { return status(p.admin + "/readyz") }).WithTimeout(patience).
+			Should(Equal(http.StatusServiceUnavailable))
+		Expect(io.Copy(io.Discard, response.Body)).To(BeEquivalentTo(standin.DownloadBytes))
+		Eventually(p.ended).WithTimeout(patience).Should(Receive(BeNil()))
+	})
+
+	// Guards against an order that runs twice, or is lost, when its process is
+	// suspended while it arrives.
+	It("runs an order once that came while it was suspended", func() {
+		Expect(p.Process.Signal(syscall.SIGSTOP)).To(Succeed())
+		answered := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			request, err := http.NewRequest(http.MethodPost, p.base+"/orders", strings.NewReader("urn 7"))
+			Expect(err).NotTo(HaveOccurred())
+			request.Header.Set("X-Request", "order-1")
+			response, err := http.DefaultClient.Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			response.Body.Close()
+			answered <- response.StatusCode
+		}()
+		time.Sleep(time.Second)
+		Expect(backend.Runs("order-1")).To(BeZero())
+		Expect(p.Process.Signal(syscall.SIGCONT)).To(Succeed())
+		Eventually(answered).WithTimeout(patience).Should(Receive(Equal(http.StatusOK)))
+		Expect(backend.Runs("order-1")).To(Equal(1))
+	})
+})
