core: bound the requests that cross regions in a trace

Cause: the preference for the own region had no regression bound over several hosts. Change: the fleet of the traces can stand in three regions.

--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -30,6 +30,10 @@
 	answered int
 	overruns int
 	messages int
+	// regions are the regions of hosts and servers by name, and crossed counts
+	// attempts between two of them.
+	regions map[string]string
+	crossed int
 	// retryAfter is the wait that a full server asks for.
 	retryAfter time.Duration
 }
@@ -64,10 +68,11 @@
 }
 
 const (
-	fleetHosts     = 15
-	fleetUpstreams = 14
-	fleetSlots     = 3
-	sameRegionTrip = time.Millisecond // one way
+	fleetHosts      = 15
+	fleetUpstreams  = 14
+	fleetSlots      = 3
+	sameRegionTrip  = time.Millisecond      // one way
+	otherRegionTrip = 12 * time.Millisecond // one way
 	// warmUp is the time before a trace in which hosts find each other.
 	warmUp = 10 * time.Second
 )
@@ -83,8 +88,10 @@
 		latencies: hdrhistogram.New(1, int64(time.Minute), 3),
 		delays:    hdrhistogram.New(1, int64(time.Minute), 3),
 		refusals:  make(map[outcome.Refusal]int),
+		regions:   make(map[string]string),
 	}
 	for _, u := range part.Upstreams {
+		f.regions[u.Address] = u.Region
 		f.servers[u.Address] = &server{name: u.Name, slots: u.Slots, slow: func(Instant) float64 { return 1 }}
 	}
 	for i := range fleetHosts {
@@ -118,12 +125,13 @@
 
 func (f *fleet) addHost(number int, part *config.Service, policy pick.Policy) {
 	name := fmt.Sprintf("entry-%02d", number)
+	f.regions[name] = part.Upstreams[number%len(part.Upstreams)].Region
 	h := &fleetHost{fleet: f, name: name, state: New(), arrived: make(map[RequestID]arrival)}
 	h.state.policy = policy
 	f.hosts = append(f.hosts, h)
 	hash := config.Hash(strings.Repeat("a", 64))
 	h.step(Start{
-		Host: name, Address: name, Region: "mtl", Incarnation: 1,
+		Host: name, Address: name, Region: f.regions[name], Incarnation: 1,
 		FailureDomain: []string{"mtl-a", "mtl-b"}[number%2], Seed: uint64(number + 1),
 	})
 	h.step(ManifestRead{
@@ -149,6 +157,13 @@
 	}
 }
 
+func (f *fleet) trip(from, to string) time.Duration {
+	if f.regions[from] == f.regions[to] {
+		return sameRegionTrip
+	}
+	return otherRegionTrip
+}
+
 func (f *fleet) hostAt(address string) *fleetHost {
 	return f.hosts[slices.IndexFunc(f.hosts, func(h *fleetHost) bool { return h.name == address })]
 }
@@ -201,7 +216,10 @@
 		switch e := effect.(type) {
 		case StartAttempt:
 			h.expectFreeSlot(e.Upstream)
-			f.after(sameRegionTrip, func() { f.servers[e.Address].arrive(h, e) })
+			if f.regions[h.name] != f.regions[e.Address] {
+				f.crossed++
+			}
+			f.after(f.trip(h.name, e.Address), func() { f.servers[e.Address].arrive(h, e) })
 		case PassAnswer:
 			f.answered++
 			if a := h.arrived[e.Attempt.Request]; !a.pull {
@@ -212,7 +230,7 @@
 			f.refusals[e.Reason]++
 		case SendPeer:
 			f.messages++
-			f.after(sameRegionTrip, func() { f.hostAt(e.Address).step(PeerMessage{From: h.name, Address: h.name, Message: e.Message}) })
+			f.after(f.trip(h.name, e.Address), func() { f.hostAt(e.Address).step(PeerMessage{From: h.name, Address: h.name, Message: e.Message}) })
 		case WakeAt:
 			f.after(e.At.Sub(f.now), func() { h.step(Tick{}) })
 		}
@@ -249,7 +267,7 @@
 }
 
 func (v *server) answer(h *fleetHost, e StartAttempt, facts outcome.Facts) {
-	h.fleet.after(sameRegionTrip, func() { h.step(AttemptFinished{Attempt: e.Attempt, Facts: facts}) })
+	h.fleet.after(h.fleet.trip(h.name, e.Address), func() { h.step(AttemptFinished{Attempt: e.Attempt, Facts: facts}) })
 }
 
 // trace draws arrivals over the given time. load is the part of all slots that
