docs, core: measure the hand-over of requests to few hosts

Change: a trace in which 1, 2 or 3 of 15 hosts take all requests. Conclusion: worth building next; not built.

--- a/core/policies_test.go
+++ b/core/policies_test.go
@@ -64,6 +64,25 @@
 		})
 	}
 
+	// Guards docs/decisions.md: handing all requests over to few hosts, which is
+	// not built, would save most messages. It adds two trips to each latency.
+	ginkgo.It("handed over to few hosts", func() {
+		for _, load := range []func(Instant) float64{peak, steady} {
+			messages := make(map[int]int)
+			for _, homes := range []int{1, 2, 3, fleetHosts} {
+				arrivals := trace(seed, 12*time.Second, load)
+				for i := range arrivals {
+					arrivals[i].host %= homes
+				}
+				f := newFleet(pick.Held, true)
+				f.run(arrivals)
+				ginkgo.GinkgoWriter.Println(f.report(fmt.Sprint(homes, " hosts"), len(arrivals)))
+				messages[homes] = f.messages
+			}
+			Expect(messages[2] * 5).To(BeNumerically("<", messages[fleetHosts]))
+		}
+	})
+
 	// Guards against requests that are refused while other hosts hold idle
 	// slots: 60 % of all slots are needed, and a request may wait for a second.
 	ginkgo.It("refuse nothing at 60 % load with one slow upstream", func() {
