proof: check the slots that a host uses

Cause: the oracle did not look at slots. Change: a host alone uses at most half of an upstream's slots, and no host more than all. Seen to fail after 1 test with the limit left out of the choice: 'entry-0 runs 4 requests on 127.0.1.3:80, the limit is 3'. core/walk_test.go stays: it also changes upstreams and brings hosts back, which the oracle does not.

--- a/proof/oracle_test.go
+++ b/proof/oracle_test.go
@@ -97,6 +97,24 @@
 	}
 }
 
+// checkSlots guards against exceeded slots: a host alone relies on its own
+// counts and uses half of the slots, rounded up; no host uses more than all.
+func (w *world) checkSlots(h *entryHost, address string) {
+	limit := slots
+	if len(w.hosts) == 1 {
+		limit = (slots + 1) / 2
+	}
+	running := 0
+	for _, a := range h.attempts {
+		if a.command.Address == address {
+			running++
+		}
+	}
+	if running > limit {
+		w.t.Fatalf("%s runs %d requests on %s, the limit is %d", h.name, running, address, limit)
+	}
+}
+
 // checkVersion guards invariant I7: the version in force never goes down.
 func (w *world) checkVersion(h *entryHost, v config.Version) {
 	if v.Less(h.inForce) {
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -180,6 +180,7 @@
 		w.checkConfirmed(h, c)
 		c.attempts = e.Attempt.Number
 		h.attempts = append(h.attempts, &attempt{call: c, command: e, host: h, run: h.run})
+		w.checkSlots(h, e.Address)
 	case core.CancelAttempt:
 		for _, a := range h.attempts {
 			if a.command.Attempt == e.Attempt {
