backend: never take an empty body for a missing one

Cause: an empty chunked body told apart from a missing one only by a detail of bytes.Buffer. Taken for missing, the caller would wait for chunks that never come.

Change: an empty held body is not nil. Two cases are added to the test of answers; they passed before too.

--- a/backend/answer.go
+++ b/backend/answer.go
@@ -49,6 +49,9 @@
 	if err != nil {
 		return bodyError(err)
 	}
+	if body == nil {
+		body = []byte{}
+	}
 	x.begin = body
 	if int64(len(body)) > hold {
 		x.Streaming = true
@@ -84,7 +87,8 @@
 // CopyHead adds the head of the answer to an empty one.
 func (x *Exchange) CopyHead(to *fasthttp.ResponseHeader) { CopyResponse(to, &x.response.Header) }
 
-// Held returns the body of an answer that is held.
+// Held returns the body of an answer that is held. It is nil only for an answer
+// that has no body, such as one to HEAD; an empty body is not nil.
 func (x *Exchange) Held() []byte { return x.begin }
 
 // ContentLength returns the length of the body that the answer announced, -1
--- a/caller/answer_test.go
+++ b/caller/answer_test.go
@@ -28,7 +28,14 @@
 	// Guards against a change of status, head or framing on the way.
 	DescribeTable("passes as it is",
 		func(method, raw string, want func(*http.Response, string)) {
-			s := answering(raw)
+			s := serve(func(s *fake, c net.Conn, r *bufio.Reader) {
+				for s.read(r) != nil {
+					io.WriteString(c, raw)
+					if strings.HasPrefix(raw, "HTTP/1.0") {
+						return
+					}
+				}
+			})
 			sys := start(service(s.address()))
 			c := sys.dial()
 			for range 2 {
@@ -62,6 +69,14 @@
 		Entry("without bytes", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", func(r *http.Response, body string) {
 			Expect(r.ContentLength).To(BeZero())
 		}),
+		Entry("without bytes, in chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", func(r *http.Response, body string) {
+			Expect(r.TransferEncoding).To(Equal([]string{"chunked"}))
+			Expect(body).To(BeEmpty())
+		}),
+		Entry("without bytes, up to the end of the connection", "GET", "HTTP/1.0 200 OK\r\n\r\n", func(r *http.Response, body string) {
+			Expect(r.ContentLength).To(BeZero())
+			Expect(body).To(BeEmpty())
+		}),
 		Entry("to HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 4096\r\n\r\n", func(r *http.Response, _ string) {
 			Expect(r.ContentLength).To(BeEquivalentTo(4096))
 		}),
