--- a/core/leases.go
+++ b/core/leases.go
@@ -235,6 +235,18 @@
 	}
 }
 
+// slotsUnwanted takes the wish for slots back once no request of the service
+// waits any more.
+func (s *State) slotsUnwanted(svc *service) {
+	known := s.leases.services[svc.config.Name]
+	if known == nil {
+		return
+	}
+	for _, u := range known.units {
+		s.leases.holder.Unwant(time.Duration(s.now), u.holding)
+	}
+}
+
 // farAfter is the extra round trip to another region: twice the one-way delay
 // of 12 ms.
 const farAfter = 24 * time.Millisecond
@@ -292,6 +304,9 @@
 	if at, waits := l.holder.NextAsk(); waits {
 		s.wake(max(Instant(at), s.now+1))
 	}
+	if at, waits := l.owner.NextCheck(); waits {
+		s.wake(max(Instant(at), s.now+1))
+	}
 }
 
 func (s *State) sendAsks(renew bool) {
@@ -313,10 +328,16 @@
 			s.leases.holder.Receive(time.Duration(s.now), reply.Holder, reply.Answer)
 			continue
 		}
-		if address := s.addressOf(reply.Holder); address != "" {
-			s.count(CounterLeaseMessages, "answer")
-			s.send(address, Message{Answer: &reply.Answer})
+		address := s.addressOf(reply.Holder)
+		if address == "" {
+			continue
+		}
+		message := Message{Answer: &reply.Answer}
+		s.count(CounterLeaseMessages, "answer")
+		if ask, due := s.leases.holder.Renew(time.Duration(s.now), reply.Holder); due {
+			message.Ask = &ask
 		}
+		s.send(address, message)
 	}
 }
 
--- a/lease/message.go
+++ b/lease/message.go
@@ -70,6 +70,8 @@
 	Spare int
 	// Except names upstreams that the waiting requests cannot use.
 	Except []string
+	// Idle is the number of slots held that no request uses.
+	Idle int
 }
 
 // Answer goes from an owner to a holder. It renews all leases of the session.
@@ -95,7 +97,10 @@
 	Wait    time.Duration
 	// Grants are all slots granted. Upstreams that are not named are not.
 	Grants []Slots
-	// Recall asks the holder to keep at most Keep slots of the unit.
-	Recall bool
-	Keep   int
+	// Recall asks the holder to keep at most Keep slots of the unit. With
+	// IdleOnly, it gives back only slots that no request uses, and answers even
+	// when it has none.
+	Recall   bool
+	Keep     int
+	IdleOnly bool
 }
