core: give long requests their slots when long_when comes later

The lease units of a service were kept as long as its upstreams stayed, so a configuration that only adds or removes long_when left long requests without slots of their own, each host counting alone, or left their leases behind. Change: the units must also fit the classes of the service, and a removed unit ends the leases of its upstreams. Before: the new spec finds no unit of long requests after such a change. After: it passes, and the other specs of core, lease and proof do.

--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -129,20 +129,24 @@
 	h := &fleetHost{fleet: f, name: name, state: New(), arrived: make(map[RequestID]arrival)}
 	h.state.policy = policy
 	f.hosts = append(f.hosts, h)
-	hash := config.Hash(strings.Repeat("a", 64))
 	h.step(Start{
 		Host: name, Address: name, Region: f.regions[name], Incarnation: 1,
 		FailureDomain: []string{"mtl-a", "mtl-b"}[number%2], Seed: uint64(number + 1),
 	})
+	h.configure(1, part)
+}
+
+func (h *fleetHost) configure(generation uint64, part *config.Service) {
+	hash := config.Hash(strings.Repeat(fmt.Sprintf("%x", generation), 64))
 	h.step(ManifestRead{
-		Version: config.Version{Generation: 1, Hash: hash},
+		Version: config.Version{Generation: generation, Hash: hash},
 		Manifest: &config.Manifest{
-			Generation: 1, EntryHosts: fleetHosts, Links: config.Links{LongPercent: 50},
+			Generation: generation, EntryHosts: fleetHosts, Links: config.Links{LongPercent: 50},
 			Services: []config.ServiceRef{{Name: part.Name, Hash: hash}},
 		},
 	})
 	h.step(PartRead{Hash: hash, Service: part})
-	Expect(h.state.services).To(HaveKey(part.Name))
+	Expect(h.state.inForce().Generation).To(Equal(generation))
 }
 
 func (f *fleet) after(d time.Duration, do func()) {
--- a/core/leases.go
+++ b/core/leases.go
@@ -146,7 +146,7 @@
 	for _, name := range sortedKeys(s.services) {
 		svc := s.services[name]
 		known := l.services[name]
-		if known != nil && known.service == svc && slices.Equal(known.upstreams, svc.upstreams) {
+		if known != nil && known.covers(svc) {
 			s.resizeService(known)
 			continue
 		}
@@ -154,6 +154,11 @@
 	}
 }
 
+// covers reports whether the units are those that the service needs.
+func (known *leaseService) covers(svc *service) bool {
+	return known.service == svc && len(known.longs) > 0 == svc.mixed() && slices.Equal(known.upstreams, svc.upstreams)
+}
+
 // resizeService takes over changed numbers of slots.
 func (s *State) resizeService(known *leaseService) {
 	for _, u := range known.all() {
@@ -226,6 +231,9 @@
 	for _, u := range units {
 		delete(l.units, u.unit)
 		l.holder.RemoveUnit(u.unit)
+		for _, up := range u.upstreams {
+			l.state.setLease(u.unit, up, false, 0)
+		}
 		l.owner.SizesChanged(time.Duration(l.state.now), u.unit)
 	}
 }
--- a/core/pulls_test.go
+++ b/core/pulls_test.go
@@ -41,6 +41,23 @@
 // Guards against lookups that wait behind archive pulls on upstreams that both
 // use. A slot of each upstream is kept for lookups, over all hosts together.
 var _ = ginkgo.Describe("lookups beside archive pulls", ginkgo.Label("virtual time"), func() {
+	// Guards against a class of requests that is configured later and gets no
+	// slots of its own, or keeps them when it is gone.
+	ginkgo.It("are told apart as soon as the configuration does", func() {
+		f := newFleetOf(sharedPart(false), pick.Held, true)
+		for _, h := range f.hosts {
+			h.configure(2, sharedPart(true))
+		}
+		f.run(withPulls(trace(3, time.Second, func(Instant) float64 { return 0.15 }), time.Second))
+		h := f.hosts[0]
+		beLeased := WithTransform(func(u *upstream) bool { return u.longLeased }, BeTrue())
+		Expect(h.state.leases.services["catalogue"].longs).To(HaveLen(1))
+		Expect(h.state.services["catalogue"].upstreams).To(ContainElement(beLeased))
+		h.configure(3, sharedPart(false))
+		Expect(h.state.leases.services["catalogue"].longs).To(BeEmpty())
+		Expect(h.state.services["catalogue"].upstreams).NotTo(ContainElement(beLeased))
+	})
+
 	ginkgo.It("are delayed by a tenth at most of what they are without slots kept for them", func() {
 		const length = 12 * time.Second
 		arrivals := withPulls(trace(3, length, func(Instant) float64 { return 0.15 }), length)
