core, entryhost: share what stood twice, read valid parts once

The limit of a group on an upstream stood in collect and in capacity, the loop that withdraws requests for slots in two functions, and lease sizes looked the leaving mark up in a map that upstreams already carry. Parts from peers were parsed twice to find a file name that only a refusal needs. Change: room, unwantUnits, the flag of the upstream, and the name only on a refusal. The comment on the older peer protocol names compression.

--- a/core/leases.go
+++ b/core/leases.go
@@ -101,7 +101,7 @@
 // long requests those that are not kept for short ones.
 func (l *leases) size(unit lease.Unit, u *upstream) int {
 	switch {
-	case l.state.leaving(u.config.Host):
+	case u.leaving:
 		return 0
 	case unit.Long:
 		return u.slotsForLong()
@@ -267,7 +267,11 @@
 		s.wantUnits(known, known.units, max(1, waiting))
 		return
 	}
-	for _, u := range known.units {
+	s.unwantUnits(known.units)
+}
+
+func (s *State) unwantUnits(units []*leaseUnit) {
+	for _, u := range units {
 		s.leases.holder.Unwant(time.Duration(s.now), u.holding)
 	}
 }
@@ -289,12 +293,8 @@
 // slotsUnwanted withdraws the request for slots once no request of the service
 // waits any more.
 func (s *State) slotsUnwanted(svc *service) {
-	known := s.leases.services[svc.config.Name]
-	if known == nil {
-		return
-	}
-	for _, u := range known.all() {
-		s.leases.holder.Unwant(time.Duration(s.now), u.holding)
+	if known := s.leases.services[svc.config.Name]; known != nil {
+		s.unwantUnits(known.all())
 	}
 }
 
--- a/core/picking.go
+++ b/core/picking.go
@@ -61,19 +61,14 @@
 // collect puts the upstreams with a free slot into s.choice.
 func (s *State) collect(r *request, without exclusions) (found collected) {
 	s.choice.Reset()
-	g, svc := r.group, r.service
-	usual := svc.usualFor(false).respond.Value()
+	g := r.group
+	usual := r.service.usualFor(false).respond.Value()
 	for i, u := range g.eligible {
 		if u.leaving || without.ejected && u.health.Ejected() || without.tried && r.hasTried(u) {
 			continue
 		}
 		found.usable++
-		limit := s.allowed(svc, u)
-		free := u.running < limit
-		if g.long && svc.shared {
-			limit = min(limit, u.longLimit())
-			free = free && u.long < limit
-		}
+		limit, free := s.room(g, u)
 		if u.locality != pick.OtherRegion {
 			found.near++
 			found.slots += limit
--- a/core/queueing.go
+++ b/core/queueing.go
@@ -58,10 +58,7 @@
 		if u.leaving || u.health.Ejected() {
 			continue
 		}
-		limit := s.allowed(r.service, u)
-		if r.group.long && r.service.shared {
-			limit = min(limit, u.longLimit())
-		}
+		limit, _ := s.room(r.group, u)
 		total += limit
 	}
 	return total
--- a/core/service.go
+++ b/core/service.go
@@ -136,6 +136,18 @@
 	return min(u.limit(), ramp)
 }
 
+// room returns how many requests of a group the upstream may run for this host,
+// and whether one more may start now.
+func (s *State) room(g *group, u *upstream) (limit int, free bool) {
+	limit = s.allowed(u.service, u)
+	free = u.running < limit
+	if g.long && u.service.shared {
+		limit = min(limit, u.longLimit())
+		free = free && u.long < limit
+	}
+	return limit, free
+}
+
 // idleForLong is the number of long requests that the slots of their class
 // would allow this host to start.
 func (svc *service) idleForLong() int {
--- a/entryhost/documents.go
+++ b/entryhost/documents.go
@@ -41,14 +41,14 @@
 }
 
 // partRead takes a part. A part from a peer has no key: its bytes say which
-// service it is, and its hash whether it is the one that was wanted.
+// service it is, and its hash whether it is the one that was wanted. Its file
+// name is found only when it is refused, since that takes another reading.
 func (h *Host) partRead(key string, raw []byte, from string) {
 	hash := document.HashOf(raw)
-	file := document.FileOf(key)
-	if key == "" {
-		file = document.PartFile(raw)
+	service, err := document.Service(document.FileOf(key), raw)
+	if err != nil && key == "" {
+		_, err = document.Service(document.PartFile(raw), raw)
 	}
-	service, err := document.Service(file, raw)
 	if err != nil {
 		h.refused(key, raw, err, from)
 		return
--- a/peer/tls.go
+++ b/peer/tls.go
@@ -14,8 +14,9 @@
 // changes when messages change in a way that older releases misread.
 const (
 	protocol = "wisteriapond/2"
-	// singleProtocol carries one message per datagram or stream. Hosts still
-	// accept it, so that a rolling upgrade keeps them connected.
+	// singleProtocol carries one message per datagram, and streams without
+	// compression. Hosts still accept it, so that a rolling upgrade keeps them
+	// connected.
 	singleProtocol = "wisteriapond/1"
 )
 
