--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -144,7 +144,7 @@
 // byte: opening the connection, or a pause of the process, may have taken
 // longer than the command is good for.
 func (x *Exchange) send(clock Clock) error {
-	head := x.request.head(x.command, x.command.Deadline.Sub(clock.Now()))
+	head := x.request.head(&x.pool.Dialect, x.command, x.command.Deadline.Sub(clock.Now()))
 	if err := x.checkStart(clock); err != nil {
 		return err
 	}
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -19,6 +19,8 @@
 
 // Pool opens connections to backend servers and keeps idle ones by address.
 type Pool struct {
+	// Dialect must not be changed once the pool is in use.
+	Dialect     Dialect
 	dialer      net.Dialer
 	idleTimeout time.Duration
 	sweepEvery  time.Duration
@@ -45,6 +47,7 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
+		Dialect:     OwnDialect(),
 		idleTimeout: idleTimeout,
 		sweepEvery:  sweepEvery,
 		addresses:   make(map[string]*address),
--- a/backend/probe.go
+++ b/backend/probe.go
@@ -8,7 +8,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"wisteriapond/config"
 	"wisteriapond/core"
 	"wisteriapond/outcome"
 )
@@ -55,7 +54,7 @@
 	if _, err := conn.Write(head); err != nil {
 		return time.Since(begun), err
 	}
-	err = readProbe(conn, command.Probe.AnswerLimit, facts)
+	err = readProbe(conn, &p.Dialect, command.Probe.AnswerLimit, facts)
 	return time.Since(begun), err
 }
 
@@ -68,14 +67,14 @@
 	return header.Header()
 }
 
-func readProbe(conn io.Reader, limit int64, facts *outcome.Facts) error {
+func readProbe(conn io.Reader, d *Dialect, limit int64, facts *outcome.Facts) error {
 	cut := &io.LimitedReader{R: conn, N: limit}
 	var response fasthttp.Response
 	response.StreamBody = true
 	if err := response.ReadLimitBody(bufio.NewReaderSize(cut, probeBufferBytes), 0); err != nil {
 		return headError(err)
 	}
-	readFacts(&response.Header, config.NotRunForm{}, facts)
+	readFacts(&response.Header, d, &core.StartAttempt{}, facts)
 	stream := response.BodyStream()
 	if stream == nil {
 		return nil
--- a/backend/request.go
+++ b/backend/request.go
@@ -39,11 +39,16 @@
 }
 
 // head returns the bytes of the request head for one attempt.
-func (r *Request) head(command *core.StartAttempt, remaining time.Duration) []byte {
+func (r *Request) head(d *Dialect, command *core.StartAttempt, remaining time.Duration) []byte {
 	var digits [20]byte
 	ms := max(1, remaining.Milliseconds())
-	r.Header.SetBytesV(HeaderTimeout, strconv.AppendInt(digits[:0], ms, 10))
-	r.Header.SetBytesV(HeaderDepth, strconv.AppendInt(digits[:0], int64(command.Depth), 10))
+	r.Header.SetBytesV(d.Timeout, strconv.AppendInt(digits[:0], ms, 10))
+	if d.Depth != "" {
+		r.Header.SetBytesV(d.Depth, strconv.AppendInt(digits[:0], int64(command.Depth), 10))
+	}
+	if d.Instance != "" && command.Instance != "" {
+		r.Header.Set(d.Instance, command.Instance)
+	}
 	return r.Header.Header()
 }
 
--- a/budget/retry.go
+++ b/budget/retry.go
@@ -2,8 +2,9 @@
 
 // The retry budget counts in tenths of a token, so that it needs no fractions.
 const (
-	withdrawTenths = 10
-	capTenths      = 100
+	// TokenTenths is one token, which is what a retry takes.
+	TokenTenths = 10
+	capTenths   = 100
 )
 
 // What an arriving request adds to a budget, in tenths of a token.
@@ -22,8 +23,13 @@
 // more than 10 retries.
 type Retries struct {
 	spentTenths int
+	// limitTenths is the size of a full budget; 0 stands for capTenths.
+	limitTenths int
 }
 
+// Limit sets the size of a full budget, in tenths of a token.
+func (r *Retries) Limit(tenths int) { r.limitTenths = tenths }
+
 // Deposit adds what one arriving request brings.
 func (r *Retries) Deposit(tenths int) {
 	r.spentTenths = max(r.spentTenths-tenths, 0)
@@ -34,9 +40,15 @@
 	if r.Tokens() == 0 {
 		return false
 	}
-	r.spentTenths += withdrawTenths
+	r.spentTenths += TokenTenths
 	return true
 }
 
 // Tokens returns the number of retries that the budget allows now.
-func (r *Retries) Tokens() int { return (capTenths - r.spentTenths) / withdrawTenths }
+func (r *Retries) Tokens() int {
+	limit := r.limitTenths
+	if limit == 0 {
+		limit = capTenths
+	}
+	return max(0, limit-r.spentTenths) / TokenTenths
+}
--- a/caller/answers.go
+++ b/caller/answers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math"
 	"strconv"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -34,14 +35,13 @@
 	outcome.RefusedTooLarge:  fasthttp.StatusRequestHeaderFieldsTooLarge,
 }
 
-func writeRefusal(ctx *fasthttp.RequestCtx, refusal core.Refuse) {
+func writeRefusal(ctx *fasthttp.RequestCtx, d *backend.Dialect, refusal core.Refuse) {
 	status, ok := refusalStatus[refusal.Reason]
 	if !ok {
 		status = fasthttp.StatusServiceUnavailable
 	}
 	if refusal.RetryAfter > 0 {
-		seconds := int(math.Ceil(refusal.RetryAfter.Seconds()))
-		ctx.Response.Header.Set("Retry-After", strconv.Itoa(seconds))
+		ctx.Response.Header.Set("Retry-After", formatWait(refusal.RetryAfter, d.FractionalWait))
 	}
 	if refusal.GaveUp {
 		ctx.Response.Header.Set(backend.HeaderGaveUp, "1")
@@ -54,6 +54,15 @@
 	})
 }
 
+// formatWait writes a wait in seconds, rounded up to whole ones unless the
+// caller understands fractions.
+func formatWait(wait time.Duration, fractions bool) string {
+	if fractions {
+		return strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)
+	}
+	return strconv.Itoa(int(math.Ceil(wait.Seconds())))
+}
+
 // refuseMalformed answers a request that reached no backend server because of
 // its form.
 func (s *Server) refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
--- a/caller/call.go
+++ b/caller/call.go
@@ -41,7 +41,7 @@
 	if x.ticket == nil {
 		reason := x.notTaken()
 		x.server.refused(reason)
-		writeRefusal(x.ctx, core.Refuse{Reason: reason})
+		writeRefusal(x.ctx, &x.server.pool.Dialect, core.Refuse{Reason: reason})
 		return
 	}
 	id := x.ticket.ID
@@ -75,7 +75,7 @@
 		case core.Refuse:
 			x.ended = true
 			x.abort()
-			writeRefusal(x.ctx, c)
+			writeRefusal(x.ctx, &x.server.pool.Dialect, c)
 			return
 		case core.Fail:
 			x.ended = true
@@ -92,7 +92,7 @@
 	x.ended = true
 	x.abort()
 	if x.exchange == nil {
-		writeRefusal(x.ctx, core.Refuse{Reason: outcome.RefusedNotReady})
+		writeRefusal(x.ctx, &x.server.pool.Dialect, core.Refuse{Reason: outcome.RefusedNotReady})
 		return
 	}
 	writeFailure(x.ctx, core.Fail{Reason: outcome.FailedCanceled})
@@ -133,7 +133,7 @@
 	x.abort()
 	x.release()
 	if x.exchange == nil && x.running == nil {
-		writeRefusal(x.ctx, core.Refuse{Reason: outcome.RefusedOverloaded})
+		writeRefusal(x.ctx, &x.server.pool.Dialect, core.Refuse{Reason: outcome.RefusedOverloaded})
 		return
 	}
 	writeFailure(x.ctx, core.Fail{Reason: outcome.FailedInternal})
--- a/caller/request.go
+++ b/caller/request.go
@@ -33,7 +33,7 @@
 var requests = sync.Pool{New: func() any { return new(backend.Request) }}
 
 // readArrival checks the head of a request and reads what routing needs.
-func readArrival(h *fasthttp.RequestHeader, path []byte, headerNames []string) (core.RequestArrived, error) {
+func readArrival(h *fasthttp.RequestHeader, path []byte, d *backend.Dialect, headerNames []string) (core.RequestArrived, error) {
 	arrival := core.RequestArrived{
 		Request:   config.Request{Method: string(h.Method()), Host: string(h.Host()), Path: string(path)},
 		BodyBytes: int64(max(-1, h.ContentLength())),
@@ -42,11 +42,16 @@
 		return arrival, err
 	}
 	var err error
-	if arrival.Timeout, err = single(h, backend.HeaderTimeout, backend.ParseTimeout); err != nil {
+	if arrival.Timeout, err = single(h, d.Timeout, backend.ParseTimeout); err != nil {
 		return arrival, err
 	}
-	if arrival.Depth, err = single(h, backend.HeaderDepth, backend.ParseDepth); err != nil {
-		return arrival, err
+	if d.Depth != "" {
+		if arrival.Depth, err = single(h, d.Depth, backend.ParseDepth); err != nil {
+			return arrival, err
+		}
+	}
+	if d.RequestID != "" {
+		arrival.Name = string(h.Peek(d.RequestID))
 	}
 	for _, name := range headerNames {
 		if value := h.Peek(name); value != nil {
--- a/caller/responses_test.go
+++ b/caller/responses_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"wisteriapond/backend"
 	"wisteriapond/core"
 	"wisteriapond/outcome"
 )
@@ -31,7 +32,7 @@
 		}
 	}
 	for _, reason := range outcome.Refusals() {
-		check(string(reason), func(ctx *fasthttp.RequestCtx) { writeRefusal(ctx, core.Refuse{Reason: reason}) })
+		check(string(reason), func(ctx *fasthttp.RequestCtx) { writeRefusal(ctx, &backend.Dialect{}, core.Refuse{Reason: reason}) })
 	}
 	for _, reason := range outcome.Failures() {
 		check(string(reason), func(ctx *fasthttp.RequestCtx) { writeFailure(ctx, core.Fail{Reason: reason}) })
--- a/caller/server.go
+++ b/caller/server.go
@@ -93,7 +93,7 @@
 	x := &call{server: s, ctx: ctx, conn: c, begun: s.loop.Now()}
 	defer x.end()
 	defer x.recover()
-	arrival, err := readArrival(&ctx.Request.Header, ctx.Path(), s.loop.View().HeaderNames)
+	arrival, err := readArrival(&ctx.Request.Header, ctx.Path(), &s.pool.Dialect, s.loop.View().HeaderNames)
 	if err != nil {
 		s.refuseMalformed(ctx, err)
 		return
--- a/config/config.go
+++ b/config/config.go
@@ -122,6 +122,9 @@
 	// Connections is the number of connections it accepts from all entry
 	// hosts together.
 	Connections int
+	// Instance names one run of the backend server, which refuses requests for
+	// another one. Empty when it checks none.
+	Instance string
 }
 
 // LabelPair is one label of an upstream.
--- a/config/table.go
+++ b/config/table.go
@@ -16,6 +16,10 @@
 	routes   []route
 	index    routeIndex
 	headers  []string
+	// routed is nil for a table that was built from service parts.
+	routed *hostRoutes
+	// Limits bounds what callers may send; zero fields mean no limit.
+	Limits CallerLimits
 }
 
 type route struct {
--- a/platform/client.go
+++ b/configservice/client.go
@@ -1,11 +1,11 @@
-// Package platform reads the platform's configuration service and its list of
+// Package configservice reads the configuration service and the list of
 // hosts over HTTP. Nothing is ever written to the platform.
 //
 // The configuration service answers GET /v1/values/KEY with the value and its
 // ETag. With "wait=DURATION" and If-None-Match it holds the call until the
 // value differs or the time is over (304). The host list is GET /v1/hosts; with
 // If-None-Match it is answered by 304 when it has not changed.
-package platform
+package configservice
 
 import (
 	"context"
--- a/platform/client_test.go
+++ b/configservice/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configservice_test
 
 import (
 	"bytes"
@@ -9,8 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"wisteriapond/configservice"
 	"wisteriapond/document"
-	"wisteriapond/platform"
 	"wisteriapond/standin"
 )
 
@@ -18,13 +18,13 @@
 // reads a value without a bound.
 var _ = Describe("Client", func() {
 	var standIn *standin.Platform
-	var client *platform.Client
+	var client *configservice.Client
 
 	BeforeEach(func() {
 		standIn = standin.NewPlatform()
 		server := httptest.NewServer(standIn)
 		DeferCleanup(server.Close)
-		client = platform.NewClient(server.URL)
+		client = configservice.NewClient(server.URL)
 	})
 
 	It("wakes a watch when the value changes", func() {
@@ -57,7 +57,7 @@
 	It("reads the list of hosts only when it changed", func() {
 		first, err := client.Hosts(context.Background(), "")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(client.Hosts(context.Background(), first.ETag)).Error().To(MatchError(platform.ErrUnchanged))
+		Expect(client.Hosts(context.Background(), first.ETag)).Error().To(MatchError(configservice.ErrUnchanged))
 		standIn.SetHosts([]standin.HostLine{{Host: "backend-1", Role: "backend", State: "live"}})
 		Expect(client.Hosts(context.Background(), first.ETag)).To(HaveField("Raw", ContainSubstring("backend-1")))
 	})
--- a/platform/suite_test.go
+++ b/configservice/suite_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configservice_test
 
 import (
 	"testing"
@@ -9,7 +9,7 @@
 	"wisteriapond/testsuite"
 )
 
-func TestPlatform(t *testing.T) {
+func TestConfigService(t *testing.T) {
 	RegisterFailHandler(Fail)
-	testsuite.Run(t, "platform")
+	testsuite.Run(t, "configservice")
 }
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -217,9 +217,13 @@
 func (s *State) adopt(table *config.Table) {
 	s.table = table
 	s.updateServices()
-	s.updateLeases()
-	s.updateBudget()
-	s.shareLinks()
+	if !table.Routed() {
+		// Without shared slots and budgets of a deployment there is nothing to
+		// agree on with other hosts.
+		s.updateLeases()
+		s.updateBudget()
+		s.shareLinks()
+	}
 	s.count(CounterConfigurations, "accepted")
 	s.out.add(Log{Message: "configuration accepted", Fields: []LogField{
 		{Key: "generation", Value: strconv.FormatUint(table.Version.Generation, 10)},
@@ -234,6 +238,7 @@
 	view := View{Closing: s.stop.requested}
 	if s.table != nil {
 		view.HeaderNames = s.table.HeaderNames()
+		view.Limits = s.table.Limits
 	}
 	s.out.add(PublishView{View: view})
 }
--- a/core/coordination.go
+++ b/core/coordination.go
@@ -39,7 +39,11 @@
 	s.leases.start(s, e.Incarnation)
 	s.startProbing()
 	s.updateView()
-	s.startDocuments(e.Peers)
+	if e.Registry != nil {
+		s.startRegistry()
+	} else {
+		s.startDocuments(e.Peers)
+	}
 	for _, peer := range e.Peers {
 		s.members.AddContact(peer)
 	}
@@ -52,7 +56,11 @@
 	now := time.Duration(s.now)
 	s.members.Tick(now, &s.memberOut)
 	s.sendMembership()
-	s.tickDocuments()
+	if s.self.Registry != nil {
+		s.tickRegistry()
+	} else {
+		s.tickDocuments()
+	}
 	s.tickLeases()
 	s.tickProbes()
 	s.tickPause()
--- a/core/effect.go
+++ b/core/effect.go
@@ -55,6 +55,9 @@
 	Rate int64
 	// NotRun is the form in which the backend server refuses a request.
 	NotRun config.NotRunForm
+	// Instance names the run of the backend server that the request is meant
+	// for; empty when backend servers do not check it.
+	Instance string
 }
 
 // CancelAttempt ends an attempt by closing its connection.
@@ -146,6 +149,8 @@
 	HeaderNames []string
 	// Closing asks callers to use another connection.
 	Closing bool
+	// Limits bounds what callers may send.
+	Limits config.CallerLimits
 }
 
 // WakeAt asks for a Tick at the given instant.
@@ -201,6 +206,8 @@
 	Status Status
 }
 
+func (ListStore) effect()       {}
+func (WatchStore) effect()      {}
 func (StartAttempt) effect()    {}
 func (CancelAttempt) effect()   {}
 func (PassAnswer) effect()      {}
--- a/core/event.go
+++ b/core/event.go
@@ -38,6 +38,12 @@
 	// StopTimeout bounds the time for which a stop waits for requests in
 	// flight; 0 means no bound.
 	StopTimeout time.Duration
+	// HoldBytes is the size up to which answers are held whole, so that a
+	// truncated one can be tried again unseen; 0 stands for HoldBytes.
+	HoldBytes int64
+	// Registry is set when routing and backend servers come from a store, nil
+	// when they come from a configuration service and a host list.
+	Registry *RegistrySettings
 }
 
 // Tick says that time has passed. It comes at the instant that the last WakeAt
@@ -49,7 +55,9 @@
 
 // RequestArrived reports a request from a caller.
 type RequestArrived struct {
-	ID      RequestID
+	ID RequestID
+	// Name is the caller's own name for the request, empty when it gave none.
+	Name    string
 	Request config.Request
 	// Timeout is the remaining time that the caller granted; 0 means that the
 	// caller named none.
@@ -167,6 +175,9 @@
 	ID uint64
 }
 
+func (StoreListed) event()     {}
+func (StoreChanged) event()    {}
+func (StoreFailed) event()     {}
 func (Start) event()           {}
 func (Tick) event()            {}
 func (StopRequested) event()   {}
--- a/core/picking.go
+++ b/core/picking.go
@@ -29,6 +29,9 @@
 	if u := s.trialFor(r); u != nil {
 		return u, true
 	}
+	if r.route != nil {
+		return s.place(r)
+	}
 	found := s.collect(r, exclusions{tried: true, ejected: true})
 	if found.usable == 0 {
 		// A tried or ejected upstream is better than none.
--- /dev/null
+++ b/core/placing.go
@@ -0,0 +1,184 @@
+package core
+
+import (
+	"time"
+
+	"wisteriapond/config"
+	"wisteriapond/pick"
+)
+
+// TransferPrices says what bytes cost that leave a failure domain, in
+// thousandths of the worth of one request per megabyte.
+type TransferPrices struct {
+	// BetweenDomains is charged for every byte from another failure domain,
+	// BetweenRegions in addition for one from another region.
+	BetweenDomains int
+	BetweenRegions int
+}
+
+const (
+	// Round trips before anything is measured, from the delays between failure
+	// domains and regions that operators state (1 to 1.5 ms and 12 ms one way).
+	domainRoundTrip = 3 * time.Millisecond
+	regionRoundTrip = 26 * time.Millisecond
+	// firstWork is the time that a request is taken to run before one has been
+	// observed.
+	firstWork = 100 * time.Millisecond
+	// defaultGoal stands in for a route without a latency goal.
+	defaultGoal = time.Second
+	// lateWorth is what an answer after its goal is worth, in thousandths.
+	lateWorth = 100
+	fullWorth = 1000
+	// coldFactor is how many times slower an upstream is while it is cold.
+	coldFactor = 2
+	// usualBytes is the size of an answer before one was observed.
+	usualBytes = 8 << 10
+	usualLarge = 128 << 10
+	megabyte   = 1 << 20
+	// meanSlowdown is the slowdown in percent of an upstream that told nothing
+	// lately: some of its neighbours are noisy at any time.
+	meanSlowdown = 150
+	// lookAgain is the time after which a queue is looked at again while other
+	// hosts use the same upstreams: their requests end without an event here.
+	lookAgain = 20 * time.Millisecond
+)
+
+// place returns the upstream on which a routed request is worth most: the
+// chance of an answer within its goal, less the price of its bytes.
+func (s *State) place(r *request) (chosen *upstream, usable bool) {
+	best, bestWorth := (*upstream)(nil), 0
+	var bestTime time.Duration
+	for _, without := range []exclusions{{tried: true, ejected: true}, {}} {
+		for _, u := range r.group.eligible {
+			if u.leaving || without.ejected && u.health.Ejected() || without.tried && r.hasTried(u) {
+				continue
+			}
+			usable = true
+			if s.now.Before(u.notBefore) || s.full(u) {
+				continue
+			}
+			took := s.expectedOn(r, u)
+			worth := s.worthOf(r, took) - s.priceOf(r, u)
+			if best == nil || worth > bestWorth || worth == bestWorth && took < bestTime {
+				best, bestWorth, bestTime = u, worth, took
+			}
+		}
+		if usable {
+			break
+		}
+	}
+	return best, usable
+}
+
+// full reports whether an upstream gets no further request from this host now.
+// Some upstreams never answer what they cannot queue, and several hosts add to
+// the same queue.
+func (s *State) full(u *upstream) bool {
+	return u.occupied(s.now) >= 2*u.config.Slots || u.running >= u.config.Slots+1
+}
+
+// expectedOn estimates the time until the answer of an upstream is in.
+func (s *State) expectedOn(r *request, u *upstream) time.Duration {
+	work := r.service.work()
+	work = work * time.Duration(u.slowdown(s.now, meanSlowdown)) / usualSlowdown
+	if s.now.Before(u.coldUntil) {
+		work *= coldFactor
+	}
+	slots := u.config.Slots
+	occupied := u.occupied(s.now)
+	expected := work
+	if occupied >= slots {
+		expected += work * time.Duration(occupied+1-slots) / time.Duration(slots)
+	} else {
+		// A busy upstream is slower, and likelier to be taken by another host.
+		expected += work * time.Duration(occupied) / time.Duration(8*slots)
+	}
+	// The draw keeps hosts that know the same from all choosing the same.
+	expected += time.Duration(s.random.below(int(work/16) + 1))
+	return expected + roundTrip(u)
+}
+
+func roundTrip(u *upstream) time.Duration {
+	switch u.locality {
+	case pick.OtherRegion:
+		return regionRoundTrip
+	case pick.SameRegion:
+		return domainRoundTrip
+	}
+	return 0
+}
+
+// work is the usual time that a request runs.
+func (svc *service) work() time.Duration {
+	if usual := svc.usualFor(false).occupy.Value(); usual > 0 {
+		return usual
+	}
+	return firstWork
+}
+
+// worthOf is what an answer after the expected time is worth, in thousandths.
+// Times vary, so that the worth falls from half of the goal on.
+func (s *State) worthOf(r *request, expected time.Duration) int {
+	goal := defaultGoal
+	if r.route.Goal > 0 {
+		goal = r.route.Goal
+	}
+	left := r.arrivedAt.Add(goal).Sub(s.now)
+	deadline := r.deadline.Sub(s.now)
+	switch {
+	case expected >= deadline:
+		return 0
+	case left <= 0:
+		return lateWorth
+	case expected <= left/2:
+		return fullWorth
+	case expected >= 2*left:
+		return lateWorth
+	}
+	span := 2*left - left/2
+	return lateWorth + int((fullWorth-lateWorth)*(2*left-expected)/span)
+}
+
+// priceOf is the price of the bytes of a request on an upstream.
+func (s *State) priceOf(r *request, u *upstream) int {
+	prices := &s.self.Registry.Transfer
+	perMegabyte := 0
+	switch u.locality {
+	case pick.OtherRegion:
+		perMegabyte = prices.BetweenDomains + prices.BetweenRegions
+	case pick.SameRegion:
+		perMegabyte = prices.BetweenDomains
+	}
+	if perMegabyte == 0 {
+		return 0
+	}
+	return int((r.answerBytes() + max(0, r.bodyBytes)) * int64(perMegabyte) / megabyte)
+}
+
+// answerBytes is the usual size of the answers to requests like r.
+func (r *request) answerBytes() int64 {
+	size := r.service.sizes[r.route.Repeat]
+	switch {
+	case size > 0:
+		return size
+	case r.route.Repeat == config.RepeatableLarge:
+		return usualLarge
+	}
+	return usualBytes
+}
+
+// sizeWeight is the inverse weight of a new value in the moving average of
+// answer sizes.
+const sizeWeight = 16
+
+// noteSize takes the size of an answer.
+func (r *request) noteSize(bytes int64) {
+	if r.route == nil || bytes <= 0 {
+		return
+	}
+	size := &r.service.sizes[r.route.Repeat]
+	if *size == 0 {
+		*size = bytes
+	}
+	*size += (bytes - *size) / sizeWeight
+}
--- a/core/queueing.go
+++ b/core/queueing.go
@@ -233,6 +233,9 @@
 // nextCheck returns when the queue of a service has to be looked at again.
 func (s *State) nextCheck(svc *service) Instant {
 	next := s.now.Add(TickInterval)
+	if s.self.Registry != nil {
+		return s.now.Add(lookAgain)
+	}
 	for _, u := range svc.upstreams {
 		if u.locality == pick.OtherRegion {
 			next = min(next, s.now.Add(extraRoundTrip))
--- a/core/request.go
+++ b/core/request.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"wisteriapond/budget"
 	"wisteriapond/config"
 	"wisteriapond/label"
 	"wisteriapond/outcome"
@@ -45,10 +44,15 @@
 	bodyKept   bool
 	bodyBytes  int64
 	depth      int
-	deadline   Instant
-	attempts   int
-	upstream   *upstream
-	startedAt  Instant
+	// route is nil when the service itself says how its requests are treated.
+	route     *config.Route
+	arrivedAt Instant
+	deadline  Instant
+	// sent counts the attempts of which a byte may have reached an upstream.
+	sent      int
+	attempts  int
+	upstream  *upstream
+	startedAt Instant
 	// trial says that the attempt decides about the ejection of its upstream.
 	trial     bool
 	streaming bool
@@ -78,7 +82,7 @@
 		s.refuse(Refuse{Request: e.ID, Reason: outcome.RefusedNotReady})
 		return
 	}
-	compiled := s.table.Service(&e.Request)
+	compiled, route := s.routeOf(&e.Request)
 	if compiled == nil {
 		s.refuse(Refuse{Request: e.ID, Reason: outcome.RefusedNoService})
 		return
@@ -88,18 +92,20 @@
 		s.refuse(Refuse{Request: e.ID, Reason: outcome.RefusedDepth, Service: compiled.Name})
 		return
 	}
-	r := s.newRequest(&e, compiled)
-	r.service.retries.Deposit(budget.RetryTenths)
-	r.service.sheds.Deposit(budget.ShedTenths)
+	r := s.newRequest(&e, compiled, route)
+	s.depositRetries(r)
 	s.requests[r.id] = r
 	s.dispatch(r)
 }
 
-func (s *State) newRequest(e *RequestArrived, compiled *config.CompiledService) *request {
+func (s *State) newRequest(e *RequestArrived, compiled *config.CompiledService, route *config.Route) *request {
 	timeout := compiled.Timeout
 	if e.Timeout > 0 {
 		timeout = min(timeout, e.Timeout)
 	}
+	if route != nil && route.Timeout > 0 {
+		timeout = min(timeout, route.Timeout)
+	}
 	labels := compiled.RequestLabels(&e.Request)
 	svc := s.services[compiled.Name]
 	r := &request{
@@ -112,6 +118,11 @@
 		bodyBytes:  e.BodyBytes,
 		depth:      max(0, e.Depth),
 		deadline:   s.now.Add(timeout),
+		arrivedAt:  s.now,
+		route:      route,
+	}
+	if route != nil {
+		r.idempotent = route.Repeat != config.AtMostOnce
 	}
 	r.alarm.Value.request = r
 	return r
@@ -164,6 +175,7 @@
 		s.count(CounterTrials, r.service.config.Name)
 	}
 	u.running++
+	u.told.started(s.now)
 	if r.group.long {
 		u.long++
 	}
@@ -177,12 +189,20 @@
 		Depth:       r.depth + 1,
 		MaxIdle:     r.maxIdle(),
 		Connections: s.connectionShare(u),
-		HoldBytes:   HoldBytes,
+		HoldBytes:   s.holdBytes(),
 		Rate:        r.rate,
 		NotRun:      r.service.config.NotRun,
+		Instance:    u.config.Instance,
 	})
 }
 
+func (s *State) holdBytes() int64 {
+	if s.self.HoldBytes > 0 {
+		return s.self.HoldBytes
+	}
+	return HoldBytes
+}
+
 // connectionShare returns this host's part of the connections that an upstream
 // accepts from all entry hosts together.
 func (s *State) connectionShare(u *upstream) int {
@@ -315,6 +335,10 @@
 // release frees the slot of an attempt that ended.
 func (s *State) release(r *request, facts outcome.Facts) {
 	u := r.upstream
+	if facts.Wrote {
+		r.sent++
+	}
+	u.told.ended(s.now)
 	s.countCrossing(r, facts)
 	s.endTransfer(r)
 	if r.trial {
--- a/core/retry.go
+++ b/core/retry.go
@@ -38,6 +38,17 @@
 	return reason
 }
 
+// depositRetries adds what an arriving request brings to the budgets.
+func (s *State) depositRetries(r *request) {
+	if r.route != nil {
+		r.service.retries.Limit(s.self.Registry.RetryBurst)
+		r.service.retries.Deposit(s.self.Registry.RetryPercent * budget.TokenTenths / percent)
+		return
+	}
+	r.service.retries.Deposit(budget.RetryTenths)
+	r.service.sheds.Deposit(budget.ShedTenths)
+}
+
 // budgetFor returns the budget that a retry takes from.
 func (svc *service) budgetFor(reason outcome.Retry) *budget.Retries {
 	if reason == outcome.RetryShed {
@@ -56,20 +67,44 @@
 // made. The budget comes last, so that only retries that are made use it.
 func (s *State) withheld(r *request, facts outcome.Facts, reason outcome.Retry) outcome.Withheld {
 	switch {
-	case r.attempts >= maxAttempts, r.attempts-r.sheds >= maxUnshed:
+	case r.attempts >= maxAttempts, r.attempts-r.sheds >= maxUnshed && r.route == nil, !r.mayBeSent(facts):
 		return outcome.WithheldAttempts
 	case outcome.BodyLost(facts, r.bodyKept):
 		return outcome.WithheldBody
 	case s.lateAfter(r, 0):
 		return outcome.WithheldDeadline
-	case !r.service.budgetFor(reason).Withdraw():
+	case r.route != nil && !s.payRetry(r, facts):
+		return outcome.WithheldBudget
+	case r.route == nil && !r.service.budgetFor(reason).Withdraw():
 		return outcome.WithheldBudget
 	}
 	return ""
 }
 
+// mayBeSent reports whether the route allows another upstream. Attempts that
+// reached none do not count.
+func (r *request) mayBeSent(facts outcome.Facts) bool {
+	if r.route == nil {
+		return true
+	}
+	sent := r.sent
+	if facts.Wrote {
+		sent++
+	}
+	return sent < r.route.MaxAttempts
+}
+
+// payRetry takes another arrival at the service out of the budget that all
+// hosts keep together. The first arrival of a request is free.
+func (s *State) payRetry(r *request, facts outcome.Facts) bool {
+	return !facts.Wrote && r.sent == 0 || r.service.retries.Withdraw()
+}
+
 // noteHints takes what a backend server says about itself in an answer.
 func (s *State) noteHints(u *upstream, facts outcome.Facts) {
+	if facts.Told.Known {
+		u.told.tell(facts.Told, s.now)
+	}
 	if facts.Load >= 0 && facts.Status != 0 {
 		u.load = facts.Load
 		u.loadAt = s.now
@@ -108,6 +143,9 @@
 			usual.respond.Add(took)
 		}
 	}
+	if class == outcome.Answered {
+		r.noteSize(facts.Bytes)
+	}
 	if u.removed {
 		return
 	}
--- a/core/service.go
+++ b/core/service.go
@@ -8,7 +8,6 @@
 	"wisteriapond/budget"
 	"wisteriapond/config"
 	"wisteriapond/health"
-	"wisteriapond/outcome"
 	"wisteriapond/pick"
 	"wisteriapond/queue"
 )
@@ -30,6 +29,8 @@
 	waitingGroups []*group
 	waiting       int
 	alarm         queue.Item[timer]
+	// sizes are the usual sizes of answers in bytes, by kind of request.
+	sizes [repeatKinds]int64
 	// drainDue is set while the service is listed in State.drains.
 	drainDue bool
 }
@@ -37,6 +38,9 @@
 // requestClasses is the number of classes of requests, short and long.
 const requestClasses = 2
 
+// repeatKinds is the number of kinds of requests that a route can name.
+const repeatKinds = int(config.RepeatableLarge) + 1
+
 // usualTimes follows the usual durations of one class of requests.
 type usualTimes struct {
 	// respond is the time until the answer, or the head of a long one, is in.
@@ -79,6 +83,11 @@
 	// load is the last reported load, known since loadAt.
 	load   int
 	loadAt Instant
+	// told is the whole report, for upstreams that tell more than one number.
+	told toldLoad
+	// coldUntil is the end of the time for which the upstream is slow after its
+	// start.
+	coldUntil Instant
 	// notBefore is the end of the wait that the backend server asked for.
 	notBefore Instant
 	// received and sent are the labels of the counter of bytes that crossed
@@ -189,7 +198,7 @@
 		}
 		svc.upstreams = nil
 		svc.groups.clear()
-		s.refuseWaiting(svc, outcome.RefusedNoService)
+		s.refuseWaiting(svc, s.refusalWithout(svc))
 	}
 }
 
@@ -244,7 +253,9 @@
 	}
 	u = &upstream{config: compiled, service: svc, load: -1, leaving: s.leaving(compiled.Host)}
 	s.locate(u)
-	if !warm {
+	if s.table.Routed() {
+		u.coldUntil = s.now.Add(s.registry.servers[compiled.Name].ColdFor)
+	} else if !warm {
 		u.health.BeginRamp(time.Duration(s.now))
 	}
 	s.upstreamsOf[compiled.Host] = append(s.upstreamsOf[compiled.Host], u)
@@ -268,6 +279,9 @@
 
 func (s *State) removeUpstream(u *upstream) {
 	u.removed = true
+	if s.self.Registry != nil {
+		s.out.add(CloseIdle{Address: u.config.Address})
+	}
 	host := u.config.Host
 	rest := slices.DeleteFunc(s.upstreamsOf[host], func(other *upstream) bool { return other == u })
 	if len(rest) == 0 {
--- a/core/startup.go
+++ b/core/startup.go
@@ -94,7 +94,10 @@
 }
 
 func (s *State) updateReady() {
-	ready := s.table != nil && s.startupOver() && !s.stop.requested
+	ready := s.table != nil && !s.stop.requested
+	if s.self.Registry == nil {
+		ready = ready && s.startupOver()
+	}
 	if ready == s.ready {
 		return
 	}
--- a/core/state.go
+++ b/core/state.go
@@ -24,6 +24,7 @@
 	ready    bool
 	stop     stopState
 	out      *Effects
+	registry registry
 	coordination
 	traffic
 }
@@ -49,6 +50,12 @@
 	switch e := event.(type) {
 	case Start:
 		s.start(e)
+	case StoreListed:
+		s.storeListed(e)
+	case StoreChanged:
+		s.storeChanged(e)
+	case StoreFailed:
+		s.storeFailed(e)
 	case Tick:
 		s.tick()
 	case StopRequested:
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -36,6 +36,10 @@
 		h.readPart(e)
 	case core.ReadHostList:
 		h.readHostList()
+	case core.ListStore:
+		h.listStore()
+	case core.WatchStore:
+		h.watchStore(e)
 	case core.StartProbe:
 		h.startProbe(e)
 	case core.StopAccepting:
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -18,6 +18,7 @@
 	"wisteriapond/backend"
 	"wisteriapond/caller"
 	"wisteriapond/config"
+	"wisteriapond/configservice"
 	"wisteriapond/core"
 	"wisteriapond/eventlog"
 	"wisteriapond/keys"
@@ -36,9 +37,11 @@
 	loop     *runtime.Loop
 	pool     *backend.Pool
 	metrics  *metrics.Set
-	platform *platform.Client
-	caller   *caller.Server
-	admin    *admin.Server
+	platform *configservice.Client
+	// store is nil when routing and servers come from the configuration service.
+	store  *platform.Store
+	caller *caller.Server
+	admin  *admin.Server
 
 	callerListener net.Listener
 	adminListener  net.Listener
@@ -73,7 +76,7 @@
 		log:      logger.WithField("host", s.Host),
 		pool:     backend.NewPool(),
 		metrics:  metrics.New(),
-		platform: platform.NewClient(s.Platform),
+		platform: configservice.NewClient(s.Platform),
 		hangup:   make(chan struct{}, 1),
 		gate:     newGate(),
 		reads:    newWorkers(platformWorkers, maxReads),
@@ -81,6 +84,10 @@
 		probes:   newWorkers(probeWorkers, maxProbes),
 		later:    make(chan core.Event, maxLater),
 	}
+	if s.Store.Address != "" {
+		h.store = platform.NewStore(s.Store.Address)
+		h.pool.Dialect = platform.Dialect()
+	}
 	h.loop = runtime.NewLoop(h)
 	h.caller = caller.NewServer(h.loop, h.pool, h.log)
 	h.caller.Observe = h.metrics.ObserveRequest
@@ -179,6 +186,8 @@
 		Incarnation:   uint64(now.UnixMilli()),
 		AcceptFor:     time.Duration(h.settings.AcceptFor),
 		StopTimeout:   time.Duration(h.settings.StopTimeout),
+		HoldBytes:     int64(h.settings.HoldAnswers),
+		Registry:      h.registrySettings(),
 	}
 	if h.peers != nil {
 		start.Address = h.PeerAddress()
--- a/entryhost/platform.go
+++ b/entryhost/platform.go
@@ -7,10 +7,10 @@
 	"net/http"
 	"time"
 
+	"wisteriapond/configservice"
 	"wisteriapond/core"
 	"wisteriapond/document"
 	"wisteriapond/metrics"
-	"wisteriapond/platform"
 )
 
 const (
@@ -75,7 +75,7 @@
 	h.read(kindHosts, hostListKey, func() {
 		h.sleep(h.ctx, rand.N(hostListJitter))
 		list, err := h.callHosts()
-		if errors.Is(err, platform.ErrUnchanged) {
+		if errors.Is(err, configservice.ErrUnchanged) {
 			h.loop.Send(core.HostListRead{})
 			return
 		}
@@ -94,12 +94,12 @@
 }
 
 // callValue reads a value, or watches it when an ETag is given.
-func (h *Host) callValue(ctx context.Context, kind, key, etag string) (platform.Value, error) {
+func (h *Host) callValue(ctx context.Context, kind, key, etag string) (configservice.Value, error) {
 	if err := h.gate.wait(ctx); err != nil {
-		return platform.Value{}, err
+		return configservice.Value{}, err
 	}
 	h.metrics.Add(metrics.PlatformCalls, kind, 1)
-	var value platform.Value
+	var value configservice.Value
 	var err error
 	if etag == "" {
 		value, err = h.platform.Read(ctx, key)
@@ -110,9 +110,9 @@
 	return value, err
 }
 
-func (h *Host) callHosts() (platform.Value, error) {
+func (h *Host) callHosts() (configservice.Value, error) {
 	if err := h.gate.wait(h.ctx); err != nil {
-		return platform.Value{}, err
+		return configservice.Value{}, err
 	}
 	h.metrics.Add(metrics.PlatformCalls, kindHosts, 1)
 	etag := ""
@@ -130,9 +130,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	var failure *platform.Error
+	var failure *configservice.Error
 	answered := errors.As(err, &failure) && failure.Status != 0 && failure.Status < http.StatusInternalServerError
-	h.gate.note(err == nil || errors.Is(err, platform.ErrUnchanged) || answered)
+	h.gate.note(err == nil || errors.Is(err, configservice.ErrUnchanged) || answered)
 }
 
 func (h *Host) platformFailed(key string, err error) {
--- /dev/null
+++ b/entryhost/store.go
@@ -0,0 +1,66 @@
+package entryhost
+
+import (
+	"errors"
+	"math"
+
+	"wisteriapond/budget"
+	"wisteriapond/core"
+	"wisteriapond/metrics"
+	"wisteriapond/platform"
+)
+
+// Kinds of calls to the store, as metrics name them.
+const (
+	kindStoreList  = "store_list"
+	kindStoreWatch = "store_watch"
+)
+
+// thousandths turns a price in requests into the unit of the reducer.
+const thousandths = 1000
+
+// registrySettings returns what the reducer needs beside the store, nil for a
+// host that reads none.
+func (h *Host) registrySettings() *core.RegistrySettings {
+	if h.store == nil {
+		return nil
+	}
+	s := &h.settings.Store
+	registry := &core.RegistrySettings{
+		NotRun:       platform.NotRun(),
+		RetryPercent: s.RetryPercent,
+		RetryBurst:   int(math.Round(s.RetryBurst * budget.TokenTenths)),
+		Transfer: core.TransferPrices{
+			BetweenDomains: int(s.BetweenDomains * thousandths),
+			BetweenRegions: int(s.BetweenRegions * thousandths),
+		},
+	}
+	for _, domain := range s.Domains {
+		registry.Domains = append(registry.Domains, core.FailureDomain(domain))
+	}
+	return registry
+}
+
+func (h *Host) listStore() {
+	h.callStore(kindStoreList, func() (core.Event, error) { return h.store.List(h.ctx) })
+}
+
+func (h *Host) watchStore(e core.WatchStore) {
+	h.callStore(kindStoreWatch, func() (core.Event, error) { return h.store.Watch(h.ctx, e.After, e.Wait) })
+}
+
+// callStore makes a call in the background. The reducer asks for one at a time.
+func (h *Host) callStore(kind string, call func() (core.Event, error)) {
+	h.metrics.Add(metrics.PlatformCalls, kind, 1)
+	h.group.Go(func() error {
+		event, err := call()
+		if err != nil && h.ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			event = core.StoreFailed{HistoryGone: errors.Is(err, platform.ErrHistoryGone), Reason: err.Error()}
+		}
+		h.loop.Send(event)
+		return nil
+	})
+}
--- a/entryhost/watch.go
+++ b/entryhost/watch.go
@@ -5,8 +5,8 @@
 	"errors"
 	"time"
 
+	"wisteriapond/configservice"
 	"wisteriapond/document"
-	"wisteriapond/platform"
 )
 
 // minWatch is the time that a watch without a change takes at least. A service
@@ -43,7 +43,7 @@
 		value, err := h.callValue(ctx, kind, document.ManifestKey, etag)
 		switch {
 		case ctx.Err() != nil:
-		case errors.Is(err, platform.ErrUnchanged):
+		case errors.Is(err, configservice.ErrUnchanged):
 			h.sleep(ctx, time.Until(begun.Add(minWatch)))
 		case err != nil:
 			h.platformFailed(document.ManifestKey, err)
--- a/eventlog/registry.go
+++ b/eventlog/registry.go
@@ -35,6 +35,9 @@
 	{16, core.ProbeFinished{}},
 	{17, core.StatusRequested{}},
 	{18, core.ExplainRequested{}},
+	{19, core.StoreListed{}},
+	{20, core.StoreChanged{}},
+	{21, core.StoreFailed{}},
 }
 
 // entry is a registered event type.
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -62,6 +62,17 @@
 	return causeNames[c]
 }
 
+// LoadReport is what a backend server says about its load.
+type LoadReport struct {
+	Known   bool
+	Running int
+	Waiting int
+	Slots   int
+	// Slowdown is how long work takes at this moment, in percent of the usual
+	// time; 0 when not told.
+	Slowdown int
+}
+
 // Facts is what the transport saw of an attempt. It holds no judgement.
 type Facts struct {
 	Cause Cause
@@ -83,6 +94,9 @@
 	// Load is the load that the backend server reports, in requests running;
 	// -1 when it reports none.
 	Load int
+	// Told is the load report of a backend server that tells more than one
+	// number.
+	Told LoadReport
 	// BodyTaken is set when a part of a streamed request body was read. The
 	// request cannot be sent again, whatever the class of the attempt.
 	BodyTaken bool
@@ -91,7 +105,7 @@
 }
 
 // Classify returns the class of an attempt. notRunStatus is the status of the
-// service's not-run form, 0 when it has none.
+// service's not-run form, 0 when the header alone says it.
 func Classify(f Facts, notRunStatus int) Class {
 	if !f.Wrote {
 		return NotRun
@@ -99,7 +113,7 @@
 	if f.Cause != CauseNone {
 		return Unknown
 	}
-	if notRunStatus != 0 && f.Status == notRunStatus && f.NotRunHeader {
+	if f.NotRunHeader && (notRunStatus == 0 || f.Status == notRunStatus) {
 		return NotRun
 	}
 	return Answered
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,8 +40,14 @@
 	Listen string `json:"listen"`
 	// Admin is the address for operators. Default DefaultAdmin.
 	Admin string `json:"admin"`
-	// Platform is the base URL of the platform's services.
+	// Platform is the base URL of the configuration service and the host list.
+	// Either it or Store is needed.
 	Platform string `json:"platform"`
+	// Store is where routing and backend servers are published instead.
+	Store Store `json:"store"`
+	// HoldAnswers is the size up to which answers are held whole, so that one
+	// that breaks off can be tried again. Default "64KiB".
+	HoldAnswers document.Size `json:"hold_answers"`
 	// AcceptFor is the time for which the listener stays open after SIGTERM.
 	// Default DefaultAcceptFor.
 	AcceptFor document.Duration `json:"accept_for"`
@@ -66,6 +72,9 @@
 		Admin:     DefaultAdmin,
 		AcceptFor: document.Duration(DefaultAcceptFor),
 		Record:    Record{MaxSize: DefaultRecordSize},
+
+		HoldAnswers: DefaultHoldAnswers,
+		Store:       defaultStore(),
 	}
 }
 
@@ -99,7 +108,10 @@
 	checkName(source, "failure_domain", s.FailureDomain)
 	checkAddress(source, "listen", s.Listen)
 	checkAddress(source, "admin", s.Admin)
-	checkURL(source, "platform", s.Platform)
+	if s.Store.Address == "" {
+		checkURL(source, "platform", s.Platform)
+	}
+	s.checkStore(source)
 	checkDuration(source, "accept_for", s.AcceptFor, maxAcceptFor)
 	checkDuration(source, "stop_timeout", s.StopTimeout, maxStopTimeout)
 	s.checkPeers(source)
