entryhost: close idle connections of callers when accepting ends

Idle connections were closed only at the end of the process. Ruled out: a shorter stop, which would cut the long requests that came before.

A spec fails before (idle connection open for 20 s) and passes after.

--- a/core/effect.go
+++ b/core/effect.go
@@ -163,7 +163,8 @@
 	Ready bool
 }
 
-// StopAccepting closes the listener towards callers.
+// StopAccepting closes the listener towards callers, and their connections as
+// soon as they are idle.
 type StopAccepting struct{}
 
 // Exit ends the process.
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -43,7 +43,7 @@
 	case core.StartProbe:
 		h.startProbe(e)
 	case core.StopAccepting:
-		h.callerListener.Close()
+		h.group.Go(func() error { h.finishCallers(); return nil })
 	case core.ReportStatus:
 		h.statuses.answer(e.ID, e.Status)
 	case core.ReportExplanation:
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -61,6 +61,9 @@
 	probes    *workers
 	later     chan core.Event
 
+	// finishing ends the connections of callers once.
+	finishing sync.Once
+
 	ctx      context.Context
 	group    *errgroup.Group
 	endWatch context.CancelFunc
@@ -198,9 +201,14 @@
 	return start
 }
 
-// finishCallers waits until the last bytes of every answer are written: the
-// reducer counts an answer as delivered once its connection has taken it.
+// finishCallers closes the listener and idle connections, and waits until the
+// last bytes of every answer are written: the reducer counts an answer as
+// delivered once its connection has taken it.
 func (h *Host) finishCallers() {
+	h.finishing.Do(h.shutdownCallers)
+}
+
+func (h *Host) shutdownCallers() {
 	ctx := h.ctx
 	if limit := time.Duration(h.settings.StopTimeout); limit > 0 {
 		var cancel context.CancelFunc
--- a/entryhost/stop_test.go
+++ b/entryhost/stop_test.go
@@ -1,6 +1,7 @@
 package entryhost_test
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -36,4 +37,32 @@
 		Expect(io.Copy(io.Discard, response.Body)).To(BeEquivalentTo(standin.DownloadBytes))
 		Eventually(ended).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
 	})
+
+	// Guards against a request that is taken from an idle connection so late
+	// that the end of the process cuts it.
+	It("closes idle connections while a download is still under way", func() {
+		host := newHost(newDeployment(3).alone("entry-1"))
+		ended := make(chan error, 1)
+		go func() { ended <- host.Run(context.Background()) }()
+		Eventually(host.Ready).WithTimeout(20 * time.Second).Should(BeTrue())
+
+		idle, err := net.Dial("tcp", host.Address())
+		Expect(err).NotTo(HaveOccurred())
+		defer idle.Close()
+		io.WriteString(idle, "GET /catalogue/urn-7 HTTP/1.1\r\nHost: h\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(idle), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(io.ReadAll(response.Body)).NotTo(BeEmpty())
+
+		download, err := http.Get("http://" + host.Address() + "/files/proof")
+		Expect(err).NotTo(HaveOccurred())
+		defer download.Body.Close()
+		host.Stop()
+		idle.SetReadDeadline(time.Now().Add(20 * time.Second))
+		_, err = idle.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+		Expect(ended).NotTo(Receive())
+		Expect(io.Copy(io.Discard, download.Body)).To(BeEquivalentTo(standin.DownloadBytes))
+		Eventually(ended).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
+	})
 })
