core: give slots to requests that can still be in time

Ruled out: the time of the hosts' own processors (0.007 cores of 0.32).

An upstream takes one request beyond its slots. A request that cannot meet its goal starts on spare slots only or is refused as not run at once, with a wait in which slots come free.

--- a/caller/messages.go
+++ b/caller/messages.go
@@ -12,6 +12,7 @@
 	outcome.RefusedDepth:       "the call is nested too deep; the request did not run",
 	outcome.RefusedNotReady:    "this host serves no requests now; the request did not run",
 	outcome.RefusedOverloaded:  "this host is overloaded; the request did not run",
+	outcome.RefusedOverload:    "the backend servers are too busy to answer in time; the request did not run",
 	outcome.RefusedUnavailable: "no backend server took the request; it did not run",
 	outcome.RefusedCallerGone:  "the caller hung up before the request ran",
 	outcome.RefusedMalformed:   "the request is malformed; it did not run",
--- a/core/asking.go
+++ b/core/asking.go
@@ -92,6 +92,18 @@
 	})
 }
 
+// askForQueue asks again for the loads of the nearest upstreams, since the
+// requests of other hosts end without an event here.
+func (s *State) askForQueue(svc *service) {
+	for _, g := range svc.waitingGroups {
+		for _, u := range s.toAsk(g.waiting.First().Value) {
+			if !u.question.open {
+				s.putQuestion(u)
+			}
+		}
+	}
+}
+
 func (s *State) askable(r *request, u *upstream) bool {
 	return !u.leaving && !u.health.Ejected() && !u.silent(s.now) && !s.now.Before(u.notBefore) && !r.hasTried(u)
 }
@@ -133,6 +145,7 @@
 			s.dispatch(r)
 		}
 	}
+	s.drainUpstream(u)
 }
 
 func (s *State) takeReport(u *upstream, facts outcome.Facts) {
--- a/core/placing.go
+++ b/core/placing.go
@@ -57,7 +57,7 @@
 				continue
 			}
 			usable = true
-			if s.now.Before(u.notBefore) || s.full(u) {
+			if s.now.Before(u.notBefore) || s.full(r, u) {
 				continue
 			}
 			took := s.expectedOn(r, u)
@@ -73,11 +73,29 @@
 	return best, usable
 }
 
-// full reports whether an upstream gets no further request from this host now.
-// Some upstreams never answer what they cannot queue, and several hosts add to
-// the same queue.
-func (s *State) full(u *upstream) bool {
-	return u.occupied(s.now) >= 2*u.config.Slots || u.running >= u.config.Slots+1
+// full reports whether an upstream gets no further request like r from this
+// host now. One request may wait there, so that no slot stays idle until this
+// host hears of it. What cannot be in time takes spare slots only.
+func (s *State) full(r *request, u *upstream) bool {
+	limit := u.config.Slots + 1
+	if !s.inTime(r) {
+		limit = u.config.Slots - 1
+	}
+	return u.occupied(s.now) >= limit
+}
+
+// goalAt is the instant up to which an answer is worth most.
+func (r *request) goalAt() Instant {
+	if r.route.Goal > 0 {
+		return r.arrivedAt.Add(r.route.Goal)
+	}
+	return r.arrivedAt.Add(defaultGoal)
+}
+
+// inTime reports whether an answer can be in by the goal if the request starts
+// now.
+func (s *State) inTime(r *request) bool {
+	return !r.goalAt().Before(s.now.Add(r.service.work()))
 }
 
 // expectedOn estimates the time until the answer of an upstream is in.
@@ -122,11 +140,7 @@
 // worthOf is what an answer after the expected time is worth, in thousandths.
 // Times vary, so that the worth falls from half of the goal on.
 func (s *State) worthOf(r *request, expected time.Duration) int {
-	goal := defaultGoal
-	if r.route.Goal > 0 {
-		goal = r.route.Goal
-	}
-	left := r.arrivedAt.Add(goal).Sub(s.now)
+	left := r.goalAt().Sub(s.now)
 	deadline := r.deadline.Sub(s.now)
 	switch {
 	case expected >= deadline:
--- a/core/queueing.go
+++ b/core/queueing.go
@@ -22,7 +22,12 @@
 		s.refuseRequest(r, outcome.RefusedQueueFull)
 		return
 	}
-	if s.lateAfter(r, s.expectedWait(r, s.capacity(r))) {
+	if r.route != nil && !s.inTime(r) {
+		// Slots are for those that can still be in time.
+		s.refuseRequest(r, outcome.RefusedOverload)
+		return
+	}
+	if r.route == nil && s.lateAfter(r, s.expectedWait(r, s.capacity(r))) {
 		s.refuseRequest(r, outcome.RefusedDeadline)
 		return
 	}
@@ -89,6 +94,9 @@
 	svc, g := r.service, r.group
 	r.queuedAt = s.now
 	r.place = queue.Item[*request]{Value: r, At: int64(r.deadline)}
+	if r.route != nil {
+		r.place.At = int64(r.goalAt())
+	}
 	if g.waiting.Len() == 0 {
 		svc.waitingGroups = append(svc.waitingGroups, g)
 	}
@@ -203,6 +211,10 @@
 		s.refuseRequest(r, outcome.RefusedNoHost)
 		return true
 	}
+	if u == nil && r.route != nil && !s.inTime(r) {
+		s.refuseRequest(r, outcome.RefusedOverload)
+		return true
+	}
 	if u == nil {
 		return false
 	}
@@ -249,6 +261,9 @@
 
 func (s *State) serviceDue(svc *service) {
 	s.drainQueue(svc)
+	if svc.waiting > 0 && s.self.Registry != nil {
+		s.askForQueue(svc)
+	}
 	if svc.waiting > 0 {
 		s.checkQueueBy(svc, s.nextCheck(svc))
 		s.wantSlots(svc)
--- a/core/request.go
+++ b/core/request.go
@@ -373,7 +373,21 @@
 		return
 	}
 	s.forget(r)
-	s.refuse(Refuse{Request: r.id, Reason: reason, Service: r.service.config.Name, GaveUp: r.attempts > 0})
+	s.refuse(Refuse{
+		Request: r.id, Reason: reason, Service: r.service.config.Name, GaveUp: r.attempts > 0,
+		RetryAfter: s.comeBackIn(r),
+	})
+}
+
+// comeBackIn is the wait that a refused caller of a route is told: the usual
+// time of a request, within which slots come free. The draw spreads callers
+// that were refused together.
+func (s *State) comeBackIn(r *request) time.Duration {
+	if r.route == nil {
+		return 0
+	}
+	work := r.service.work()
+	return work/2 + time.Duration(s.random.below(int(work)))
 }
 
 func (s *State) refuse(refusal Refuse) {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -131,6 +131,7 @@
 	RefusedDepth       Refusal = "depth"
 	RefusedNotReady    Refusal = "not_ready"
 	RefusedOverloaded  Refusal = "overloaded"
+	RefusedOverload    Refusal = "upstreams_overloaded"
 	RefusedUnavailable Refusal = "unavailable"
 	RefusedCallerGone  Refusal = "caller_gone"
 	RefusedMalformed   Refusal = "malformed"
@@ -141,7 +142,7 @@
 func Refusals() []Refusal {
 	return []Refusal{
 		RefusedNoService, RefusedNoHost, RefusedQueueFull, RefusedDeadline, RefusedDepth, RefusedNotReady,
-		RefusedOverloaded, RefusedUnavailable, RefusedCallerGone, RefusedMalformed, RefusedTooLarge,
+		RefusedOverloaded, RefusedOverload, RefusedUnavailable, RefusedCallerGone, RefusedMalformed, RefusedTooLarge,
 	}
 }
 
