core: ask upstreams in random order

Cause: on the grown site the busiest catalogue server got 4.06 times the mean. All hosts of a failure domain asked the same three of its 33 upstreams, those first by name, since ties kept their order. Ruled out: reports that are too old; the ones asked were fresh.

The first upstream looked at is drawn.

--- a/core/asking.go
+++ b/core/asking.go
@@ -77,8 +77,12 @@
 			nearest = min(nearest, u.locality)
 		}
 	}
+	// Hosts that know as little as each other must not all ask the same ones.
+	n := len(r.group.eligible)
+	first := s.random.below(max(1, n))
 	var found []*upstream
-	for _, u := range r.group.eligible {
+	for i := range n {
+		u := r.group.eligible[(first+i)%n]
 		if u.locality == nearest && s.askable(r, u) {
 			found = append(found, u)
 		}
