core, relay: one host of a failure domain reads the store for the others

Every host watched the store. Ruled out: longer watches, since a store that forgets its history leaves a watch without an answer; the QUIC peers, whose hosts need keys that the platform's settings do not carry.

Entry hosts find each other through the seeds, and the one with the highest capacity in a failure domain reads the store and tells the others over CBOR on HTTP (package relay). A host whose news are older than 1.6 s reads for itself.

--- a/core/counter.go
+++ b/core/counter.go
@@ -56,6 +56,9 @@
 	CounterProbes Counter = "probes_total"
 	// CounterProbeBytes counts the bytes charged for probes.
 	CounterProbeBytes Counter = "probe_bytes_total"
+	// CounterNews counts news of the store between entry hosts (told, taken,
+	// failed, too_many_neighbours).
+	CounterNews Counter = "news_total"
 	// CounterPauses counts pauses of the process.
 	CounterPauses Counter = "pauses_total"
 )
--- /dev/null
+++ b/core/news.go
@@ -0,0 +1,510 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"wisteriapond/config"
+)
+
+// News is what the store says, told from one entry host to another. Calls to
+// the store have a price and a limit, so that of the entry hosts of a failure
+// domain one reads it, the reader, and the others ask the reader. A host whose
+// news grow old reads for itself.
+
+const (
+	// newsWait is the time for which a neighbour holds a question that it has no
+	// news for. It answers earlier whenever the store has answered it.
+	newsWait = 1500 * time.Millisecond
+	// newsPause lets several changes come with one answer.
+	newsPause = 50 * time.Millisecond
+	// newsLimit is the age of the news from which on a host reads the store for
+	// itself. A reader's watch is answered every watchWait; news must be in
+	// force within two seconds.
+	newsLimit = 1600 * time.Millisecond
+	// A neighbour that did not answer is not asked for a time that doubles from
+	// firstDown to lastDown, until it asks itself.
+	firstDown = 3 * time.Second
+	lastDown  = 24 * time.Second
+	// neighbourLife is the age at which a neighbour that nobody hears of is
+	// forgotten.
+	neighbourLife = 30 * time.Second
+	// heardLately is the age up to which a reader passes on the name of a
+	// neighbour that asks it.
+	heardLately = 5 * time.Second
+	// peersBeforeStore is the time that a host gives its neighbours before it
+	// reads the store when the deployment starts for the first time. At any other
+	// start callers wait already.
+	peersBeforeStore = 300 * time.Millisecond
+	// A host that knows no neighbour asks the seeds again after a pause that
+	// doubles from firstSeedPause to lastSeedPause; one that knows some asks
+	// every lastSeedPause, so that two groups find each other.
+	firstSeedPause = 150 * time.Millisecond
+	lastSeedPause  = 15 * time.Second
+	// Bounds on what others can make this host remember.
+	maxNeighbours   = 4096
+	maxHeldNews     = 1024
+	maxToldNames    = 64
+	maxTombstones   = 1024
+	lateDropsKept   = 5 * time.Second
+	memberCallPause = 1600 * time.Millisecond
+)
+
+// Neighbour is an entry host as it names itself.
+type Neighbour struct {
+	Host          string
+	Address       string
+	FailureDomain string
+	// Capacity orders the hosts of a failure domain: the one with the highest
+	// reads the store.
+	Capacity int
+}
+
+// NewsAsk asks an entry host for news.
+type NewsAsk struct {
+	From Neighbour
+	// NamesOnly asks for the neighbours of the asker and for nothing else.
+	NamesOnly bool
+	// After is the revision up to which the asker knows everything, 0 for none.
+	After uint64
+	// Routing is the version of the routing that the asker has.
+	Routing uint64
+	Wait    time.Duration
+}
+
+// NewsAnswer is the answer to a NewsAsk.
+type NewsAnswer struct {
+	// Known is false when the host asked has no news itself.
+	Known    bool
+	Revision uint64
+	// Whole says that Servers holds every server, not only changes.
+	Whole   bool
+	Servers []ServerChange
+	Routing *config.Routing
+	// Age is the time since the store said that this is all.
+	Age        time.Duration
+	Neighbours []Neighbour
+}
+
+// NewsAsked reports a question of another entry host. The answer is AnswerNews.
+type NewsAsked struct {
+	ID  uint64
+	Ask NewsAsk
+}
+
+// NewsAnswered reports the answer to AskNews, or that none came.
+type NewsAnswered struct {
+	Address string
+	Failed  bool
+	Reason  string
+	Answer  NewsAnswer
+}
+
+// AskNews asks another entry host.
+type AskNews struct {
+	Address string
+	Ask     NewsAsk
+}
+
+// AnswerNews answers a NewsAsked event.
+type AnswerNews struct {
+	ID     uint64
+	Answer NewsAnswer
+}
+
+func (NewsAsked) event()    {}
+func (NewsAnswered) event() {}
+func (AskNews) effect()     {}
+func (AnswerNews) effect()  {}
+
+// neighbour is what is known of another entry host.
+type neighbour struct {
+	Neighbour
+	// heard is the last instant at which it asked, and told that at which
+	// another host named it.
+	heard Instant
+	told  Instant
+	// downUntil is the end of the time for which it is not asked, after failures
+	// in a row.
+	downUntil Instant
+	failures  int
+}
+
+// heldNews is a question that waits for news.
+type heldNews struct {
+	id    uint64
+	ask   NewsAsk
+	until Instant
+}
+
+// news is the state of telling and being told.
+type news struct {
+	neighbours map[string]*neighbour
+	held       []heldNews
+	// polled is the address of the neighbour that is being asked, empty for
+	// none.
+	polled   string
+	nextPoll Instant
+	// nextSeeds is the instant at which the seeds are asked again.
+	nextSeeds Instant
+	seedPause time.Duration
+	// storeFrom is the end of the time that neighbours are given at a start.
+	storeFrom Instant
+	// changedAt is the revision at which each entry changed last, that of
+	// entries that are gone included; changes up to horizon are forgotten.
+	changedAt map[string]uint64
+	horizon   uint64
+	// dropped holds the servers that were dropped without a change of the store.
+	dropped map[string]Instant
+}
+
+func (s *State) startNews() {
+	n := &s.registry.news
+	n.neighbours = make(map[string]*neighbour)
+	n.changedAt = make(map[string]uint64)
+	n.dropped = make(map[string]Instant)
+	n.seedPause = firstSeedPause
+	if len(s.self.Registry.Seeds) > 0 && s.self.Registry.FirstStart {
+		n.storeFrom = s.now.Add(peersBeforeStore)
+		s.wake(n.storeFrom)
+	}
+}
+
+func (s *State) selfNeighbour() Neighbour {
+	return Neighbour{
+		Host: s.self.Host, Address: s.self.Registry.Address, FailureDomain: s.self.FailureDomain,
+		Capacity: s.self.Registry.Capacity,
+	}
+}
+
+// tickNews asks whom it is time to ask, and answers questions that were held
+// long enough.
+func (s *State) tickNews() {
+	s.forgetNeighbours()
+	s.askSeeds()
+	s.pollReader()
+	s.answerDue()
+}
+
+// pollReader asks the reader for news, one question at a time.
+func (s *State) pollReader() {
+	n := &s.registry.news
+	if n.polled != "" || s.now.Before(n.nextPoll) {
+		return
+	}
+	if reader := s.reader(); reader != nil {
+		n.polled = reader.Address
+		s.out.add(AskNews{Address: reader.Address, Ask: s.newsAsk(newsWait)})
+	}
+}
+
+// reader returns the neighbour that reads the store, or nil when it is this
+// host itself.
+func (s *State) reader() *neighbour {
+	var best *neighbour
+	self := s.selfNeighbour()
+	for _, name := range sortedKeys(s.registry.news.neighbours) {
+		other := s.registry.news.neighbours[name]
+		if other.FailureDomain != self.FailureDomain || s.now.Before(other.downUntil) {
+			continue
+		}
+		if best == nil || ranksBefore(&other.Neighbour, &best.Neighbour) {
+			best = other
+		}
+	}
+	if best == nil || ranksBefore(&self, &best.Neighbour) {
+		return nil
+	}
+	return best
+}
+
+func ranksBefore(a, b *Neighbour) bool {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Host, b.Host)) < 0
+}
+
+func (s *State) newsAsk(wait time.Duration) NewsAsk {
+	ask := NewsAsk{From: s.selfNeighbour(), After: s.registry.revision, Wait: wait}
+	if s.registry.routing != nil {
+		ask.Routing = s.registry.routing.Version
+	}
+	return ask
+}
+
+// askSeeds looks for neighbours.
+func (s *State) askSeeds() {
+	n := &s.registry.news
+	if s.now.Before(n.nextSeeds) || len(s.self.Registry.Seeds) == 0 {
+		return
+	}
+	for _, seed := range s.self.Registry.Seeds {
+		if seed != s.self.Registry.Address {
+			s.out.add(AskNews{Address: seed, Ask: NewsAsk{From: s.selfNeighbour(), NamesOnly: true}})
+		}
+	}
+	if len(n.neighbours) > 0 {
+		n.seedPause = lastSeedPause
+	}
+	n.nextSeeds = s.now.Add(n.seedPause/2 + time.Duration(s.random.below(int(n.seedPause))))
+	n.seedPause = min(2*n.seedPause, lastSeedPause)
+	s.wake(n.nextSeeds)
+}
+
+// mayCallStore reports whether this host reads the store for itself now.
+func (s *State) mayCallStore() bool {
+	g := &s.registry
+	if s.now.Before(g.news.storeFrom) && g.revision == 0 {
+		return false
+	}
+	return s.reader() == nil || s.now.Sub(g.lastAnswer) >= newsLimit
+}
+
+// newsAnswered takes the answer of another entry host.
+func (s *State) newsAnswered(e NewsAnswered) {
+	n := &s.registry.news
+	polled := e.Address == n.polled
+	if polled {
+		n.polled = ""
+		n.nextPoll = s.now
+	}
+	if e.Failed {
+		s.neighbourFailed(e)
+		return
+	}
+	for _, name := range e.Answer.Neighbours {
+		s.meet(name, false)
+	}
+	if e.Answer.Known {
+		s.takeNews(&e.Answer)
+	} else if polled {
+		n.nextPoll = s.now.Add(firstSeedPause)
+		s.wake(n.nextPoll)
+	}
+	s.pollReader()
+	s.driveStore()
+}
+
+func (s *State) neighbourFailed(e NewsAnswered) {
+	s.count(CounterNews, "failed")
+	for _, name := range sortedKeys(s.registry.news.neighbours) {
+		other := s.registry.news.neighbours[name]
+		if other.Address == e.Address {
+			other.downUntil = s.now.Add(min(firstDown<<min(other.failures, 8), lastDown))
+			other.failures++
+			s.out.add(Log{Level: LogWarn, Message: "entry host does not answer", Fields: []LogField{
+				{Key: "member", Value: other.Host},
+				{Key: "reason", Value: e.Reason},
+			}})
+		}
+	}
+	s.pollReader()
+	s.driveStore()
+}
+
+// takeNews takes over what a neighbour knows, unless this host knows more.
+func (s *State) takeNews(answer *NewsAnswer) {
+	g := &s.registry
+	if answer.Revision < g.revision {
+		return
+	}
+	s.count(CounterNews, "taken")
+	before := g.revision
+	g.revision = answer.Revision
+	g.lastAnswer = max(g.lastAnswer, s.now.Add(-max(0, answer.Age)))
+	g.listed = g.listed || answer.Whole
+	listed := make(map[string]bool, len(answer.Servers))
+	for _, change := range answer.Servers {
+		listed[change.ID] = true
+		s.changeServer(change, false)
+	}
+	if answer.Whole {
+		for _, id := range sortedKeys(g.servers) {
+			if !listed[id] {
+				s.changeServer(ServerChange{ID: id}, false)
+			}
+		}
+	}
+	s.takeRouting(answer.Routing, "")
+	s.adoptRegistry()
+	if before != g.revision && (len(answer.Servers) > 0 || answer.Routing != nil) {
+		g.news.nextPoll = s.now.Add(newsPause)
+		s.wake(g.news.nextPoll)
+		s.tellNews()
+	}
+}
+
+// meet remembers an entry host. One that asks is alive.
+func (s *State) meet(name Neighbour, asks bool) {
+	n := &s.registry.news
+	if name.Host == "" || name.Host == s.self.Host || name.Address == "" {
+		return
+	}
+	known := n.neighbours[name.Host]
+	if known == nil {
+		if len(n.neighbours) >= maxNeighbours {
+			s.count(CounterNews, "too_many_neighbours")
+			return
+		}
+		known = &neighbour{}
+		n.neighbours[name.Host] = known
+		s.out.add(Log{Message: "entry host found", Fields: []LogField{
+			{Key: "member", Value: name.Host},
+			{Key: "failure_domain", Value: name.FailureDomain},
+			{Key: "known", Value: strconv.Itoa(len(n.neighbours))},
+		}})
+	}
+	known.Neighbour = name
+	known.told = s.now
+	if asks {
+		known.heard = s.now
+		known.downUntil = 0
+		known.failures = 0
+	}
+}
+
+func (s *State) forgetNeighbours() {
+	n := &s.registry.news
+	for _, name := range sortedKeys(n.neighbours) {
+		other := n.neighbours[name]
+		if s.now.Sub(max(other.heard, other.told)) >= neighbourLife {
+			delete(n.neighbours, name)
+		}
+	}
+}
+
+// newsAsked answers another entry host, now or when there are news.
+func (s *State) newsAsked(e NewsAsked) {
+	n := &s.registry.news
+	s.meet(e.Ask.From, true)
+	if e.Ask.NamesOnly || s.hasNewsFor(&e.Ask) || e.Ask.Wait <= 0 || len(n.held) >= maxHeldNews {
+		s.answerNews(e.ID, &e.Ask)
+		return
+	}
+	until := s.now.Add(min(e.Ask.Wait, newsWait))
+	n.held = append(n.held, heldNews{id: e.ID, ask: e.Ask, until: until})
+	s.wake(until)
+}
+
+// hasNewsFor reports whether this host knows what the asker does not.
+func (s *State) hasNewsFor(ask *NewsAsk) bool {
+	g := &s.registry
+	if g.routing != nil && g.routing.Version > ask.Routing {
+		return true
+	}
+	if g.revision <= ask.After {
+		return false
+	}
+	if ask.After < g.news.horizon {
+		return true
+	}
+	for _, revision := range g.news.changedAt {
+		if revision > ask.After {
+			return true
+		}
+	}
+	return false
+}
+
+// tellNews answers the questions that are held, after news came or the store
+// said that there are none.
+func (s *State) tellNews() {
+	n := &s.registry.news
+	held := n.held
+	n.held = nil
+	for i := range held {
+		s.answerNews(held[i].id, &held[i].ask)
+	}
+}
+
+func (s *State) answerDue() {
+	n := &s.registry.news
+	n.held = slices.DeleteFunc(n.held, func(h heldNews) bool {
+		if s.now.Before(h.until) {
+			return false
+		}
+		s.answerNews(h.id, &h.ask)
+		return true
+	})
+	for _, id := range sortedKeys(n.dropped) {
+		if s.now.Sub(n.dropped[id]) >= lateDropsKept {
+			delete(n.dropped, id)
+		}
+	}
+}
+
+func (s *State) answerNews(id uint64, ask *NewsAsk) {
+	g := &s.registry
+	answer := NewsAnswer{Neighbours: s.namesFor(ask.From)}
+	if !ask.NamesOnly && g.routing != nil && g.revision > 0 {
+		answer.Known = true
+		answer.Revision = g.revision
+		answer.Age = s.now.Sub(g.lastAnswer)
+		answer.Whole = ask.After == 0 || ask.After < g.news.horizon
+		answer.Servers = s.serversAfter(ask.After, answer.Whole)
+		if g.routing.Version > ask.Routing {
+			answer.Routing = g.routing
+		}
+	}
+	s.count(CounterNews, "told")
+	s.out.add(AnswerNews{ID: id, Answer: answer})
+}
+
+// serversAfter returns the servers that changed after a revision, or all.
+func (s *State) serversAfter(after uint64, whole bool) []ServerChange {
+	g := &s.registry
+	var changes []ServerChange
+	for _, id := range sortedKeys(g.news.changedAt) {
+		server, registered := g.servers[id]
+		_, dropped := g.news.dropped[id]
+		switch {
+		case registered && (whole || g.news.changedAt[id] > after):
+			changes = append(changes, ServerChange{ID: id, Server: &server})
+		case !registered && !whole && (g.news.changedAt[id] > after || dropped):
+			changes = append(changes, ServerChange{ID: id})
+		}
+	}
+	return changes
+}
+
+// namesFor returns hosts of the failure domain of the asker, those heard of
+// last first.
+func (s *State) namesFor(asker Neighbour) []Neighbour {
+	n := &s.registry.news
+	var found []*neighbour
+	for _, name := range sortedKeys(n.neighbours) {
+		other := n.neighbours[name]
+		if other.FailureDomain == asker.FailureDomain && other.Host != asker.Host && s.now.Sub(other.heard) < heardLately {
+			found = append(found, other)
+		}
+	}
+	slices.SortStableFunc(found, func(a, b *neighbour) int {
+		if ranksBefore(&a.Neighbour, &b.Neighbour) {
+			return -1
+		}
+		return 1
+	})
+	var names []Neighbour
+	if asker.FailureDomain == s.self.FailureDomain {
+		names = append(names, s.selfNeighbour())
+	}
+	for _, other := range found[:min(len(found), maxToldNames)] {
+		names = append(names, other.Neighbour)
+	}
+	return names
+}
+
+// noteChange remembers at which revision an entry changed.
+func (s *State) noteChange(id string) {
+	g := &s.registry
+	g.news.changedAt[id] = g.revision
+	if len(g.news.changedAt) <= len(g.servers)+maxTombstones {
+		return
+	}
+	for _, id := range sortedKeys(g.news.changedAt) {
+		if _, registered := g.servers[id]; !registered {
+			delete(g.news.changedAt, id)
+		}
+	}
+	g.news.horizon = g.revision
+}
--- a/core/state.go
+++ b/core/state.go
@@ -56,6 +56,10 @@
 		s.storeChanged(e)
 	case StoreFailed:
 		s.storeFailed(e)
+	case NewsAsked:
+		s.newsAsked(e)
+	case NewsAnswered:
+		s.newsAnswered(e)
 	case Tick:
 		s.tick()
 	case StopRequested:
--- a/core/store.go
+++ b/core/store.go
@@ -12,7 +12,7 @@
 	// watchWait is the time after which a watch without a change is answered. A
 	// store that forgets its history does not tell a watch that is waiting, and
 	// changes must be in force within two seconds.
-	watchWait = 1500 * time.Millisecond
+	watchWait = 1300 * time.Millisecond
 	// watchPause lets several changes come with one answer, since each call has
 	// a price. Together with watchWait it stays below two seconds.
 	watchPause = 300 * time.Millisecond
@@ -47,6 +47,14 @@
 	RetryBurst   int
 	// Transfer prices bytes that leave a failure domain.
 	Transfer TransferPrices
+	// Address is that of this host for other entry hosts, empty when it talks
+	// to none. Seeds are the addresses of some of them.
+	Address  string
+	Seeds    []string
+	Capacity int
+	// FirstStart says that the whole deployment starts for the first time, when
+	// there is time to learn from other hosts.
+	FirstStart bool
 }
 
 // FailureDomain is a failure domain with its region.
@@ -132,19 +140,25 @@
 	// lapsing holds servers whose entries went missing while the store was
 	// away, with the instant at which they count as gone.
 	lapsing map[string]Instant
+	news    news
 }
 
 func (s *State) startRegistry() {
 	s.registry.servers = make(map[string]Server)
 	s.registry.lapsing = make(map[string]Instant)
-	s.callStore()
+	s.startNews()
+	s.tickRegistry()
 }
 
-// callStore makes the next call. There is one call at a time: a watch is only
-// of use after everything was listed.
-func (s *State) callStore() {
+// driveStore makes the next call to the store when it is due. There is one call
+// at a time: a watch is only of use after everything was listed.
+func (s *State) driveStore() {
 	g := &s.registry
-	if g.calling {
+	if g.calling || s.now.Before(g.nextCall) {
+		return
+	}
+	if !s.mayCallStore() {
+		s.wake(max(s.now+1, g.lastAnswer.Add(newsLimit)))
 		return
 	}
 	g.calling = true
@@ -156,10 +170,8 @@
 }
 
 func (s *State) tickRegistry() {
-	g := &s.registry
-	if !g.calling && !s.now.Before(g.nextCall) {
-		s.callStore()
-	}
+	s.tickNews()
+	s.driveStore()
 	s.dropLapsed()
 }
 
@@ -173,9 +185,11 @@
 		}
 		delete(g.lapsing, id)
 		changed = s.removeServer(id, "its entry did not come back") || changed
+		g.news.dropped[id] = s.now
 	}
 	if changed {
 		s.adoptRegistry()
+		s.tellNews()
 	}
 }
 
@@ -211,6 +225,7 @@
 	s.changeServers(missing)
 	s.takeRouting(e.Routing, e.RoutingProblem)
 	s.adoptRegistry()
+	s.tellNews()
 	s.callLater()
 }
 
@@ -221,9 +236,9 @@
 	if len(e.Servers) > 0 || e.Routing != nil {
 		s.adoptRegistry()
 		s.callLater()
-		return
 	}
-	s.callStore()
+	s.tellNews()
+	s.driveStore()
 }
 
 // callLater makes the next call after a pause.
@@ -242,7 +257,7 @@
 		s.out.add(Log{Level: LogWarn, Message: "the store has forgotten its history", Fields: []LogField{
 			{Key: "revision", Value: strconv.FormatUint(g.revision, 10)},
 		}})
-		s.callStore()
+		s.driveStore()
 		return
 	}
 	g.failures++
@@ -253,7 +268,12 @@
 			{Key: "age", Value: s.now.Sub(g.lastAnswer).String()},
 		}})
 	}
-	pause := min(firstStorePause<<min(g.failures-1, 8), lastStorePause)
+	longest := lastStorePause
+	if s.reader() != nil {
+		// The reader notices the store's return.
+		longest = memberCallPause
+	}
+	pause := min(firstStorePause<<min(g.failures-1, 8), longest)
 	g.nextCall = s.now.Add(pause/2 + time.Duration(s.random.below(int(pause/2))))
 	s.wake(g.nextCall)
 }
@@ -310,6 +330,7 @@
 	default:
 		delete(g.lapsing, change.ID)
 		g.servers[change.ID] = *change.Server
+		s.noteChange(change.ID)
 		if !registered || known.Leaving != change.Server.Leaving || known.Born != change.Server.Born {
 			s.logServer("backend server changed", change.ID, change.Server.Service, leavingText(change.Server.Leaving))
 		}
@@ -322,6 +343,7 @@
 		return false
 	}
 	delete(s.registry.servers, id)
+	s.noteChange(id)
 	s.logServer("backend server removed", id, server.Service, reason)
 	return true
 }
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -40,6 +40,10 @@
 		h.listStore()
 	case core.WatchStore:
 		h.watchStore(e)
+	case core.AskNews:
+		h.askNews(e)
+	case core.AnswerNews:
+		h.news.answer(e.ID, e.Answer)
 	case core.StartProbe:
 		h.startProbe(e)
 	case core.StopAccepting:
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -26,6 +26,7 @@
 	"wisteriapond/outcome"
 	"wisteriapond/peer"
 	"wisteriapond/platform"
+	"wisteriapond/relay"
 	"wisteriapond/runtime"
 	"wisteriapond/settings"
 )
@@ -38,6 +39,11 @@
 	pool     *backend.Pool
 	metrics  *metrics.Set
 	platform *configservice.Client
+	// relay and relayListener are nil for a host that talks to no other.
+	relay         *relay.Server
+	relayClient   *relay.Client
+	relayListener net.Listener
+	news          questions[core.NewsAnswer]
 	// store is nil when routing and servers come from the configuration service.
 	store  *platform.Store
 	caller *caller.Server
@@ -116,6 +122,9 @@
 	if err := h.openPeers(); err != nil {
 		return err
 	}
+	if err := h.openRelay(); err != nil {
+		return err
+	}
 	return h.openRecording()
 }
 
@@ -130,6 +139,9 @@
 	if h.peers != nil {
 		h.peers.Close()
 	}
+	if h.relayListener != nil {
+		h.relayListener.Close()
+	}
 }
 
 // Address returns the address for callers.
@@ -156,12 +168,14 @@
 	h.runRecording(recording)
 	h.group.Go(func() error { return h.admin.Serve(h.adminListener) })
 	h.group.Go(func() error { return h.serveCallers() })
+	h.runRelay()
 	h.group.Go(func() error {
 		defer cancel()
 		err := h.loop.Run(h.ctx)
 		endRecording()
 		h.flushPeers()
 		h.finishCallers()
+		h.closeRelay()
 		h.admin.Close()
 		return err
 	})
--- /dev/null
+++ b/entryhost/relay.go
@@ -0,0 +1,68 @@
+package entryhost
+
+import (
+	"context"
+	"fmt"
+	"net"
+
+	"wisteriapond/core"
+	"wisteriapond/relay"
+)
+
+// openRelay opens the listener for entry hosts that share the news of a store.
+func (h *Host) openRelay() error {
+	if h.store == nil || h.settings.Store.Listen == "" {
+		return nil
+	}
+	var err error
+	if h.relayListener, err = net.Listen("tcp", h.settings.Store.Listen); err != nil {
+		return fmt.Errorf("listen for entry hosts: %w", err)
+	}
+	h.relayClient = relay.NewClient()
+	h.relay = relay.NewServer(func(ctx context.Context, ask core.NewsAsk) (core.NewsAnswer, error) {
+		return h.news.ask(ctx, func(id uint64) { h.loop.Send(core.NewsAsked{ID: id, Ask: ask}) })
+	})
+	return nil
+}
+
+func (h *Host) runRelay() {
+	if h.relay == nil {
+		return
+	}
+	h.group.Go(func() error {
+		if err := h.relay.Serve(h.relayListener); !isClosed(err) {
+			return err
+		}
+		return nil
+	})
+}
+
+func (h *Host) closeRelay() {
+	if h.relay == nil {
+		return
+	}
+	if err := h.relay.Close(); !isClosed(err) {
+		h.log.WithError(err).Warn("connections of entry hosts were still open at the end")
+	}
+}
+
+// askNews asks another entry host in the background. The reducer bounds how
+// many questions are under way.
+func (h *Host) askNews(e core.AskNews) {
+	if h.relayClient == nil {
+		return
+	}
+	h.group.Go(func() error {
+		answer, err := h.relayClient.Ask(e.Address, e.Ask)
+		if err != nil && h.ctx.Err() != nil {
+			return nil
+		}
+		event := core.NewsAnswered{Address: e.Address, Answer: answer}
+		if err != nil {
+			event.Failed = true
+			event.Reason = err.Error()
+		}
+		h.loop.Send(event)
+		return nil
+	})
+}
--- a/entryhost/store.go
+++ b/entryhost/store.go
@@ -35,6 +35,12 @@
 			BetweenRegions: int(s.BetweenRegions * thousandths),
 		},
 	}
+	if h.relayListener != nil {
+		registry.Address = h.relayListener.Addr().String()
+		registry.Seeds = s.Seeds
+		registry.Capacity = s.Capacity
+		registry.FirstStart = s.FirstStart
+	}
 	for _, domain := range s.Domains {
 		registry.Domains = append(registry.Domains, core.FailureDomain(domain))
 	}
--- a/eventlog/registry.go
+++ b/eventlog/registry.go
@@ -38,6 +38,8 @@
 	{19, core.StoreListed{}},
 	{20, core.StoreChanged{}},
 	{21, core.StoreFailed{}},
+	{22, core.NewsAsked{}},
+	{23, core.NewsAnswered{}},
 }
 
 // entry is a registered event type.
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -165,6 +165,12 @@
 		"bytes",
 		"Bytes charged to the measuring budget, at the worst case of each probe.",
 	},
+	{
+		string(core.CounterNews), KindCounter,
+		[]string{"event"},
+		"messages",
+		"News of the store between entry hosts: `told`, `taken`, `failed`, or `too_many_neighbours`.",
+	},
 	{
 		string(core.CounterPauses), KindCounter,
 		nil,
--- a/settings/store.go
+++ b/settings/store.go
@@ -44,6 +44,17 @@
 	// DefaultBetweenDomains and DefaultBetweenRegions.
 	BetweenDomains float64 `json:"between_domains"`
 	BetweenRegions float64 `json:"between_regions"`
+	// Listen is the address for other entry hosts, which tell each other what
+	// the store says. Default "": every host reads the store for itself.
+	Listen string `json:"listen"`
+	// Seeds are the addresses of entry hosts to ask first for others.
+	Seeds []string `json:"seeds"`
+	// Capacity orders the hosts of a failure domain: the one with the highest
+	// reads the store. Default 0.
+	Capacity int `json:"capacity"`
+	// FirstStart says that the whole deployment starts for the first time, so
+	// that no caller waits yet. Default false.
+	FirstStart bool `json:"first_start"`
 }
 
 // Domain is a failure domain and the region in which it lies.
@@ -78,6 +89,15 @@
 		checkName(source, fmt.Sprintf("store.domains[%d].name", i), domain.Name)
 		checkName(source, fmt.Sprintf("store.domains[%d].region", i), domain.Region)
 	}
+	if store.Listen != "" {
+		checkHostAddress(source, "store.listen", store.Listen)
+	}
+	if len(store.Seeds) > maxPeers {
+		source.Report("store.seeds", fmt.Sprintf("at most %d seeds", maxPeers))
+	}
+	for i, address := range store.Seeds {
+		checkHostAddress(source, fmt.Sprintf("store.seeds[%d]", i), address)
+	}
 	checkNumber(source, "store.retry_percent", float64(store.RetryPercent), maxRetryPercent)
 	checkNumber(source, "store.retry_burst", store.RetryBurst, maxRetryBurst)
 	checkNumber(source, "store.between_domains", store.BetweenDomains, maxPrice)
