core, cli: log every request that does not go well, with what decided it

Cause: a failed request left no trace, and log lines were written in step with the reader of standard error. A request that is refused, fails, breaks off or is late now has one line with its attempts: upstream, wait, reported load and its age, expected time, end. At most 100 such lines a second and 10 for late ones; what is left out is counted by kind. Lines go to standard output through a bounded queue, which drops and counts rather than wait.

The first lines showed a fault: expected times of 1.9 ms, since the usual work was the median of all answers from the first one on, an error within 2 ms. Work is now learned from served requests at the usual speed, beginning at 100 ms.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -10,8 +10,6 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
-	"github.com/apex/log"
-	jsonlog "github.com/apex/log/handlers/json"
 	"github.com/willabides/kongplete"
 
 	"wisteriapond/document"
@@ -76,9 +74,6 @@
 // output keeps kong from binding the writer under its own type.
 type output struct{ io.Writer }
 
-// logOutput is the writer of log lines.
-type logOutput struct{ io.Writer }
-
 // usageError is a refusal of arguments that the parser cannot see.
 type usageError struct{ reason string }
 
@@ -92,7 +87,3 @@
 	}
 	return exitFailed
 }
-
-func newLogger(w io.Writer) *log.Logger {
-	return &log.Logger{Handler: jsonlog.New(w), Level: log.InfoLevel}
-}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -25,12 +26,14 @@
 }
 
 // Run serves until SIGTERM or an interrupt, then drains.
-func (c *serveCommand) Run(ctx context.Context, logs logOutput) error {
+func (c *serveCommand) Run(ctx context.Context, stdout io.Writer) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
 	}
-	host, err := entryhost.New(s, newLogger(logs))
+	lines := newLineQueue(stdout)
+	defer lines.Close()
+	host, err := entryhost.New(s, newLogger(lines))
 	if err != nil {
 		return err
 	}
--- a/core/counter.go
+++ b/core/counter.go
@@ -59,6 +59,8 @@
 	// CounterNews counts news of the store between entry hosts (told, taken,
 	// failed, too_many_neighbours).
 	CounterNews Counter = "news_total"
+	// CounterLinesLeftOut counts log lines of requests beyond their rate (kind).
+	CounterLinesLeftOut Counter = "request_lines_left_out_total"
 	// CounterPauses counts pauses of the process.
 	CounterPauses Counter = "pauses_total"
 )
--- a/core/placing.go
+++ b/core/placing.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriapond/config"
+	"wisteriapond/outcome"
 	"wisteriapond/pick"
 )
 
@@ -70,6 +71,7 @@
 			break
 		}
 	}
+	r.expected = bestTime
 	return best, usable
 }
 
@@ -129,14 +131,31 @@
 	return 0
 }
 
-// work is the usual time that a request runs.
+// work is the usual time that a request runs on an upstream of usual speed.
 func (svc *service) work() time.Duration {
-	if usual := svc.usualFor(false).occupy.Value(); usual > 0 {
+	if usual := svc.worked.Value(); usual > 0 {
 		return usual
 	}
 	return firstWork
 }
 
+// noteWork takes the time of a request that was served. It is brought to the
+// usual speed by what the upstream told when the request was placed.
+func (s *State) noteWork(r *request, facts outcome.Facts) {
+	if r.route == nil || facts.Status >= firstError || len(r.steps) == 0 {
+		return
+	}
+	svc := r.service
+	if svc.worked.Value() == 0 {
+		svc.worked.Add(firstWork)
+	}
+	slowdown := usualSlowdown
+	if last := &r.steps[len(r.steps)-1]; last.told.Known && last.age < toldLife && last.told.Slowdown > 0 {
+		slowdown = last.told.Slowdown
+	}
+	svc.worked.Add(s.now.Sub(r.startedAt) * usualSlowdown / time.Duration(slowdown))
+}
+
 // worthOf is what an answer after the expected time is worth, in thousandths.
 // Times vary, so that the worth falls from half of the goal on.
 func (s *State) worthOf(r *request, expected time.Duration) int {
--- a/core/request.go
+++ b/core/request.go
@@ -36,7 +36,13 @@
 // queue (place), waits between two attempts (alarm only), or has an attempt
 // under way (upstream).
 type request struct {
-	id         RequestID
+	id RequestID
+	// name is the caller's name for the request, empty when it gave none.
+	name string
+	// steps are the attempts so far, for the log line of a request that does not
+	// go well, and expected the time that the next one is expected to take.
+	steps      []step
+	expected   time.Duration
 	service    *service
 	group      *group
 	labels     label.Set
@@ -114,6 +120,7 @@
 	svc := s.services[compiled.Name]
 	r := &request{
 		id:         e.ID,
+		name:       e.Name,
 		service:    svc,
 		group:      svc.groupOf(labels),
 		labels:     labels,
@@ -171,6 +178,7 @@
 }
 
 func (s *State) startAttempt(r *request, u *upstream) {
+	r.noteStart(u, s.now)
 	r.tried[r.attempts] = u
 	r.attempts++
 	r.upstream = u
@@ -248,6 +256,8 @@
 	s.noteHints(r.upstream, e.Facts)
 	r.service.usualFor(r.group.long).respond.Add(s.now.Sub(r.startedAt))
 	r.streaming = true
+	r.noteEnd(class, e.Facts, s.now)
+	s.logAnswer(r, e.Facts)
 	s.beginTransfer(r)
 	s.out.add(PassAnswer{Attempt: e.Attempt, Upstream: r.upstream.config.Name, GaveUp: r.marksGaveUp(e.Facts)})
 }
@@ -263,6 +273,10 @@
 	s.noteHints(u, e.Facts)
 	s.noteResult(r, e.Facts, class)
 	s.release(r, e.Facts)
+	if !e.Whole && !r.gone {
+		r.noteEnd(class, e.Facts, s.now)
+		s.logRequest(r, lineBroken, e.Facts.Cause.String())
+	}
 	s.forget(r)
 	s.drainUpstream(u)
 }
@@ -289,12 +303,14 @@
 	s.noteResult(r, facts, class)
 	s.release(r, facts)
 	r.noteOutcome(facts, class)
+	r.noteEnd(class, facts, s.now)
 	switch {
 	case again != outcome.RetryNone:
 		r.held = held && class == outcome.Answered
 		r.heldUpstream = u.config.Name
 		s.pauseBeforeRetry(r, again)
 	case class == outcome.Answered:
+		s.logAnswer(r, facts)
 		s.passLast(r, u.config.Name, r.marksGaveUp(facts))
 	default:
 		s.refuseRequest(r, outcome.RefusedUnavailable)
@@ -365,6 +381,7 @@
 // not run only when no earlier attempt may have run it.
 func (s *State) refuseRequest(r *request, reason outcome.Refusal) {
 	if r.held {
+		s.logRequest(r, lineError, string(reason))
 		s.passLast(r, r.heldUpstream, true)
 		return
 	}
@@ -372,6 +389,9 @@
 		s.fail(r, r.failure)
 		return
 	}
+	if reason != outcome.RefusedCallerGone {
+		s.logRequest(r, lineRefused, string(reason))
+	}
 	s.forget(r)
 	s.refuse(Refuse{
 		Request: r.id, Reason: reason, Service: r.service.config.Name, GaveUp: r.attempts > 0,
@@ -396,6 +416,9 @@
 }
 
 func (s *State) fail(r *request, reason outcome.Failure) {
+	if !r.gone {
+		s.logRequest(r, lineFailed, string(reason))
+	}
 	s.forget(r)
 	s.count(CounterFailures, string(reason))
 	s.out.add(Fail{Request: r.id, Reason: reason, Service: r.service.config.Name, GaveUp: true})
--- a/core/retry.go
+++ b/core/retry.go
@@ -145,6 +145,7 @@
 	}
 	if class == outcome.Answered {
 		r.noteSize(facts.Bytes)
+		s.noteWork(r, facts)
 	}
 	if u.removed {
 		return
--- a/core/service.go
+++ b/core/service.go
@@ -31,6 +31,8 @@
 	alarm         queue.Item[timer]
 	// sizes are the usual sizes of answers in bytes, by kind of request.
 	sizes [repeatKinds]int64
+	// worked is the usual time that a request runs at the usual speed.
+	worked health.Median
 	// drainDue is set while the service is listed in State.drains.
 	drainDue bool
 }
--- a/core/state.go
+++ b/core/state.go
@@ -25,6 +25,7 @@
 	stop     stopState
 	out      *Effects
 	registry registry
+	lines    requestLines
 	coordination
 	traffic
 }
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -171,6 +171,12 @@
 		"messages",
 		"News of the store between entry hosts: `told`, `taken`, `failed`, or `too_many_neighbours`.",
 	},
+	{
+		string(core.CounterLinesLeftOut), KindCounter,
+		[]string{"kind"},
+		"lines",
+		"Log lines of requests that were left out since there were too many in a second: `refused`, `failed`, `error_answer`, `broken_off` or `late`.",
+	},
 	{
 		string(core.CounterPauses), KindCounter,
 		nil,
