--- a/core/asking.go
+++ b/core/asking.go
@@ -27,6 +27,9 @@
 	questionTime = 400 * time.Millisecond
 	// refusedPause keeps requests from an upstream that could not be asked.
 	refusedPause = 200 * time.Millisecond
+	// goodWorth is the worth of the best upstream known, in thousandths, from
+	// which on no others are asked.
+	goodWorth = 700
 )
 
 // question is the state of asking an upstream for its load.
@@ -41,68 +44,91 @@
 	return u.question.open && now.Sub(u.question.since) >= silentAfter
 }
 
-// ask lets a request wait for the loads of the nearest upstreams, and reports
-// whether it does. Load shifts within milliseconds, and what other hosts send
-// is not known here.
+// ask lets a request wait for the loads of upstreams, and reports whether it
+// does. Load shifts within milliseconds, and what other hosts send is not known
+// here. The nearest upstreams are asked first, those of the next locality when
+// they are not good enough.
 func (s *State) ask(r *request) bool {
-	if r.asked || r.service.config.Probe.Path == "" {
+	if r.service.config.Probe.Path == "" {
 		return false
 	}
-	r.asked = true
-	asked := s.toAsk(r)
-	patience := nearPatience
-	for _, u := range asked {
-		if u.locality == pick.OtherRegion {
-			patience = farPatience
+	for level := r.askedBelow; level <= pick.OtherRegion; level++ {
+		asked, any := s.toAsk(r, level)
+		if !any {
+			continue
+		}
+		r.askedBelow = level + 1
+		if len(asked) == 0 {
+			return false
 		}
+		s.waitForReports(r, asked, level)
+		return true
+	}
+	r.askedBelow = pick.OtherRegion + 1
+	return false
+}
+
+func (s *State) waitForReports(r *request, asked []*upstream, level pick.Locality) {
+	for _, u := range asked {
 		if !u.question.open {
 			s.putQuestion(u)
 		}
 		u.question.waiting = append(u.question.waiting, r)
 	}
 	r.asking = len(asked)
-	if r.asking == 0 {
-		return false
+	patience := nearPatience
+	if level == pick.OtherRegion {
+		patience = farPatience
 	}
 	s.setTimer(&r.alarm, min(s.now.Add(patience), r.deadline))
-	return true
 }
 
-// toAsk returns the upstreams of the nearest locality whose reports are too
-// old, those with the least load first.
-func (s *State) toAsk(r *request) []*upstream {
-	nearest := pick.OtherRegion
-	for _, u := range r.group.eligible {
-		if s.askable(r, u) {
-			nearest = min(nearest, u.locality)
-		}
+// widen reports whether upstreams further away should be asked: the best one
+// known is not good enough, and the bytes from there cost less than is won.
+func (s *State) widen(r *request, chosen *upstream) bool {
+	if r.service.config.Probe.Path == "" || r.askedBelow > pick.OtherRegion {
+		return false
 	}
+	if chosen == nil {
+		return s.inTime(r)
+	}
+	return r.worth < goodWorth && r.worth < fullWorth-s.priceAt(r, r.askedBelow)
+}
+
+// toAsk returns the upstreams of a locality whose reports are too old, those
+// with the least load first, and whether there are any upstreams at all.
+func (s *State) toAsk(r *request, level pick.Locality) (asked []*upstream, any bool) {
 	// Hosts that know as little as each other must not all ask the same ones.
 	n := len(r.group.eligible)
 	first := s.random.below(max(1, n))
 	var found []*upstream
 	for i := range n {
 		u := r.group.eligible[(first+i)%n]
-		if u.locality == nearest && s.askable(r, u) {
+		if u.locality == level && s.askable(r, u) {
 			found = append(found, u)
 		}
 	}
 	slices.SortStableFunc(found, func(a, b *upstream) int {
 		return cmp.Compare(a.occupied(s.now), b.occupied(s.now))
 	})
+	any = len(found) > 0
 	found = found[:min(len(found), maxQuestions)]
 	return slices.DeleteFunc(found, func(u *upstream) bool {
 		return u.told.report.Known && s.now.Sub(u.told.at) < freshReport
-	})
+	}), any
 }
 
 // askForQueue asks again for the loads of the nearest upstreams, since the
 // requests of other hosts end without an event here.
 func (s *State) askForQueue(svc *service) {
 	for _, g := range svc.waitingGroups {
-		for _, u := range s.toAsk(g.waiting.First().Value) {
-			if !u.question.open {
-				s.putQuestion(u)
+		r := g.waiting.First().Value
+		for level := pick.SameDomain; level < r.askedBelow; level++ {
+			asked, _ := s.toAsk(r, level)
+			for _, u := range asked {
+				if !u.question.open {
+					s.putQuestion(u)
+				}
 			}
 		}
 	}
--- a/core/placing.go
+++ b/core/placing.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"time"
 
 	"wisteriapond/config"
@@ -49,6 +50,7 @@
 func (s *State) place(r *request) (chosen *upstream, usable bool) {
 	best, bestWorth := (*upstream)(nil), 0
 	var bestTime time.Duration
+	known := s.anyFresh(r)
 	for _, without := range []exclusions{{tried: true, ejected: true, silent: true}, {}} {
 		for _, u := range r.group.eligible {
 			if u.leaving || without.ejected && u.health.Ejected() || without.tried && r.hasTried(u) {
@@ -58,7 +60,7 @@
 				continue
 			}
 			usable = true
-			if s.now.Before(u.notBefore) || s.full(r, u) {
+			if s.now.Before(u.notBefore) || s.full(r, u) || known && !u.told.fresh(s.now) {
 				continue
 			}
 			took := s.expectedOn(r, u)
@@ -71,10 +73,24 @@
 			break
 		}
 	}
-	r.expected = bestTime
+	r.expected, r.worth = bestTime, bestWorth
 	return best, usable
 }
 
+// anyFresh reports whether the load of any upstream is known. Others then get
+// nothing unasked: what they cannot queue they may never answer.
+func (s *State) anyFresh(r *request) bool {
+	if r.service.config.Probe.Path == "" {
+		return false
+	}
+	for _, u := range r.group.eligible {
+		if u.told.fresh(s.now) && !r.hasTried(u) {
+			return true
+		}
+	}
+	return false
+}
+
 // full reports whether an upstream gets no further request like r from this
 // host now. One request may wait there, so that no slot stays idle until this
 // host hears of it. What cannot be in time takes spare slots only.
@@ -150,8 +166,12 @@
 		svc.worked.Add(firstWork)
 	}
 	slowdown := usualSlowdown
-	if last := &r.steps[len(r.steps)-1]; last.told.Known && last.age < toldLife && last.told.Slowdown > 0 {
-		slowdown = last.told.Slowdown
+	if last := &r.steps[len(r.steps)-1]; last.told.Known && last.age < toldLife {
+		if last.occupied >= last.told.Slots {
+			// It waited for a slot.
+			return
+		}
+		slowdown = cmp.Or(last.told.Slowdown, usualSlowdown)
 	}
 	svc.worked.Add(s.now.Sub(r.startedAt) * usualSlowdown / time.Duration(slowdown))
 }
@@ -176,10 +196,12 @@
 }
 
 // priceOf is the price of the bytes of a request on an upstream.
-func (s *State) priceOf(r *request, u *upstream) int {
+func (s *State) priceOf(r *request, u *upstream) int { return s.priceAt(r, u.locality) }
+
+func (s *State) priceAt(r *request, locality pick.Locality) int {
 	prices := &s.self.Registry.Transfer
 	perMegabyte := 0
-	switch u.locality {
+	switch locality {
 	case pick.OtherRegion:
 		perMegabyte = prices.BetweenDomains + prices.BetweenRegions
 	case pick.SameRegion:
--- a/core/request.go
+++ b/core/request.go
@@ -7,6 +7,7 @@
 	"wisteriapond/config"
 	"wisteriapond/label"
 	"wisteriapond/outcome"
+	"wisteriapond/pick"
 	"wisteriapond/queue"
 )
 
@@ -54,10 +55,12 @@
 	route     *config.Route
 	arrivedAt Instant
 	deadline  Instant
-	// asked is set once the loads of upstreams were asked for the next attempt,
-	// and asking counts the answers that are awaited.
-	asked  bool
-	asking int
+	// askedBelow is the locality below which upstreams were asked for their load
+	// before the next attempt, and asking counts the answers that are awaited.
+	askedBelow pick.Locality
+	asking     int
+	// worth is that of the best upstream when the request was placed last.
+	worth int
 	// sent counts the attempts of which a byte may have reached an upstream.
 	sent      int
 	attempts  int
@@ -150,10 +153,13 @@
 		// The configuration may have changed since the last attempt.
 		r.group = r.service.groupOf(r.labels)
 	}
-	if r.route != nil && s.ask(r) {
+	if r.route != nil && r.askedBelow == pick.SameDomain && s.ask(r) {
 		return
 	}
 	u, usable := s.choose(r)
+	if r.route != nil && usable && s.widen(r, u) && s.ask(r) {
+		return
+	}
 	switch {
 	case !usable:
 		s.refuseRequest(r, outcome.RefusedNoHost)
@@ -182,7 +188,7 @@
 	r.tried[r.attempts] = u
 	r.attempts++
 	r.upstream = u
-	r.asked = false
+	r.askedBelow = pick.SameDomain
 	r.startedAt = s.now
 	r.held = false
 	r.rate = s.firstRate(u)
--- a/core/trail.go
+++ b/core/trail.go
@@ -28,6 +28,7 @@
 	told     outcome.LoadReport
 	age      time.Duration
 	running  int
+	occupied int
 	expected time.Duration
 	ended    Instant
 	class    outcome.Class
@@ -38,7 +39,7 @@
 
 // noteStart remembers what decided an attempt.
 func (r *request) noteStart(u *upstream, now Instant) {
-	s := step{upstream: u.config.Name, begun: now, told: u.told.report, age: now.Sub(u.told.at), running: u.running}
+	s := step{upstream: u.config.Name, begun: now, told: u.told.report, age: now.Sub(u.told.at), running: u.running, occupied: u.occupied(now)}
 	from := r.arrivedAt
 	if n := len(r.steps); n > 0 {
 		from = r.steps[n-1].ended
