--- a/core/placing.go
+++ b/core/placing.go
@@ -51,6 +51,7 @@
 	best, bestWorth := (*upstream)(nil), 0
 	var bestTime time.Duration
 	known := s.anyFresh(r)
+	inTime, left := s.inTime(r), r.goalAt().Sub(s.now)
 	for _, without := range []exclusions{{tried: true, ejected: true, silent: true}, {}} {
 		for _, u := range r.group.eligible {
 			if u.leaving || without.ejected && u.health.Ejected() || without.tried && r.hasTried(u) {
@@ -64,6 +65,10 @@
 				continue
 			}
 			took := s.expectedOn(r, u)
+			if inTime && took > left {
+				// Waiting for a slot that is in time is worth more.
+				continue
+			}
 			worth := s.worthOf(r, took) - s.priceOf(r, u)
 			if best == nil || worth > bestWorth || worth == bestWorth && took < bestTime {
 				best, bestWorth, bestTime = u, worth, took
