core: no bytes dearer than a late answer; limits, reload, news specs

An upstream beyond the cheapest price is left out when its worth less that price is below that of a late answer nearby. The reducer also takes changed settings (SIGHUP, or a changed file within 5 s), callers are held to the limits of the configuration, and a probe that another instance answers counts as failed. Late drops are told before held questions run out, which a new spec found.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -15,6 +15,8 @@
 	// Instance names the instance that a request is meant for. Any other one
 	// answers with status 421 and does not run the request.
 	Instance string
+	// AnsweredBy names the instance that answered a probe.
+	AnsweredBy string
 	// Load carries the load of a backend server, which ParseLoad reads.
 	Load      string
 	ParseLoad func(value []byte) outcome.LoadReport
--- a/backend/errors.go
+++ b/backend/errors.go
@@ -69,8 +69,10 @@
 	errConsumed = errors.New("the request body was already read")
 	errUpgrade  = errors.New("the backend server switched protocols")
 	errInternal = errors.New("a fault of this process")
-	errStray    = errors.New("the answer belongs to another request")
-	errUnnamed  = errors.New("the answer does not name its request")
+	// errOtherInstance says that the address belongs to another instance now.
+	errOtherInstance = errors.New("another instance answered")
+	errStray         = errors.New("the answer belongs to another request")
+	errUnnamed       = errors.New("the answer does not name its request")
 )
 
 // causeOf turns an error into the cause that the reducer knows. The order
--- a/backend/probe.go
+++ b/backend/probe.go
@@ -106,6 +106,9 @@
 		return false, headError(err)
 	}
 	readFacts(&response.Header, d, &core.StartAttempt{}, facts)
+	if by := response.Header.Peek(d.AnsweredBy); d.AnsweredBy != "" && command.Instance != "" && string(by) != command.Instance {
+		return false, errOtherInstance
+	}
 	return !response.ConnectionClose(), nil
 }
 
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -21,6 +21,8 @@
 // listener wraps the connections that it accepts.
 type listener struct {
 	net.Listener
+	// idleLimit is the time for which a connection may stay idle.
+	idleLimit func() time.Duration
 }
 
 func (l listener) Accept() (net.Conn, error) {
@@ -28,7 +30,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(c), nil
+	wrapped := newConn(c)
+	wrapped.idleLimit = l.idleLimit
+	return wrapped, nil
 }
 
 // conn notices when the caller hangs up while its request is under way: one
@@ -51,6 +55,8 @@
 
 	linger bool
 	abort  bool
+	// idleLimit is nil for a connection without one.
+	idleLimit func() time.Duration
 }
 
 func newConn(c net.Conn) *conn {
@@ -85,6 +91,18 @@
 	return c.Conn.Read(p)
 }
 
+// SetReadDeadline sets the deadline that fasthttp asks for. The one for an idle
+// connection, which is further off than any other, is cut to the limit of the
+// configuration in force.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if c.idleLimit != nil && time.Until(t) > headTimeout {
+		if limited := time.Now().Add(c.idleLimit()); limited.Before(t) {
+			t = limited
+		}
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Write gives the caller time to take the bytes.
 func (c *conn) Write(p []byte) (int, error) {
 	if err := c.SetWriteDeadline(time.Now().Add(writeStall)); err != nil {
--- a/caller/request.go
+++ b/caller/request.go
@@ -105,15 +105,16 @@
 	return nil
 }
 
-// prepare fills in the request as it goes to backend servers.
-func prepare(r *backend.Request, ctx *fasthttp.RequestCtx, c *conn) error {
+// prepare fills in the request as it goes to backend servers. A body of more
+// bytes than the limit is refused; 0 means no limit.
+func prepare(r *backend.Request, ctx *fasthttp.RequestCtx, c *conn, limit int64) error {
 	h := &r.Header
 	backend.CopyRequest(h, &ctx.Request.Header)
 	if target := h.RequestURI(); len(target) > 0 && target[0] != '/' && target[0] != '*' {
 		h.SetRequestURIBytes(ctx.URI().RequestURI())
 	}
 	forwardedFor(h, c.remoteIP)
-	return readBody(r, ctx, c)
+	return readBody(r, ctx, c, limit)
 }
 
 // forwardedFor appends the caller's address.
@@ -126,7 +127,7 @@
 
 // readBody holds a short body whole, so that it can be sent again. A longer
 // one is left in the connection.
-func readBody(r *backend.Request, ctx *fasthttp.RequestCtx, c *conn) error {
+func readBody(r *backend.Request, ctx *fasthttp.RequestCtx, c *conn, limit int64) error {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
 		if h := &ctx.Request.Header; !h.IsGet() && !h.IsHead() {
@@ -135,6 +136,9 @@
 		return nil
 	}
 	length := int64(ctx.Request.Header.ContentLength())
+	if limit > 0 && length < 0 {
+		stream = &limitedBody{Reader: stream, left: limit}
+	}
 	if length > keptBodyBytes {
 		return streamBody(r, c, stream, length)
 	}
--- a/caller/server.go
+++ b/caller/server.go
@@ -64,7 +64,15 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(listener{l})
+	return s.http.Serve(listener{l, s.idleLimit})
+}
+
+// idleLimit is the time for which a connection may stay idle.
+func (s *Server) idleLimit() time.Duration {
+	if limit := s.loop.View().Limits.IdleTimeout; limit > 0 {
+		return min(limit, idleTimeout)
+	}
+	return idleTimeout
 }
 
 // Shutdown closes the listener and idle connections, and waits until every
@@ -93,13 +101,18 @@
 	x := &call{server: s, ctx: ctx, conn: c, begun: s.loop.Now()}
 	defer x.end()
 	defer x.recover()
-	arrival, err := readArrival(&ctx.Request.Header, ctx.Path(), &s.pool.Dialect, s.loop.View().HeaderNames)
+	view := s.loop.View()
+	if status := exceeded(&ctx.Request.Header, &view.Limits); status != 0 {
+		s.refuseTooLarge(ctx, status)
+		return
+	}
+	arrival, err := readArrival(&ctx.Request.Header, ctx.Path(), &s.pool.Dialect, view.HeaderNames)
 	if err != nil {
 		s.refuseMalformed(ctx, err)
 		return
 	}
 	x.request = requests.Get().(*backend.Request)
-	if err := prepare(x.request, ctx, c); err != nil {
+	if err := prepare(x.request, ctx, c, view.Limits.BodyBytes); err != nil {
 		s.refuseMalformed(ctx, err)
 		return
 	}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -19,7 +19,9 @@
 func (*serveCommand) Help() string {
 	return `SIGTERM or an interrupt starts a planned stop: the host says that it is not
 ready, goes on accepting for the time accept_for, lets every request in flight
-end, and exits. SIGHUP looks at the key files at once.
+end, and exits. SIGHUP looks at the key files at once. With a store, it also
+takes over seeds, retry limits and prices from the settings file; settings that
+are refused change nothing. Log lines go to standard output.
 
 Example:
   wisteriapond serve --settings examples/boisclair/settings.json`
@@ -38,7 +40,11 @@
 		return err
 	}
 	context.AfterFunc(ctx, host.Stop)
-	defer onHangup(host.ReloadKeys)()
+	host.FollowSettings(c.Settings)
+	defer onHangup(func() {
+		host.ReloadKeys()
+		host.Reload()
+	})()
 	return host.Run(context.WithoutCancel(ctx))
 }
 
--- a/core/asking.go
+++ b/core/asking.go
@@ -151,6 +151,7 @@
 		StartBefore: s.now.Add(startExpiry),
 		Probe:       probe,
 		Connections: s.connectionShare(u),
+		Instance:    u.config.Instance,
 		Reuse:       true,
 	})
 }
--- a/core/effect.go
+++ b/core/effect.go
@@ -135,6 +135,9 @@
 	// Connections is the largest number of connections that this host may have
 	// to the address; 0 means no limit.
 	Connections int
+	// Instance names the run of the backend server that is meant; empty when
+	// any may answer.
+	Instance string
 	// Reuse says that a kept connection may carry the probe, and is kept after
 	// it.
 	Reuse bool
--- a/core/event.go
+++ b/core/event.go
@@ -53,6 +53,11 @@
 // StopRequested asks for a planned stop.
 type StopRequested struct{}
 
+// SettingsChanged reports changed settings of a host that reads a store.
+type SettingsChanged struct {
+	Registry *RegistrySettings
+}
+
 // RequestArrived reports a request from a caller.
 type RequestArrived struct {
 	ID RequestID
@@ -175,6 +180,7 @@
 	ID uint64
 }
 
+func (SettingsChanged) event() {}
 func (StoreListed) event()     {}
 func (StoreChanged) event()    {}
 func (StoreFailed) event()     {}
--- /dev/null
+++ b/core/news_test.go
@@ -0,0 +1,216 @@
+package core
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// talking returns a host of mtl-a that talks to others.
+func talking(host string, capacity int) *storeBench {
+	b := &storeBench{bench: &bench{state: New()}}
+	registry := registrySettings()
+	registry.Address, registry.Capacity = host+":1", capacity
+	registry.Seeds = []string{"seed:1", host + ":1"}
+	b.step(Start{Host: host, Region: "mtl", FailureDomain: "mtl-a", Seed: 1, Registry: registry})
+	return b
+}
+
+func neighbourNamed(host string, capacity int) Neighbour {
+	return Neighbour{Host: host, Address: host + ":1", FailureDomain: "mtl-a", Capacity: capacity}
+}
+
+// told reports the answer of a seed that names neighbours.
+func (b *storeBench) told(names ...Neighbour) []Effect {
+	return b.step(NewsAnswered{Address: "seed:1", Answer: NewsAnswer{Neighbours: names}})
+}
+
+// answerOf carries the answer of one host to a question of another.
+func answerOf(from *storeBench, ask NewsAsk) NewsAnswer {
+	return first[AnswerNews](from.step(NewsAsked{ID: 1, Ask: ask})).Answer
+}
+
+var _ = ginkgo.Describe("hosts that share the news of a store", func() {
+	// Guards against calls to the store that grow with the number of hosts, and
+	// against a failure domain in which nobody reads it.
+	ginkgo.DescribeTable("agree on the reader", func(other Neighbour, reads bool) {
+		b := talking("entry-2", 5)
+		Expect(first[AskNews](b.told(other)).Address == other.Address).To(Equal(!reads))
+		b.list(routing(1), entry("a", "read", "mtl-a"))
+		Expect(count[WatchStore](b.after(watchPause)) == 1).To(Equal(reads))
+	},
+		ginkgo.Entry("one with a higher capacity", neighbourNamed("entry-3", 6), false),
+		ginkgo.Entry("one with a lower capacity", neighbourNamed("entry-1", 4), true),
+		ginkgo.Entry("an equal one with an earlier name", neighbourNamed("entry-1", 5), false),
+		ginkgo.Entry("one of another failure domain", Neighbour{Host: "entry-1", Address: "entry-1:1", FailureDomain: "qc-a", Capacity: 9}, true),
+	)
+
+	// Guards against changes that only the reader learns of.
+	ginkgo.It("tells what changed, at once", func() {
+		reader, member := talking("entry-1", 5), talking("entry-2", 5)
+		reader.list(routing(1), entry("a", "read", "mtl-a"), entry("b", "read", "mtl-a"))
+		ask := first[AskNews](member.told(neighbourNamed("entry-1", 5))).Ask
+		answer := answerOf(reader, ask)
+		Expect(answer.Whole).To(BeTrue())
+		next := first[AskNews](member.step(NewsAnswered{Address: "entry-1:1", Answer: answer}))
+		Expect(member.upstreams("read")).To(Equal([]string{"a", "b"}))
+		Expect(member.state.ready).To(BeTrue())
+		if next.Address == "" {
+			next = first[AskNews](member.after(newsPause))
+		}
+		Expect(count[AnswerNews](reader.step(NewsAsked{ID: 2, Ask: next.Ask}))).To(BeZero())
+		leaving := entry("a", "read", "mtl-a")
+		leaving.Leaving = true
+		told := first[AnswerNews](reader.change(ServerChange{ID: "a", Server: &leaving}, gone("b")))
+		Expect(told.ID).To(Equal(uint64(2)))
+		Expect(told.Answer.Servers).To(HaveLen(2))
+		member.step(NewsAnswered{Address: "entry-1:1", Answer: told.Answer})
+		Expect(member.upstreams("read")).To(BeEmpty())
+	})
+
+	// Guards against a host that is ready late after a restart.
+	ginkgo.It("tells a host that starts, and lets it read the store meanwhile", func() {
+		b := talking("entry-2", 5)
+		Expect(b.state.registry.calling).To(BeTrue())
+		b.told(neighbourNamed("entry-1", 5))
+		reader := talking("entry-1", 5)
+		reader.list(routing(3), entry("a", "read", "mtl-a"))
+		b.step(NewsAnswered{Address: "entry-1:1", Answer: answerOf(reader, NewsAsk{})})
+		Expect(b.state.ready).To(BeTrue())
+		b.step(StoreFailed{Reason: "refused"})
+		Expect(b.upstreams("read")).To(Equal([]string{"a"}))
+	})
+
+	// Guards against a change that is late since the reader is dead, cut off
+	// from the store, or silent.
+	ginkgo.DescribeTable("do not rely on a reader whose news are old", func(end func(b *storeBench)) {
+		b := talking("entry-2", 5)
+		b.list(routing(1), entry("a", "read", "mtl-a"))
+		b.told(neighbourNamed("entry-1", 5))
+		end(b)
+		const bound = 2 * time.Second
+		calls := 0
+		for b.now < Instant(bound-100*time.Millisecond) && calls == 0 {
+			calls += count[WatchStore](b.after(20 * time.Millisecond))
+		}
+		Expect(calls).To(Equal(1))
+	},
+		ginkgo.Entry("when it does not answer", func(*storeBench) {}),
+		ginkgo.Entry("when it refuses", func(b *storeBench) {
+			b.step(NewsAnswered{Address: "entry-1:1", Failed: true, Reason: "refused"})
+		}),
+		ginkgo.Entry("when it cannot read the store itself", func(b *storeBench) {
+			b.step(NewsAnswered{Address: "entry-1:1", Answer: NewsAnswer{Known: true, Revision: b.revision, Age: time.Minute}})
+		}),
+	)
+
+	// Guards against older news that undo newer ones.
+	ginkgo.It("take no news that are behind their own", func() {
+		b := talking("entry-2", 5)
+		b.list(routing(2), entry("a", "read", "mtl-a"))
+		b.change(ServerChange{ID: "b", Server: new(entry("b", "read", "mtl-a"))})
+		b.told(neighbourNamed("entry-1", 5))
+		b.step(NewsAnswered{Address: "entry-1:1", Answer: NewsAnswer{Known: true, Whole: true, Revision: 1}})
+		Expect(b.upstreams("read")).To(Equal([]string{"a", "b"}))
+	})
+
+	// Guards against a server that a reader dropped without a change of the
+	// store and that others keep.
+	ginkgo.It("tell of entries that did not come back", func() {
+		reader := talking("entry-1", 5)
+		servers := []Server{entry("a", "read", "mtl-a"), entry("b", "read", "mtl-a"), entry("c", "read", "mtl-a")}
+		reader.list(routing(1), servers...)
+		reader.after(watchPause)
+		reader.step(StoreFailed{Reason: "reset"})
+		reader.after(lastStorePause)
+		reader.list(routing(1), servers[2])
+		Expect(reader.upstreams("read")).To(HaveLen(3))
+		reader.step(NewsAsked{ID: 7, Ask: NewsAsk{From: neighbourNamed("entry-2", 5), After: reader.revision, Routing: 1, Wait: newsWait}})
+		told := first[AnswerNews](reader.after(lapseGrace))
+		Expect(told.ID).To(Equal(uint64(7)))
+		Expect(told.Answer.Servers).To(ConsistOf(gone("a"), gone("b")))
+	})
+
+	// Guards against memory that grows with what others ask.
+	ginkgo.It("bound what others make them remember", func() {
+		b := talking("entry-1", 5)
+		b.list(routing(1), entry("a", "read", "mtl-a"))
+		for i := range 2 * maxHeldNews {
+			b.step(NewsAsked{ID: uint64(i), Ask: NewsAsk{After: b.revision, Routing: 1, Wait: time.Hour}})
+		}
+		Expect(len(b.state.registry.news.held)).To(BeNumerically("<=", maxHeldNews))
+		Expect(count[AnswerNews](b.after(newsWait))).To(Equal(maxHeldNews))
+		for i := range 2 * maxNeighbours {
+			b.step(NewsAsked{Ask: NewsAsk{From: neighbourNamed(string(rune(0x4e00+i)), 1), NamesOnly: true}})
+		}
+		Expect(len(b.state.registry.news.neighbours)).To(Equal(maxNeighbours))
+	})
+
+	// Guards against settings that change and never reach the process.
+	ginkgo.It("take over changed seeds", func() {
+		b := talking("entry-1", 5)
+		changed := registrySettings()
+		changed.Seeds = []string{"other:1"}
+		b.step(SettingsChanged{Registry: changed})
+		Expect(first[AskNews](b.after(time.Millisecond)).Address).To(Equal("other:1"))
+		Expect(b.state.self.Registry.Address).To(Equal("entry-1:1"))
+	})
+})
+
+var _ = ginkgo.Describe("the log line of a request", func() {
+	line := func(effects []Effect) map[string]string {
+		for _, effect := range effects {
+			if l, ok := effect.(Log); ok {
+				fields := map[string]string{"message": l.Message}
+				for _, f := range l.Fields {
+					fields[f.Key] = f.Value
+				}
+				if fields["request"] != "" {
+					return fields
+				}
+			}
+		}
+		return nil
+	}
+
+	// Guards against a failed request whose cause no line shows.
+	ginkgo.It("tells what decided a request that does not go well", func() {
+		b := started(entry("a", "read", "mtl-a"), entry("d", "write", "mtl-a"))
+		b.lastID++
+		arrival := RequestArrived{ID: b.lastID, Name: "order-7", BodyKept: true}
+		arrival.Request.Method, arrival.Request.Host, arrival.Request.Path = "POST", "h", "/order/x"
+		order := first[StartAttempt](b.step(arrival))
+		b.now = b.now.Add(40 * time.Millisecond)
+		failed := line(b.finish(order, reset))
+		Expect(failed).To(HaveKeyWithValue("request", "order-7"))
+		Expect(failed).To(HaveKeyWithValue("outcome", "failed"))
+		Expect(failed).To(HaveKeyWithValue("reason", "reset"))
+		Expect(failed["attempts"]).To(ContainSubstring("d at 0.0ms"))
+		Expect(failed["attempts"]).To(ContainSubstring("unknown (reset) after 40.0ms"))
+		lookup := first[StartAttempt](b.arrive("/lookup/x"))
+		Expect(line(b.finish(lookup, ok))).To(BeNil())
+		lookup = first[StartAttempt](b.arrive("/lookup/x"))
+		b.now = b.now.Add(400 * time.Millisecond)
+		Expect(line(b.finish(lookup, ok))).To(HaveKeyWithValue("outcome", "late"))
+	})
+
+	// Guards against logging that adds to an overload.
+	ginkgo.It("is bounded in a second, and counted beyond", func() {
+		b := started()
+		lines, left := 0, 0
+		for range 3 * badLinesPerSecond {
+			effects := b.arrive("/lookup/x")
+			if line(effects) != nil {
+				lines++
+			}
+			for _, effect := range effects {
+				if c, ok := effect.(Count); ok && c.Counter == CounterLinesLeftOut {
+					left++
+				}
+			}
+		}
+		Expect(lines).To(Equal(badLinesPerSecond))
+		Expect(left).To(Equal(2 * badLinesPerSecond))
+	})
+})
--- a/core/placing.go
+++ b/core/placing.go
@@ -48,38 +48,62 @@
 // place returns the upstream on which a routed request is worth most: the
 // chance of an answer within its goal, less the price of its bytes.
 func (s *State) place(r *request) (chosen *upstream, usable bool) {
-	best, bestWorth := (*upstream)(nil), 0
-	var bestTime time.Duration
+	for _, without := range []exclusions{{tried: true, ejected: true, silent: true}, {}} {
+		cheapest, any := s.cheapest(r, without)
+		if any {
+			return s.mostWorth(r, without, cheapest), true
+		}
+	}
+	return nil, false
+}
+
+// excluded reports whether a decision leaves an upstream out.
+func (s *State) excluded(r *request, u *upstream, without exclusions) bool {
+	return u.leaving || without.ejected && u.health.Ejected() || without.tried && r.hasTried(u) ||
+		without.silent && u.silent(s.now)
+}
+
+// cheapest returns the lowest price of the bytes of a request, and whether any
+// upstream may take it.
+func (s *State) cheapest(r *request, without exclusions) (price int, any bool) {
+	for _, u := range r.group.eligible {
+		if s.excluded(r, u, without) {
+			continue
+		}
+		if at := s.priceOf(r, u); !any || at < price {
+			price = at
+		}
+		any = true
+	}
+	return price, any
+}
+
+// mostWorth returns the best upstream that can take a request now, or nil when
+// waiting for another one is better.
+func (s *State) mostWorth(r *request, without exclusions, cheapest int) *upstream {
+	var best *upstream
+	r.expected, r.worth = 0, 0
 	known := s.anyFresh(r)
 	inTime, left := s.inTime(r), r.goalAt().Sub(s.now)
-	for _, without := range []exclusions{{tried: true, ejected: true, silent: true}, {}} {
-		for _, u := range r.group.eligible {
-			if u.leaving || without.ejected && u.health.Ejected() || without.tried && r.hasTried(u) {
-				continue
-			}
-			if without.silent && u.silent(s.now) {
-				continue
-			}
-			usable = true
-			if s.now.Before(u.notBefore) || s.full(r, u) || known && !u.told.fresh(s.now) {
-				continue
-			}
-			took := s.expectedOn(r, u)
-			if inTime && took > left {
-				// Waiting for a slot that is in time is worth more.
-				continue
-			}
-			worth := s.worthOf(r, took) - s.priceOf(r, u)
-			if best == nil || worth > bestWorth || worth == bestWorth && took < bestTime {
-				best, bestWorth, bestTime = u, worth, took
-			}
+	for _, u := range r.group.eligible {
+		if s.excluded(r, u, without) || s.now.Before(u.notBefore) || s.full(r, u) || known && !u.told.fresh(s.now) {
+			continue
+		}
+		took, price := s.expectedOn(r, u), s.priceOf(r, u)
+		if inTime && took > left {
+			// Waiting for a slot that is in time is worth more.
+			continue
+		}
+		worth := s.worthOf(r, took) - price
+		if price > cheapest && worth < lateWorth-cheapest {
+			// A late answer from nearby is worth more.
+			continue
 		}
-		if usable {
-			break
+		if best == nil || worth > r.worth || worth == r.worth && took < r.expected {
+			best, r.worth, r.expected = u, worth, took
 		}
 	}
-	r.expected, r.worth = bestTime, bestWorth
-	return best, usable
+	return best
 }
 
 // anyFresh reports whether the load of any upstream is known. Others then get
--- a/core/state.go
+++ b/core/state.go
@@ -51,6 +51,8 @@
 	switch e := event.(type) {
 	case Start:
 		s.start(e)
+	case SettingsChanged:
+		s.settingsChanged(e)
 	case StoreListed:
 		s.storeListed(e)
 	case StoreChanged:
--- a/core/store.go
+++ b/core/store.go
@@ -150,6 +150,21 @@
 	s.tickRegistry()
 }
 
+// settingsChanged takes over what may change while the process runs. The
+// address of this host stays the one that others know.
+func (s *State) settingsChanged(e SettingsChanged) {
+	if e.Registry == nil || s.self.Registry == nil {
+		return
+	}
+	next := *e.Registry
+	next.Address = s.self.Registry.Address
+	s.self.Registry = &next
+	s.registry.news.nextSeeds = s.now
+	s.out.add(Log{Message: "settings reloaded", Fields: []LogField{
+		{Key: "seeds", Value: strconv.Itoa(len(next.Seeds))},
+	}})
+}
+
 // driveStore makes the next call to the store when it is due. There is one call
 // at a time: a watch is only of use after everything was listed.
 func (s *State) driveStore() {
@@ -170,9 +185,9 @@
 }
 
 func (s *State) tickRegistry() {
+	s.dropLapsed()
 	s.tickNews()
 	s.driveStore()
-	s.dropLapsed()
 }
 
 // dropLapsed removes servers whose entries did not come back.
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -67,6 +67,10 @@
 	probes    *workers
 	later     chan core.Event
 
+	// settingsFile is empty for a host whose settings do not change.
+	settingsFile string
+	reload       chan struct{}
+
 	// finishing ends the connections of callers once.
 	finishing sync.Once
 
@@ -87,6 +91,7 @@
 		metrics:  metrics.New(),
 		platform: configservice.NewClient(s.Platform),
 		hangup:   make(chan struct{}, 1),
+		reload:   make(chan struct{}, 1),
 		gate:     newGate(),
 		reads:    newWorkers(platformWorkers, maxReads),
 		parses:   newWorkers(parseWorkers, maxParses),
@@ -188,6 +193,7 @@
 	h.parses.start(h.ctx, run)
 	h.probes.start(h.ctx, run)
 	run(h.reportEvents)
+	run(h.followSettings)
 }
 
 // startEvent tells the reducer who this host is. The incarnation comes from
@@ -204,7 +210,7 @@
 		AcceptFor:     time.Duration(h.settings.AcceptFor),
 		StopTimeout:   time.Duration(h.settings.StopTimeout),
 		HoldBytes:     int64(h.settings.HoldAnswers),
-		Registry:      h.registrySettings(),
+		Registry:      h.registrySettings(&h.settings.Store),
 	}
 	if h.peers != nil {
 		start.Address = h.PeerAddress()
--- a/entryhost/store.go
+++ b/entryhost/store.go
@@ -8,6 +8,7 @@
 	"wisteriapond/core"
 	"wisteriapond/metrics"
 	"wisteriapond/platform"
+	"wisteriapond/settings"
 )
 
 // Kinds of calls to the store, as metrics name them.
@@ -21,11 +22,10 @@
 
 // registrySettings returns what the reducer needs beside the store, nil for a
 // host that reads none.
-func (h *Host) registrySettings() *core.RegistrySettings {
+func (h *Host) registrySettings(s *settings.Store) *core.RegistrySettings {
 	if h.store == nil {
 		return nil
 	}
-	s := &h.settings.Store
 	registry := &core.RegistrySettings{
 		NotRun:       platform.NotRun(),
 		RetryPercent: s.RetryPercent,
--- a/eventlog/registry.go
+++ b/eventlog/registry.go
@@ -40,6 +40,7 @@
 	{21, core.StoreFailed{}},
 	{22, core.NewsAsked{}},
 	{23, core.NewsAnswered{}},
+	{24, core.SettingsChanged{}},
 }
 
 // entry is a registered event type.
