core: place requests on free slots only

Ruled out: waits at the entry hosts (half of the late ones waited less than 25 ms).

A request starts where a slot is free and waits at the entry host otherwise. The spec of refusals starts two requests on two slots instead of three.

--- a/core/placing.go
+++ b/core/placing.go
@@ -121,10 +121,10 @@
 }
 
 // full reports whether an upstream gets no further request like r from this
-// host now. One request may wait there, so that no slot stays idle until this
-// host hears of it. What cannot be in time takes spare slots only.
+// host now. Requests wait here, where they can still go to the upstream that is
+// free first. What cannot be in time takes spare slots only.
 func (s *State) full(r *request, u *upstream) bool {
-	limit := u.config.Slots + 1
+	limit := u.config.Slots
 	if !s.inTime(r) {
 		limit = u.config.Slots - 1
 	}
