--- a/core/store_test.go
+++ b/core/store_test.go
@@ -462,7 +462,9 @@
 				Expect(name).To(Equal([]string{"b"}))
 				effects = answer(b, "b", report(100))
 			}
-			Expect(first[StartAttempt](effects).Upstream).To(Equal("b"))
+			started := first[StartAttempt](effects)
+			Expect(started.Upstream).To(Equal("b"))
+			b.finish(started, ok)
 		}
 	})
 
