--- a/cli/cli.go
+++ b/cli/cli.go
@@ -30,6 +30,7 @@
 	Demo    demoCommand    `cmd:"" help:"Run everything on loopback in one process."`
 	Load    loadCommand    `cmd:"" help:"Send a bounded load and show latencies."`
 	Keys    keysCommand    `cmd:"" help:"Make and show the keys of entry hosts."`
+	Trace   traceCommand   `cmd:"" help:"Gather the log lines of one request from several hosts."`
 	Replay  replayCommand  `cmd:"" help:"Print the effects of recorded events as JSON lines."`
 	Version versionCommand `cmd:"" help:"Print the version."`
 
