--- a/core/doc.go
+++ b/core/doc.go
@@ -6,4 +6,34 @@
 // The package is pure: it reads no clock, holds no lock, starts no goroutine
 // and does no I/O. Time comes with each event. The same events give the same
 // effects on any machine, which is what makes a recorded log replayable.
+//
+// Where the rules stand:
+//
+//	state.go, event.go, effect.go    the reducer, its inputs and results
+//	message.go                       messages between entry hosts
+//	request.go                       the life of a request, at most one run
+//	retry.go                         what follows an attempt, retry budgets
+//	queueing.go, group.go            waiting for a slot, refusals in time
+//	service.go, traffic.go           services, upstreams, timers
+//	trail.go                         log lines of requests
+//	transfer.go                      pacing of long answers between regions
+//	stop.go, pauses.go, startup.go   planned stop, paused process, readiness
+//	status.go, explain.go            reports for operators
+//
+// With a store that is read only:
+//
+//	store.go                         when it is called, what is believed
+//	news.go                          which host reads it for the others
+//	routing.go                       routes and splits
+//	asking.go, told.go               loads that upstreams tell
+//	placing.go                       time against bytes
+//
+// With a configuration service and a host list:
+//
+//	configuration.go, documents.go   versions, parts, what peers have
+//	hosts.go                         leaving marks
+//	coordination.go, peers.go        members, messages to peers
+//	leases.go, view.go               slot leases and their owners
+//	picking.go                       choice among free slots
+//	probes.go                        the measuring budget
 package core
--- /dev/null
+++ b/soak/host_test.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// asProgram makes the test binary run the program.
+const asProgram = "WISTERIAPOND_AS_PROGRAM"
+
+// host is one entry host as a process, which is started again when it ends.
+type host struct {
+	name     string
+	address  string
+	admin    string
+	settings string
+	store    *proxy
+	log      *os.File
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	stopped bool
+}
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// newHost writes the settings of a host and starts it. Its store is a proxy.
+func newHost(directory, name string, store *proxy, relay string, seeds string) (*host, error) {
+	h := &host{name: name, store: store, settings: filepath.Join(directory, name+".json")}
+	var err error
+	if h.address, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	if h.admin, err = freeAddress(); err != nil {
+		return nil, err
+	}
+	raw := fmt.Appendf(nil, `{
+		"host": %q, "region": "mtl", "failure_domain": "mtl-a", "listen": %q, "admin": %q, "accept_for": "300ms", "stop_timeout": "5s",
+		"store": {"address": %q, "domains": [{"name": "mtl-a", "region": "mtl"}], "listen": %q, "seeds": [%s]},
+	}`, name, h.address, h.admin, store.address(), relay, seeds)
+	if err := os.WriteFile(h.settings, raw, 0o600); err != nil {
+		return nil, err
+	}
+	if h.log, err = os.Create(filepath.Join(directory, name+".log")); err != nil {
+		return nil, err
+	}
+	return h, h.start()
+}
+
+func (h *host) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.stopped {
+		return nil
+	}
+	command := exec.Command(os.Args[0], "serve", "--settings", h.settings)
+	command.Env = append(os.Environ(), asProgram+"=1")
+	command.Stdout, command.Stderr = h.log, h.log
+	if err := command.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	h.process, h.ended = command, ended
+	go func() {
+		command.Wait()
+		close(ended)
+		time.Sleep(50 * time.Millisecond)
+		h.start()
+	}()
+	return nil
+}
+
+// signal sends a signal to the process and returns what is closed at its end.
+func (h *host) signal(s syscall.Signal) <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.process.Process.Signal(s)
+	return h.ended
+}
+
+func (h *host) ready() bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + h.admin + "/readyz")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// close ends the process for good.
+func (h *host) close() {
+	h.mu.Lock()
+	h.stopped = true
+	process, ended := h.process, h.ended
+	h.mu.Unlock()
+	process.Process.Signal(syscall.SIGCONT)
+	process.Process.Kill()
+	<-ended
+	h.store.close()
+	h.log.Close()
+}
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// fault is what a proxy does to the bytes that pass.
+type fault int
+
+const (
+	passes fault = iota
+	// delays holds each piece up, as a slow link does.
+	delays
+	// silent takes bytes and passes none, in either direction.
+	silent
+	// oneWay passes requests and no answers.
+	oneWay
+	// refuses resets every connection.
+	refuses
+	faults
+)
+
+const pieceDelay = 30 * time.Millisecond
+
+// proxy is a loopback TCP proxy that injects faults.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	fault fault
+	conns map[net.Conn]bool
+}
+
+func newProxy(target string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set changes the fault. Refusing ends the open connections as well.
+func (p *proxy) set(f fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+	if f == refuses {
+		p.closeAll()
+	}
+}
+
+func (p *proxy) close() {
+	p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeAll()
+}
+
+func (p *proxy) closeAll() {
+	for c := range p.conns {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+}
+
+func (p *proxy) current() fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fault
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.current() == refuses {
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			continue
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *proxy) serve(from net.Conn) {
+	to, err := net.Dial("tcp", p.target)
+	if err != nil {
+		from.Close()
+		return
+	}
+	p.mu.Lock()
+	p.conns[from], p.conns[to] = true, true
+	p.mu.Unlock()
+	var ends sync.WaitGroup
+	ends.Go(func() { p.copy(to, from, false) })
+	ends.Go(func() { p.copy(from, to, true) })
+	ends.Wait()
+	p.mu.Lock()
+	delete(p.conns, from)
+	delete(p.conns, to)
+	p.mu.Unlock()
+}
+
+// copy passes bytes on. answers says in which direction.
+func (p *proxy) copy(to, from net.Conn, answers bool) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		switch f := p.current(); {
+		case f == silent, f == oneWay && answers:
+			n = 0
+		case f == delays:
+			time.Sleep(pieceDelay)
+		}
+		if n > 0 {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
