core: the readers of the failure domains ask the first of them

Ruled out: longer waits, since a change must be in force within two seconds whatever happens.

Readers ask the first of all entry hosts, which alone reads the store; everyone still reads for itself once its news are 1.6 s old.

--- a/core/news.go
+++ b/core/news.go
@@ -10,9 +10,9 @@
 )
 
 // News is what the store says, told from one entry host to another. Calls to
-// the store have a price and a limit, so that of the entry hosts of a failure
-// domain one reads it, the reader, and the others ask the reader. A host whose
-// news grow old reads for itself.
+// the store have a price and a limit, so that the entry hosts of a failure
+// domain ask one of them, the reader, and the readers ask the first of them,
+// which reads the store. A host whose news grow old reads for itself.
 
 const (
 	// newsWait is the time for which a neighbour holds a question that it has no
@@ -200,23 +200,31 @@
 	}
 }
 
-// reader returns the neighbour that reads the store, or nil when it is this
-// host itself.
+// reader returns the entry host that this one asks, or nil when it reads the
+// store itself. Within the failure domain that is the reader; readers ask the
+// first of all entry hosts.
 func (s *State) reader() *neighbour {
+	self := s.selfNeighbour()
+	if first := s.firstOf(func(n *neighbour) bool { return n.FailureDomain == self.FailureDomain }); first != nil {
+		return first
+	}
+	return s.firstOf(func(*neighbour) bool { return true })
+}
+
+// firstOf returns the first in rank of the entry hosts that can be asked, or
+// nil when this host comes before them.
+func (s *State) firstOf(included func(*neighbour) bool) *neighbour {
 	var best *neighbour
 	self := s.selfNeighbour()
 	for _, name := range sortedKeys(s.registry.news.neighbours) {
 		other := s.registry.news.neighbours[name]
-		if other.FailureDomain != self.FailureDomain || s.now.Before(other.downUntil) {
+		if !included(other) || s.now.Before(other.downUntil) || !ranksBefore(&other.Neighbour, &self) {
 			continue
 		}
 		if best == nil || ranksBefore(&other.Neighbour, &best.Neighbour) {
 			best = other
 		}
 	}
-	if best == nil || ranksBefore(&self, &best.Neighbour) {
-		return nil
-	}
 	return best
 }
 
@@ -292,6 +300,7 @@
 		if other.Address == e.Address {
 			other.downUntil = s.now.Add(min(firstDown<<min(other.failures, 8), lastDown))
 			other.failures++
+			s.registry.news.nextSeeds = s.now
 			s.out.add(Log{Level: LogWarn, Message: "entry host does not answer", Fields: []LogField{
 				{Key: "member", Value: other.Host},
 				{Key: "reason", Value: e.Reason},
@@ -330,8 +339,9 @@
 	if before != g.revision && (len(answer.Servers) > 0 || answer.Routing != nil) {
 		g.news.nextPoll = s.now.Add(newsPause)
 		s.wake(g.news.nextPoll)
-		s.tellNews()
 	}
+	// Without changes, too: the others learn that there are none.
+	s.tellNews()
 }
 
 // meet remembers an entry host. One that asks is alive.
@@ -467,29 +477,29 @@
 	return changes
 }
 
-// namesFor returns hosts of the failure domain of the asker, those heard of
-// last first.
+// namesFor returns the hosts of the failure domain of the asker that were heard
+// of lately, and the first of all hosts.
 func (s *State) namesFor(asker Neighbour) []Neighbour {
 	n := &s.registry.news
-	var found []*neighbour
+	var names []Neighbour
+	first := s.selfNeighbour()
+	if asker.FailureDomain == s.self.FailureDomain {
+		names = append(names, first)
+	}
 	for _, name := range sortedKeys(n.neighbours) {
 		other := n.neighbours[name]
-		if other.FailureDomain == asker.FailureDomain && other.Host != asker.Host && s.now.Sub(other.heard) < heardLately {
-			found = append(found, other)
+		if other.Host == asker.Host || s.now.Before(other.downUntil) {
+			continue
 		}
-	}
-	slices.SortStableFunc(found, func(a, b *neighbour) int {
-		if ranksBefore(&a.Neighbour, &b.Neighbour) {
-			return -1
+		if s.now.Sub(other.heard) < heardLately && other.FailureDomain == asker.FailureDomain && len(names) < maxToldNames {
+			names = append(names, other.Neighbour)
+		}
+		if s.now.Sub(other.heard) < neighbourLife && ranksBefore(&other.Neighbour, &first) {
+			first = other.Neighbour
 		}
-		return 1
-	})
-	var names []Neighbour
-	if asker.FailureDomain == s.self.FailureDomain {
-		names = append(names, s.selfNeighbour())
 	}
-	for _, other := range found[:min(len(found), maxToldNames)] {
-		names = append(names, other.Neighbour)
+	if !slices.Contains(names, first) {
+		names = append(names, first)
 	}
 	return names
 }
