runtime, core: notice suspensions, hold orders until the store has answered

Cause: instants came from the steady clock, which stands still while a machine is suspended: a command decided before looked fresh afterwards, and no pause was noticed. After a pause, a host with a store asked the host list of the other interface and held no order back.

Instants now come from the clock since boot. After a pause, orders wait for an answer of the store or news that are young, 1 s at most.

--- a/core/news.go
+++ b/core/news.go
@@ -340,6 +340,7 @@
 		g.news.nextPoll = s.now.Add(newsPause)
 		s.wake(g.news.nextPoll)
 	}
+	s.newsConfirmed()
 	// Without changes, too: the others learn that there are none.
 	s.tellNews()
 }
--- a/core/pauses.go
+++ b/core/pauses.go
@@ -54,6 +54,11 @@
 	s.pause.until = s.now.Add(confirmTime)
 	s.wake(s.pause.until)
 	s.pause.query = s.random.next() | 1
+	if s.self.Registry != nil {
+		// The news are as old as the pause, so that the store is read at once.
+		s.driveStore()
+		return
+	}
 	if s.members.Live() == 0 {
 		s.out.add(ReadHostList{})
 		return
@@ -61,6 +66,13 @@
 	s.sendTo(s.members.Sample(confirmPeers), Message{Query: s.pause.query})
 }
 
+// newsConfirmed counts news of the store that are younger than the pause.
+func (s *State) newsConfirmed() {
+	if s.self.Registry != nil && s.now.Sub(s.registry.lastAnswer) < newsLimit {
+		s.confirmed()
+	}
+}
+
 // confirming reports whether non-idempotent requests must not start now.
 func (s *State) confirming() bool { return s.pause.confirming }
 
--- a/core/placing.go
+++ b/core/placing.go
@@ -50,6 +50,9 @@
 func (s *State) place(r *request) (chosen *upstream, usable bool) {
 	for _, without := range []exclusions{{tried: true, ejected: true, silent: true}, {}} {
 		cheapest, any := s.cheapest(r, without)
+		if any && !r.idempotent && s.confirming() {
+			return nil, true
+		}
 		if any {
 			return s.mostWorth(r, without, cheapest), true
 		}
--- a/core/store.go
+++ b/core/store.go
@@ -220,6 +220,7 @@
 	}
 	g.failures = 0
 	g.revision = max(g.revision, revision)
+	s.newsConfirmed()
 }
 
 func (s *State) storeListed(e StoreListed) {
--- a/core/store_test.go
+++ b/core/store_test.go
@@ -366,6 +366,21 @@
 	})
 })
 
+var _ = ginkgo.Describe("a host that was suspended", func() {
+	// Guards against an order that starts on facts from before the pause, and
+	// against a call to an interface that is not in use.
+	ginkgo.It("starts no order until the store has answered", func() {
+		b := started(entry("a", "write", "mtl-a"), entry("b", "read", "mtl-a"))
+		b.after(watchPause)
+		b.step(StoreChanged{Revision: b.revision})
+		effects := b.after(3 * time.Second)
+		Expect(count[ReadHostList](effects)).To(BeZero())
+		Expect(first[StartAttempt](b.arrive("/order/x"))).To(BeZero())
+		Expect(first[StartAttempt](b.arrive("/lookup/x"))).NotTo(BeZero())
+		Expect(first[StartAttempt](b.step(StoreChanged{Revision: b.revision})).Service).To(Equal("write"))
+	})
+})
+
 var _ = ginkgo.Describe("placing a request", func() {
 	told := func(b *storeBench, name string, report outcome.LoadReport) {
 		report.Known = true
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -41,7 +41,7 @@
 	handler Handler
 	observe StepObserver
 	record  Recorder
-	origin  time.Time
+	clock   clock
 	nextID  atomic.Uint64
 	view    atomic.Pointer[core.View]
 	ready   atomic.Bool
@@ -59,7 +59,7 @@
 		state:   core.New(),
 		tickets: make(map[core.RequestID]*Ticket),
 		handler: handler,
-		origin:  time.Now(),
+		clock:   newClock(),
 		timer:   time.NewTimer(core.TickInterval),
 		done:    make(chan struct{}),
 	}
@@ -72,15 +72,12 @@
 // Record sets what takes the events. It must be set before Run.
 func (l *Loop) Record(record Recorder) { l.record = record }
 
-// Now returns the current instant of the process's monotonic clock.
-func (l *Loop) Now() core.Instant {
-	return core.Instant(time.Since(l.origin))
-}
+// Now returns the current instant of a clock that goes on while the machine is
+// suspended.
+func (l *Loop) Now() core.Instant { return l.clock.now() }
 
 // Deadline returns the wall-clock time of an instant, for socket deadlines.
-func (l *Loop) Deadline(at core.Instant) time.Time {
-	return l.origin.Add(time.Duration(at))
-}
+func (l *Loop) Deadline(at core.Instant) time.Time { return l.clock.deadline(at) }
 
 // View returns the immutable facts for traffic goroutines.
 func (l *Loop) View() *core.View { return l.view.Load() }
