--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -86,6 +86,9 @@
 	proxy   *proxy
 	entry   platformtest.Server
 	running atomic.Int64
+	// losing makes the server run requests and lose every other answer.
+	losing atomic.Bool
+	lost   atomic.Int64
 }
 
 func newBackend(store *platformtest.Store, l *ledger, id string) (*backend, error) {
@@ -130,6 +133,9 @@
 	defer b.running.Add(-1)
 	b.ledger.ran(id, b.entry.ID)
 	time.Sleep(workTime)
+	if b.losing.Load() && b.lost.Add(1)%2 == 0 {
+		panic(http.ErrAbortHandler)
+	}
 	io.WriteString(w, answerTo(id))
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -190,7 +190,7 @@
 	h := w.hosts[w.random.IntN(len(w.hosts))]
 	b := w.backends[w.random.IntN(len(w.backends))]
 	lasting := time.Duration(200+w.random.IntN(1500)) * time.Millisecond
-	switch w.random.IntN(11) {
+	switch w.random.IntN(12) {
 	case 0:
 		h.signal(syscall.SIGKILL)
 	case 1:
@@ -215,6 +215,9 @@
 		w.backends = append(w.backends[:0:0], w.backends[len(w.backends)-backendCount:]...)
 		time.AfterFunc(changeTime+callTimeout, func() { w.store.Deregister(b.entry.ID); b.close() })
 	case 10:
+		b.losing.Store(true)
+		time.AfterFunc(lasting, func() { b.losing.Store(false) })
+	case 11:
 		w.publish("/x/", fmt.Sprintf("/v%d/", w.version))
 	}
 }
@@ -233,6 +236,7 @@
 	}
 	for _, b := range w.backends {
 		b.proxy.set(passes)
+		b.losing.Store(false)
 	}
 }
 
@@ -337,8 +341,8 @@
 				default:
 				}
 				id := fmt.Sprintf("o-stop-%d-%d", i, n)
-				if w.send(client, h, "/x/order/", id) == 0 && w.ledger.runsOf(id) > 0 {
-					w.ledger.violate("%s ran and got no answer from %s, which was stopping", id, h.name)
+				if status := w.send(client, h, "/x/order/", id); status != http.StatusOK && w.ledger.runsOf(id) > 0 {
+					w.ledger.violate("%s ran and got status %d from %s, which was stopping", id, status, h.name)
 				}
 			}
 		})
