--- a/core/doc.go
+++ b/core/doc.go
@@ -11,7 +11,7 @@
 //
 //	state.go, event.go, effect.go    the reducer, its inputs and results
 //	message.go                       messages between entry hosts
-//	request.go                       the life of a request, at most one run
+//	request.go, ending.go            the life of a request, at most one run
 //	retry.go                         what follows an attempt, retry budgets
 //	queueing.go, group.go            waiting for a slot, refusals in time
 //	service.go, traffic.go           services, upstreams, timers
@@ -22,8 +22,9 @@
 //
 // With a store that is read only:
 //
-//	store.go                         when it is called, what is believed
-//	news.go                          which host reads it for the others
+//	store.go                         when it is called
+//	registry.go                      what is believed of servers and routes
+//	news.go, neighbours.go           which host reads it for the others
 //	routing.go                       routes and splits
 //	asking.go, told.go               loads that upstreams tell
 //	placing.go                       time against bytes
--- /dev/null
+++ b/core/ending.go
@@ -0,0 +1,118 @@
+package core
+
+import (
+	"time"
+
+	"wisteriapond/outcome"
+)
+
+// marksGaveUp reports whether an answer is passed on as the last of several
+// attempts, by this host or by a layer below.
+func (r *request) marksGaveUp(facts outcome.Facts) bool {
+	return facts.GaveUp || facts.Status >= firstServerError && (r.attempts > 1 || r.withheld)
+}
+
+// noteOutcome remembers that the request may have run.
+func (r *request) noteOutcome(facts outcome.Facts, class outcome.Class) {
+	switch class {
+	case outcome.Unknown:
+		r.mayHaveRun = true
+		r.failure = outcome.FailureOf(facts.Cause)
+	case outcome.Answered:
+		r.mayHaveRun = true
+		r.failure = outcome.FailedBackend
+	}
+}
+
+// passLast passes on the answer of the last attempt.
+func (s *State) passLast(r *request, upstream string, gaveUp bool) {
+	s.out.add(PassAnswer{Attempt: r.attempt(), Upstream: upstream, GaveUp: gaveUp})
+	s.forget(r)
+}
+
+// callerGone frees the place of a request whose caller hung up. A running
+// attempt is cancelled; its end is reported by the transport.
+func (s *State) callerGone(e CallerGone) {
+	r := s.requests[e.ID]
+	if r == nil || r.gone {
+		return
+	}
+	r.gone = true
+	if r.upstream != nil {
+		s.out.add(CancelAttempt{Attempt: r.attempt()})
+		return
+	}
+	s.refuseRequest(r, outcome.RefusedCallerGone)
+}
+
+// release frees the slot of an attempt that ended.
+func (s *State) release(r *request, facts outcome.Facts) {
+	u := r.upstream
+	if facts.Wrote {
+		r.sent++
+	}
+	u.told.ended(s.now)
+	s.countCrossing(r, facts)
+	s.endTransfer(r)
+	if r.trial {
+		u.health.AbandonTrial()
+		r.trial = false
+	}
+	u.running--
+	if r.group.long {
+		u.long--
+	}
+	r.upstream = nil
+}
+
+// refuseRequest ends a request that cannot be sent (again). It is reported as
+// not run only when no earlier attempt may have run it.
+func (s *State) refuseRequest(r *request, reason outcome.Refusal) {
+	if r.held {
+		s.logRequest(r, lineError, string(reason))
+		s.passLast(r, r.heldUpstream, true)
+		return
+	}
+	if r.mayHaveRun {
+		s.fail(r, r.failure)
+		return
+	}
+	if reason != outcome.RefusedCallerGone {
+		s.logRequest(r, lineRefused, string(reason))
+	}
+	s.forget(r)
+	s.refuse(Refuse{
+		Request: r.id, Reason: reason, Service: r.service.config.Name, GaveUp: r.attempts > 0,
+		RetryAfter: s.comeBackIn(r),
+	})
+}
+
+// comeBackIn is the wait that a refused caller of a route is told: the usual
+// time of a request, within which slots come free. The draw spreads callers
+// that were refused together.
+func (s *State) comeBackIn(r *request) time.Duration {
+	if r.route == nil {
+		return 0
+	}
+	work := r.service.work()
+	return work/2 + time.Duration(s.random.below(int(work)))
+}
+
+func (s *State) refuse(refusal Refuse) {
+	s.count(CounterRefusals, string(refusal.Reason))
+	s.out.add(refusal)
+}
+
+func (s *State) fail(r *request, reason outcome.Failure) {
+	if !r.gone {
+		s.logRequest(r, lineFailed, string(reason))
+	}
+	s.forget(r)
+	s.count(CounterFailures, string(reason))
+	s.out.add(Fail{Request: r.id, Reason: reason, Service: r.service.config.Name, GaveUp: true})
+}
+
+func (s *State) forget(r *request) {
+	s.leaveQueue(r)
+	delete(s.requests, r.id)
+}
--- a/core/store_test.go
+++ b/core/store_test.go
@@ -483,6 +483,19 @@
 		}
 	})
 
+	// Guards against work for a server that left while its load was asked for.
+	ginkgo.It("sends nothing to a server that leaves meanwhile", func() {
+		b := probed(entry("a", "read", "mtl-a"), entry("b", "read", "mtl-a"))
+		b.arrive("/lookup/x")
+		answer(b, "a", report(100))
+		b.change(gone("a"))
+		start := first[StartAttempt](answer(b, "b", report(500)))
+		for start == (StartAttempt{}) && b.now < Instant(300*time.Millisecond) {
+			start = first[StartAttempt](b.after(5 * time.Millisecond))
+		}
+		Expect(start.Upstream).To(Equal("b"))
+	})
+
 	// Guards against an attempt for a caller that left while it was asked.
 	ginkgo.It("starts nothing for a caller that hung up meanwhile", func() {
 		b := probed(entry("a", "read", "mtl-a"))
