--- a/core/ending.go
+++ b/core/ending.go
@@ -51,7 +51,7 @@
 	if facts.Wrote {
 		r.sent++
 	}
-	u.told.ended(s.now)
+	u.told.ended()
 	s.countCrossing(r, facts)
 	s.endTransfer(r)
 	if r.trial {
--- a/core/request.go
+++ b/core/request.go
@@ -199,7 +199,7 @@
 		s.count(CounterTrials, r.service.config.Name)
 	}
 	u.running++
-	u.told.started(s.now)
+	u.told.started()
 	if r.group.long {
 		u.long++
 	}
--- a/core/store_walk_test.go
+++ b/core/store_walk_test.go
@@ -31,7 +31,6 @@
 	returned  Instant
 	running   []StartAttempt
 	questions []StartProbe
-	asked     []NewsAsk
 	orders    map[RequestID]bool
 	// sent counts the upstreams that a request may have reached, and ran the
 	// runs that it may have had.
--- a/core/told.go
+++ b/core/told.go
@@ -25,9 +25,9 @@
 	done  int
 }
 
-func (t *toldLoad) started(Instant) { t.begun++ }
+func (t *toldLoad) started() { t.begun++ }
 
-func (t *toldLoad) ended(Instant) { t.done++ }
+func (t *toldLoad) ended() { t.done++ }
 
 // tell takes a report that came with an answer.
 func (t *toldLoad) tell(report outcome.LoadReport, now Instant) {
@@ -42,7 +42,6 @@
 }
 
 // occupied estimates the number of requests that run or wait at the upstream.
-// own is the number of requests of this host on it.
 func (u *upstream) occupied(now Instant) int {
 	t := &u.told
 	if !t.fresh(now) {
