--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -17,7 +17,7 @@
 const (
 	slots      = 4
 	workTime   = 20 * time.Millisecond
-	healthPath = "/health"
+	probePath = "/health"
 )
 
 // ledger records what ran, and what callers were told.
@@ -113,7 +113,7 @@
 	d := platform.Dialect()
 	w.Header().Set(d.AnsweredBy, b.entry.ID)
 	w.Header().Set(d.Load, fmt.Sprintf("%d,0,%d,100", b.running.Load(), slots))
-	if r.URL.Path == healthPath {
+	if r.URL.Path == probePath {
 		return
 	}
 	id := r.Header.Get(d.RequestID)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -146,7 +146,7 @@
 			routes = append(routes, route)
 		}
 	}
-	w.store.Publish(w.version, healthPath, routes)
+	w.store.Publish(w.version, probePath, routes)
 }
 
 func (w *world) run() {
