--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	slots      = 4
-	workTime   = 20 * time.Millisecond
+	slots     = 4
+	workTime  = 20 * time.Millisecond
 	probePath = "/health"
 )
 
