core: tell everything to those that know less than the last listing

Cause: a host that has just listed the store knows no entries that were removed before, and told others the changes after their revision without them. They kept servers that had left.

--- a/core/news.go
+++ b/core/news.go
@@ -41,13 +41,18 @@
 	// every lastSeedPause, so that two groups find each other.
 	firstSeedPause = 150 * time.Millisecond
 	lastSeedPause  = 15 * time.Second
-	// Bounds on what others can make this host remember.
-	maxNeighbours   = 4096
-	maxHeldNews     = 1024
-	maxToldNames    = 64
-	maxTombstones   = 1024
-	lateDropsKept   = 5 * time.Second
+	// memberCallPause is the longest pause between failed calls to the store of a
+	// host that has a reader, which notices the store's return earlier.
 	memberCallPause = 1600 * time.Millisecond
+	// lateDropsKept is the time for which a server that was dropped without a
+	// change of the store is told as gone: a few questions of each neighbour.
+	lateDropsKept = 5 * time.Second
+	// Bounds on what others can make this host remember, and on the names in one
+	// answer.
+	maxNeighbours = 4096
+	maxHeldNews   = 1024
+	maxTombstones = 1024
+	maxToldNames  = 64
 )
 
 // NewsAsk asks an entry host for news.
@@ -235,6 +240,7 @@
 				s.changeServer(ServerChange{ID: id}, false)
 			}
 		}
+		s.forgetChanges()
 	}
 	s.takeRouting(answer.Routing, "")
 	s.adoptRegistry()
@@ -243,10 +249,23 @@
 		s.wake(g.news.nextPoll)
 	}
 	s.newsConfirmed()
+	s.newsRegained()
 	// Without changes, too: the others learn that there are none.
 	s.tellNews()
 }
 
+// newsRegained ends a time of failed calls to the store: another host reads it.
+func (s *State) newsRegained() {
+	g := &s.registry
+	if g.failures == 0 || s.now.Sub(g.lastAnswer) >= newsLimit {
+		return
+	}
+	g.failures = 0
+	s.out.add(Log{Message: "another entry host tells news of the store", Fields: []LogField{
+		{Key: "age", Value: s.now.Sub(g.lastAnswer).String()},
+	}})
+}
+
 // newsAsked answers another entry host, now or when there are news.
 func (s *State) newsAsked(e NewsAsked) {
 	n := &s.registry.news
@@ -345,9 +364,16 @@
 func (s *State) noteChange(id string) {
 	g := &s.registry
 	g.news.changedAt[id] = g.revision
-	if len(g.news.changedAt) <= len(g.servers)+maxTombstones {
-		return
+	if len(g.news.changedAt) > len(g.servers)+maxTombstones {
+		s.forgetChanges()
 	}
+}
+
+// forgetChanges makes those that know less than this host take everything
+// anew. After a listing, it does not know which entries have come and gone
+// before.
+func (s *State) forgetChanges() {
+	g := &s.registry
 	for _, id := range sortedKeys(g.news.changedAt) {
 		if _, registered := g.servers[id]; !registered {
 			delete(g.news.changedAt, id)
--- a/core/news_test.go
+++ b/core/news_test.go
@@ -116,6 +116,18 @@
 		Expect(b.upstreams("read")).To(Equal([]string{"a", "b"}))
 	})
 
+	// Guards against servers that left before a reader started, which it never
+	// knew and could not report as gone.
+	ginkgo.It("replace what others know after a listing", func() {
+		member, reader := talking("entry-2", 5), talking("entry-1", 5)
+		member.list(routing(1), entry("a", "read", "mtl-a"), entry("b", "read", "mtl-a"))
+		ask := first[AskNews](member.told(neighbourNamed("entry-1", 5))).Ask
+		reader.revision = 7
+		reader.list(routing(1), entry("a", "read", "mtl-a"))
+		member.step(NewsAnswered{Address: "entry-1:1", Answer: answerOf(reader, ask)})
+		Expect(member.upstreams("read")).To(Equal([]string{"a"}))
+	})
+
 	// Guards against a server that a reader dropped without a change of the
 	// store and that others keep.
 	ginkgo.It("tell of entries that did not come back", func() {
--- a/core/store.go
+++ b/core/store.go
@@ -196,6 +196,7 @@
 		}
 	}
 	s.changeServers(missing)
+	s.forgetChanges()
 	s.takeRouting(e.Routing, e.RoutingProblem)
 	s.adoptRegistry()
 	s.tellNews()
