core, backend: one head for probes, one check of open questions

Read over the whole change: the head of a probe on a kept connection was written twice, two callers of putQuestion checked for an open question, and the age of a report was checked beside its method. Parameters that nothing used are gone. Behaviour is as before.

--- a/backend/probe.go
+++ b/backend/probe.go
@@ -94,11 +94,7 @@
 // exchangeProbe sends a probe and reads its answer. It reports whether the
 // connection can carry another request.
 func exchangeProbe(conn *connection, d *Dialect, command *core.StartProbe, facts *outcome.Facts) (keep bool, err error) {
-	var header fasthttp.RequestHeader
-	header.SetMethod(fasthttp.MethodGet)
-	header.SetRequestURI(command.Probe.Path)
-	header.SetHost(command.Address)
-	if _, err := conn.Write(header.Header()); err != nil {
+	if _, err := conn.Write(probeHead(command)); err != nil {
 		return false, err
 	}
 	var response fasthttp.Response
@@ -117,7 +113,9 @@
 	header.SetMethod(fasthttp.MethodGet)
 	header.SetRequestURI(command.Probe.Path)
 	header.SetHost(command.Address)
-	header.SetConnectionClose()
+	if !command.Reuse {
+		header.SetConnectionClose()
+	}
 	return header.Header()
 }
 
--- a/core/asking.go
+++ b/core/asking.go
@@ -70,9 +70,7 @@
 
 func (s *State) waitForReports(r *request, asked []*upstream, level pick.Locality) {
 	for _, u := range asked {
-		if !u.question.open {
-			s.putQuestion(u)
-		}
+		s.putQuestion(u)
 		u.question.waiting = append(u.question.waiting, r)
 	}
 	r.asking = len(asked)
@@ -126,9 +124,7 @@
 		for level := pick.SameDomain; level < r.askedBelow; level++ {
 			asked, _ := s.toAsk(r, level)
 			for _, u := range asked {
-				if !u.question.open {
-					s.putQuestion(u)
-				}
+				s.putQuestion(u)
 			}
 		}
 	}
@@ -138,7 +134,11 @@
 	return !u.leaving && !u.health.Ejected() && !u.silent(s.now) && !s.now.Before(u.notBefore) && !r.hasTried(u)
 }
 
+// putQuestion asks an upstream for its load, unless it owes an answer already.
 func (s *State) putQuestion(u *upstream) {
+	if u.question.open {
+		return
+	}
 	u.question.open = true
 	u.question.since = s.now
 	probe := u.service.config.Probe
--- a/core/retry.go
+++ b/core/retry.go
@@ -73,7 +73,7 @@
 		return outcome.WithheldBody
 	case s.lateAfter(r, 0):
 		return outcome.WithheldDeadline
-	case r.route != nil && !s.payRetry(r, facts):
+	case r.route != nil && !r.payRetry(facts):
 		return outcome.WithheldBudget
 	case r.route == nil && !r.service.budgetFor(reason).Withdraw():
 		return outcome.WithheldBudget
@@ -96,7 +96,7 @@
 
 // payRetry takes another arrival at the service out of the budget that all
 // hosts keep together. The first arrival of a request is free.
-func (s *State) payRetry(r *request, facts outcome.Facts) bool {
+func (r *request) payRetry(facts outcome.Facts) bool {
 	return !facts.Wrote && r.sent == 0 || r.service.retries.Withdraw()
 }
 
--- a/core/routing.go
+++ b/core/routing.go
@@ -41,7 +41,7 @@
 
 // refusalWithout is the reason with which the waiting requests of a removed
 // service are refused. Those of a route were allowed when they came.
-func (s *State) refusalWithout(svc *service) outcome.Refusal {
+func (s *State) refusalWithout() outcome.Refusal {
 	if s.table.Routed() {
 		return outcome.RefusedNoHost
 	}
--- a/core/service.go
+++ b/core/service.go
@@ -201,7 +201,7 @@
 		}
 		svc.upstreams = nil
 		svc.groups.clear()
-		s.refuseWaiting(svc, s.refusalWithout(svc))
+		s.refuseWaiting(svc, s.refusalWithout())
 	}
 }
 
--- a/core/told.go
+++ b/core/told.go
@@ -54,13 +54,10 @@
 // time. The usual one stands in for a report that is too old.
 func (u *upstream) slowdown(now Instant, usual int) int {
 	t := &u.told
-	if !t.report.Known || t.report.Slowdown <= 0 {
+	if !t.fresh(now) || t.report.Slowdown <= 0 {
 		return usual
 	}
 	age := now.Sub(t.at)
-	if age >= toldLife {
-		return usual
-	}
 	// The older the report, the more the usual slowdown counts.
 	return int((time.Duration(t.report.Slowdown)*(toldLife-age) + time.Duration(usual)*age) / toldLife)
 }
