backend: do not break off a request body that was read whole

Cause: the backend server answers once it has the body, before the upload's goroutine has seen its end. The upload then counted as under way, and stopping it ended the reads of the caller's connection, so that the next request on it failed. The upload now marks the body as read before its last bytes are sent on, and such an upload is left to end by itself.

Ruled out: lost bytes between the outstanding read and the body, since the requests all arrived whole at the backend server.

Before: the new spec of backend fails on every run.

--- a/backend/body_test.go
+++ b/backend/body_test.go
@@ -185,6 +185,20 @@
 		Expect(b.pool.Open(s.Address())).To(BeZero())
 	})
 
+	// Guards against a caller's connection that is broken off although its body
+	// was read: the answer comes before the end of the body is seen.
+	It("is not broken off when it was read but its end was not seen yet", func() {
+		s := serve(standin.AnswerEach(empty))
+		b := newBench()
+		stopped := false
+		stream := io.MultiReader(strings.NewReader(long), lateEnd{})
+		x := b.run(b.command(s.Address()), upload(stream, int64(len(long)), func() { stopped = true }))
+		Expect(x.Facts.Status).To(Equal(200))
+		Expect(stopped).To(BeFalse())
+		Expect(x.BodyRead()).To(BeTrue())
+		Expect(b.pool.Open(s.Address())).To(Equal(1))
+	})
+
 	// Guards against a dead wait when the server answers without reading.
 	It("is given up after an early answer, with its connection", func() {
 		s := serve(func(c *standin.RawConn) {
@@ -203,6 +217,14 @@
 	})
 })
 
+// lateEnd is the end of a body that is seen long after its last byte.
+type lateEnd struct{}
+
+func (lateEnd) Read([]byte) (int, error) {
+	time.Sleep(50 * time.Millisecond)
+	return 0, io.EOF
+}
+
 type errorReader struct{}
 
 func (errorReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
--- a/backend/upload.go
+++ b/backend/upload.go
@@ -19,6 +19,10 @@
 	done chan struct{}
 	// err is set before done is closed.
 	err error
+	// read is set once the whole body was read from the caller, before its last
+	// bytes are sent on. The caller's connection is good for the next request
+	// from then on.
+	read atomic.Bool
 	// broken is set when the caller broke off the body, before the wait for
 	// the answer is ended on that account.
 	broken atomic.Pointer[BodyError]
@@ -33,7 +37,7 @@
 	conn := x.conn
 	go func() {
 		defer close(u.done)
-		u.err = sendStream(conn, head, x.request)
+		u.err = u.send(conn, head, x.request)
 		if broken, ok := u.err.(*BodyError); ok {
 			u.broken.Store(broken)
 			conn.SetDeadline(past)
@@ -41,7 +45,7 @@
 	}()
 }
 
-func sendStream(conn io.Writer, head []byte, request *Request) (err error) {
+func (u *upload) send(conn io.Writer, head []byte, request *Request) (err error) {
 	defer func() {
 		if fault := recover(); fault != nil {
 			err = &BodyError{Err: fmt.Errorf("%v", fault)}
@@ -51,10 +55,10 @@
 		return err
 	}
 	if request.Length >= 0 {
-		return copyBody(conn, request.Stream, request.Length)
+		return u.copyBody(conn, request.Stream, request.Length)
 	}
 	chunked := httputil.NewChunkedWriter(conn)
-	if err := copyBody(chunked, request.Stream, -1); err != nil {
+	if err := u.copyBody(chunked, request.Stream, -1); err != nil {
 		return err
 	}
 	if err := chunked.Close(); err != nil {
@@ -66,14 +70,17 @@
 
 // copyBody copies a body of the given length, -1 for any. An error of the
 // reader is a BodyError.
-func copyBody(to io.Writer, from io.Reader, length int64) error {
+func (u *upload) copyBody(to io.Writer, from io.Reader, length int64) error {
 	buffer := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buffer)
 	var copied int64
 	for {
 		n, err := from.Read(buffer[:])
+		copied += int64(n)
+		if err == io.EOF || copied == length {
+			u.read.Store(true)
+		}
 		if n > 0 {
-			copied += int64(n)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return err
 			}
@@ -91,17 +98,9 @@
 	return nil
 }
 
-// Uploaded reports whether the request body was sent whole.
-func (x *Exchange) Uploaded() bool {
-	if x.upload == nil {
-		return true
-	}
-	select {
-	case <-x.upload.done:
-		return x.upload.err == nil
-	default:
-		return false
-	}
+// BodyRead reports whether the whole request body was read from the caller.
+func (x *Exchange) BodyRead() bool {
+	return x.upload == nil || x.upload.read.Load()
 }
 
 // brokenUpload returns the error of an upload that the caller broke off. It
@@ -125,7 +124,9 @@
 	select {
 	case <-x.upload.done:
 	default:
-		x.request.StopStream()
+		if !x.upload.read.Load() {
+			x.request.StopStream()
+		}
 		x.conn.SetWriteDeadline(past)
 		<-x.upload.done
 	}
--- a/caller/pass.go
+++ b/caller/pass.go
@@ -58,7 +58,7 @@
 		x.passUntilClose(body)
 		return
 	}
-	if x.request.Stream != nil && !x.uploaded() {
+	if x.request.Stream != nil && !x.exchange.BodyRead() {
 		// The answer came before the request was complete.
 		x.ctx.SetConnectionClose()
 		c.lingerOnClose()
@@ -66,9 +66,6 @@
 	x.ctx.Response.SetBodyStream(body, length)
 }
 
-// uploaded reports whether the streamed request body was read to its end.
-func (x *call) uploaded() bool { return x.exchange.Uploaded() }
-
 // passUntilClose writes an answer of unknown length to a caller that knows no
 // chunks: the connection ends with the body.
 func (x *call) passUntilClose(body *backend.Body) {
