core: feed a reader that the store turns away; stale listings at a restart

Cause: while the store turned away the first of all hosts, or was down for all, every host read it for itself, and each restart listed it at the full price. Hosts of the same reader now call as often together as one host alone, at a random age of their news, with a watch that does not wait; the first that is served tells the host that it asks, which asks in turn. Restarts take a stale listing at a tenth of the price and confirm it with the next news. The reader's watch waits 0.7 s instead of 1.3 s, which leaves the others room to be told.

Ruled out: demoting a reader whose news are old, since the hosts that notice first would all read the store until they agree on the next one.

--- a/core/neighbours.go
+++ b/core/neighbours.go
@@ -65,6 +65,21 @@
 	return best
 }
 
+// sharing returns the number of hosts that ask the same reader as this one: those
+// of the failure domain, or the readers of all failure domains.
+func (s *State) sharing(reader *neighbour) int {
+	if reader.FailureDomain != s.self.FailureDomain {
+		return len(s.self.Registry.Domains)
+	}
+	n := 1
+	for _, other := range s.registry.news.neighbours {
+		if other.FailureDomain == s.self.FailureDomain && other != reader && !s.now.Before(other.downUntil) {
+			n++
+		}
+	}
+	return n
+}
+
 func ranksBefore(a, b *Neighbour) bool {
 	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Host, b.Host)) < 0
 }
@@ -77,7 +92,7 @@
 	}
 	for _, seed := range s.self.Registry.Seeds {
 		if seed != s.self.Registry.Address {
-			s.out.add(AskNews{Address: seed, Ask: NewsAsk{From: s.selfNeighbour(), NamesOnly: true}})
+			s.out.add(AskNews{Address: seed, Ask: NewsAsk{From: s.selfNeighbour(), NamesOnly: true}, Aside: true})
 		}
 	}
 	if len(n.neighbours) > 0 {
--- a/core/news.go
+++ b/core/news.go
@@ -10,7 +10,8 @@
 // News is what the store says, told from one entry host to another. Calls to
 // the store have a price and a limit, so that the entry hosts of a failure
 // domain ask one of them, the reader, and the readers ask the first of them,
-// which reads the store. A host whose news grow old reads for itself.
+// which reads the store. A host whose news grow old reads for itself, and lets
+// the host that it asks know: a store may turn some hosts away and serve others.
 
 const (
 	// newsWait is the time for which a neighbour holds a question that it has no
@@ -18,9 +19,11 @@
 	newsWait = 1500 * time.Millisecond
 	// newsPause lets several changes come with one answer.
 	newsPause = 50 * time.Millisecond
-	// newsLimit is the age of the news from which on a host reads the store for
-	// itself. A reader's watch is answered every watchWait; news must be in
-	// force within two seconds.
+	// A host reads the store for itself when its news reach a random age between
+	// newsOld and newsLimit, so that the first to do so can tell the others. A
+	// reader's news are younger than watchWait and watchPause together; a change
+	// must be in force within two seconds.
+	newsOld   = 1100 * time.Millisecond
 	newsLimit = 1600 * time.Millisecond
 	// A neighbour that did not answer is not asked for a time that doubles from
 	// firstDown to lastDown, until it asks itself.
@@ -41,12 +44,14 @@
 	// every lastSeedPause, so that two groups find each other.
 	firstSeedPause = 150 * time.Millisecond
 	lastSeedPause  = 15 * time.Second
-	// memberCallPause is the longest pause between failed calls to the store of a
+	// memberCallPause is the shortest pause after a failed call to the store of a
 	// host that has a reader, which notices the store's return earlier.
 	memberCallPause = 1600 * time.Millisecond
 	// lateDropsKept is the time for which a server that was dropped without a
 	// change of the store is told as gone: a few questions of each neighbour.
 	lateDropsKept = 5 * time.Second
+	// neverHeard stands for the age of news that nobody has confirmed.
+	neverHeard = time.Hour
 	// Bounds on what others can make this host remember, and on the names in one
 	// answer.
 	maxNeighbours = 4096
@@ -65,6 +70,8 @@
 	// Routing is the version of the routing that the asker has.
 	Routing uint64
 	Wait    time.Duration
+	// Age is the time since the store said that there is nothing after After.
+	Age time.Duration
 }
 
 // NewsAnswer is the answer to a NewsAsk.
@@ -90,15 +97,19 @@
 // NewsAnswered reports the answer to AskNews, or that none came.
 type NewsAnswered struct {
 	Address string
-	Failed  bool
-	Reason  string
-	Answer  NewsAnswer
+	// Aside is that of the question.
+	Aside  bool
+	Failed bool
+	Reason string
+	Answer NewsAnswer
 }
 
 // AskNews asks another entry host.
 type AskNews struct {
 	Address string
 	Ask     NewsAsk
+	// Aside says that this is not the question that is kept open at the reader.
+	Aside bool
 }
 
 // AnswerNews answers a NewsAsked event.
@@ -130,6 +141,11 @@
 	// none.
 	polled   string
 	nextPoll Instant
+	// askedBack is the address of a host that asked, knew more and was asked in
+	// turn, empty for none.
+	askedBack string
+	// patience is the age of the news at which this host reads for itself.
+	patience time.Duration
 	// nextSeeds is the instant at which the seeds are asked again.
 	nextSeeds Instant
 	seedPause time.Duration
@@ -149,6 +165,7 @@
 	n.changedAt = make(map[string]uint64)
 	n.dropped = make(map[string]Instant)
 	n.seedPause = firstSeedPause
+	n.patience = newsLimit
 	if len(s.self.Registry.Seeds) > 0 && s.self.Registry.FirstStart {
 		n.storeFrom = s.now.Add(peersBeforeStore)
 		s.wake(n.storeFrom)
@@ -172,12 +189,16 @@
 	}
 	if reader := s.reader(); reader != nil {
 		n.polled = reader.Address
-		s.out.add(AskNews{Address: reader.Address, Ask: s.newsAsk(newsWait)})
+		wait := newsWait
+		if !s.registry.heard {
+			wait = 0
+		}
+		s.out.add(AskNews{Address: reader.Address, Ask: s.newsAsk(wait)})
 	}
 }
 
 func (s *State) newsAsk(wait time.Duration) NewsAsk {
-	ask := NewsAsk{From: s.selfNeighbour(), After: s.registry.revision, Wait: wait}
+	ask := NewsAsk{From: s.selfNeighbour(), After: s.registry.revision, Wait: wait, Age: s.newsAge()}
 	if s.registry.routing != nil {
 		ask.Routing = s.registry.routing.Version
 	}
@@ -190,13 +211,60 @@
 	if s.now.Before(g.news.storeFrom) && g.revision == 0 {
 		return false
 	}
-	return s.reader() == nil || s.now.Sub(g.lastAnswer) >= newsLimit
+	return s.reader() == nil || s.newsAge() >= g.news.patience
+}
+
+// newsAge returns the time since the store said that what is known is all.
+func (s *State) newsAge() time.Duration {
+	if !s.registry.heard {
+		return neverHeard
+	}
+	return s.now.Sub(s.registry.lastAnswer)
+}
+
+// noteHeard notes that the store said, at the given instant, that what is known
+// is all.
+func (s *State) noteHeard(at Instant) {
+	g := &s.registry
+	if g.heard && !g.lastAnswer.Before(at) {
+		return
+	}
+	g.heard = true
+	g.lastAnswer = at
+	g.news.patience = newsOld + time.Duration(s.random.below(int(newsLimit-newsOld)))
+}
+
+// tellReader lets the host that this one asks know that the store has answered
+// here, so that it asks in turn if it cannot read for itself. A host that keeps
+// servers whose entries may have lapsed does not know yet what it would tell.
+func (s *State) tellReader() {
+	reader := s.reader()
+	if reader == nil || len(s.registry.lapsing) > 0 {
+		return
+	}
+	ask := s.newsAsk(0)
+	ask.NamesOnly = true
+	s.out.add(AskNews{Address: reader.Address, Ask: ask, Aside: true})
+}
+
+// askBack asks a host that knows more than this one, whose own news are old.
+func (s *State) askBack(ask *NewsAsk) {
+	n := &s.registry.news
+	knowsMore := ask.After > 0 && ask.After >= s.registry.revision && ask.Age < newsOld
+	if n.askedBack != "" || ask.From.Address == "" || !knowsMore || s.newsAge() < newsOld {
+		return
+	}
+	n.askedBack = ask.From.Address
+	s.out.add(AskNews{Address: n.askedBack, Ask: s.newsAsk(0), Aside: true})
 }
 
 // newsAnswered takes the answer of another entry host.
 func (s *State) newsAnswered(e NewsAnswered) {
 	n := &s.registry.news
-	polled := e.Address == n.polled
+	polled := !e.Aside && e.Address == n.polled
+	if e.Aside && e.Address == n.askedBack {
+		n.askedBack = ""
+	}
 	if polled {
 		n.polled = ""
 		n.nextPoll = s.now
@@ -227,7 +295,7 @@
 	s.count(CounterNews, "taken")
 	before := g.revision
 	g.revision = answer.Revision
-	g.lastAnswer = max(g.lastAnswer, s.now.Add(-max(0, answer.Age)))
+	s.noteHeard(s.now.Add(-max(0, answer.Age)))
 	g.listed = g.listed || answer.Whole
 	listed := make(map[string]bool, len(answer.Servers))
 	for _, change := range answer.Servers {
@@ -257,12 +325,12 @@
 // newsRegained ends a time of failed calls to the store: another host reads it.
 func (s *State) newsRegained() {
 	g := &s.registry
-	if g.failures == 0 || s.now.Sub(g.lastAnswer) >= newsLimit {
+	if g.failures == 0 || s.newsAge() >= newsLimit {
 		return
 	}
 	g.failures = 0
 	s.out.add(Log{Message: "another entry host tells news of the store", Fields: []LogField{
-		{Key: "age", Value: s.now.Sub(g.lastAnswer).String()},
+		{Key: "age", Value: s.newsAge().String()},
 	}})
 }
 
@@ -270,6 +338,7 @@
 func (s *State) newsAsked(e NewsAsked) {
 	n := &s.registry.news
 	s.meet(e.Ask.From, true)
+	s.askBack(&e.Ask)
 	if e.Ask.NamesOnly || s.hasNewsFor(&e.Ask) || e.Ask.Wait <= 0 || len(n.held) >= maxHeldNews {
 		s.answerNews(e.ID, &e.Ask)
 		return
@@ -332,7 +401,7 @@
 	if !ask.NamesOnly && g.routing != nil && g.revision > 0 {
 		answer.Known = true
 		answer.Revision = g.revision
-		answer.Age = s.now.Sub(g.lastAnswer)
+		answer.Age = s.newsAge()
 		answer.Whole = ask.After == 0 || ask.After < g.news.horizon
 		answer.Servers = s.serversAfter(ask.After, answer.Whole)
 		if g.routing.Version > ask.Routing {
--- a/core/news_test.go
+++ b/core/news_test.go
@@ -10,11 +10,15 @@
 // talking returns a host of mtl-a that talks to others.
 func talking(host string, capacity int) *storeBench {
 	b := &storeBench{bench: &bench{state: New()}}
+	b.startTalking(host, capacity)
+	return b
+}
+
+func (b *storeBench) startTalking(host string, capacity int) []Effect {
 	registry := registrySettings()
 	registry.Address, registry.Capacity = host+":1", capacity
 	registry.Seeds = []string{"seed:1", host + ":1"}
-	b.step(Start{Host: host, Region: "mtl", FailureDomain: "mtl-a", Seed: 1, Registry: registry})
-	return b
+	return b.step(Start{Host: host, Region: "mtl", FailureDomain: "mtl-a", Seed: 1, Registry: registry})
 }
 
 func neighbourNamed(host string, capacity int) Neighbour {
@@ -26,6 +30,17 @@
 	return b.step(NewsAnswered{Address: "seed:1", Answer: NewsAnswer{Neighbours: names}})
 }
 
+// tells returns the questions that only say what a host knows.
+func tells(effects []Effect) []AskNews {
+	var found []AskNews
+	for _, effect := range effects {
+		if ask, ok := effect.(AskNews); ok && ask.Ask.NamesOnly && ask.Ask.After > 0 {
+			found = append(found, ask)
+		}
+	}
+	return found
+}
+
 // answerOf carries the answer of one host to a question of another.
 func answerOf(from *storeBench, ask NewsAsk) NewsAnswer {
 	return first[AnswerNews](from.step(NewsAsked{ID: 1, Ask: ask})).Answer
@@ -106,6 +121,91 @@
 		}),
 	)
 
+	// Guards against hosts that each read the store for themselves, or know
+	// nothing, when it turns away the one that reads it for them.
+	ginkgo.It("feed a reader that the store turns away", func() {
+		reader, member, other := talking("entry-1", 5), talking("entry-2", 5), talking("entry-3", 5)
+		for _, b := range []*storeBench{reader, member, other} {
+			b.list(routing(1), entry("a", "read", "mtl-a"))
+		}
+		member.told(neighbourNamed("entry-1", 5))
+		other.told(neighbourNamed("entry-1", 5))
+		reader.step(StoreFailed{Reason: "refused"})
+		for _, b := range []*storeBench{reader, member, other} {
+			b.now = Instant(newsLimit)
+		}
+		reader.step(NewsAsked{ID: 7, Ask: NewsAsk{From: neighbourNamed("entry-3", 5), After: 1, Routing: 1, Wait: newsWait, Age: newsLimit}})
+		leaving := entry("a", "read", "mtl-a")
+		leaving.Leaving = true
+		said := tells(member.change(ServerChange{ID: "a", Server: &leaving}))
+		Expect(said).To(ConsistOf(HaveField("Address", "entry-1:1")))
+		asksBack := first[AskNews](reader.step(NewsAsked{ID: 8, Ask: said[0].Ask}))
+		Expect(asksBack.Address).To(Equal("entry-2:1"))
+		effects := reader.step(NewsAnswered{Address: "entry-2:1", Aside: true, Answer: answerOf(member, asksBack.Ask)})
+		Expect(reader.upstreams("read")).To(BeEmpty())
+		var told AnswerNews
+		for _, effect := range effects {
+			if answer, ok := effect.(AnswerNews); ok && answer.ID == 7 {
+				told = answer
+			}
+		}
+		other.step(NewsAnswered{Address: "entry-1:1", Answer: told.Answer})
+		Expect(other.upstreams("read")).To(BeEmpty())
+		Expect(other.state.newsAge()).To(BeNumerically("<", newsOld))
+	})
+
+	// Guards against servers that stay in use everywhere since the host that
+	// noticed that their entries are gone told of it too early.
+	ginkgo.It("tell nothing of entries that may have lapsed", func() {
+		b := talking("entry-2", 5)
+		b.list(routing(1), entry("a", "read", "mtl-a"), entry("b", "read", "mtl-a"))
+		b.told(neighbourNamed("entry-1", 5))
+		b.after(newsLimit)
+		b.step(StoreFailed{Reason: "refused"})
+		b.after(memberCallPause)
+		Expect(tells(b.change(gone("a"), gone("b")))).To(BeEmpty())
+		Expect(tells(b.after(lapseGrace))).To(HaveLen(1))
+	})
+
+	// Guards against calls that grow with the number of hosts while the store is
+	// down for all of them.
+	ginkgo.It("call a store that is down no more often than one host alone", func() {
+		const hosts, outage = 20, 10 * time.Second
+		calls := 0
+		for i := range hosts {
+			b := talking("entry-2", 5)
+			b.state.random.state = uint64(i)
+			b.list(routing(1), entry("a", "read", "mtl-a"))
+			names := []Neighbour{neighbourNamed("entry-1", 5)}
+			for j := range hosts {
+				names = append(names, neighbourNamed("entry-3"+string(rune('a'+j)), 5))
+			}
+			b.told(names...)
+			for b.now < Instant(outage) {
+				if count[WatchStore](b.after(20*time.Millisecond)) > 0 {
+					calls++
+					b.step(StoreFailed{Reason: "refused"})
+				}
+			}
+		}
+		alone := int(outage / (lastStorePause / 2))
+		Expect(calls).To(BeNumerically("<=", hosts+alone))
+	})
+
+	// Guards against a full price for what a restarted host learns anew, and
+	// against a host that goes on with it.
+	ginkgo.It("take a stale listing at a restart, and confirm it", func() {
+		b := &storeBench{bench: &bench{state: New()}}
+		Expect(first[ListStore](b.startTalking("entry-2", 5)).Stale).To(BeTrue())
+		b.told(neighbourNamed("entry-1", 5))
+		b.step(StoreListed{Revision: 1, Stale: true, Routing: routing(1), Servers: []ServerChange{{ID: "a", Server: new(entry("a", "read", "mtl-a"))}}})
+		Expect(b.state.ready).To(BeTrue())
+		Expect(b.state.newsAge()).To(Equal(neverHeard))
+		Expect(count[WatchStore](b.after(watchPause))).To(Equal(1))
+		b.step(StoreFailed{HistoryGone: true})
+		Expect(first[ListStore](b.after(watchPause)).Stale).To(BeFalse())
+	})
+
 	// Guards against older news that undo newer ones.
 	ginkgo.It("take no news that are behind their own", func() {
 		b := talking("entry-2", 5)
--- a/core/pauses.go
+++ b/core/pauses.go
@@ -68,7 +68,7 @@
 
 // newsConfirmed counts news of the store that are younger than the pause.
 func (s *State) newsConfirmed() {
-	if s.self.Registry != nil && s.now.Sub(s.registry.lastAnswer) < newsLimit {
+	if s.self.Registry != nil && s.newsAge() < newsLimit {
 		s.confirmed()
 	}
 }
--- a/core/registry.go
+++ b/core/registry.go
@@ -47,6 +47,7 @@
 	if changed {
 		s.adoptRegistry()
 		s.tellNews()
+		s.tellReader()
 	}
 }
 
--- a/core/store.go
+++ b/core/store.go
@@ -11,9 +11,9 @@
 	// watchWait is the time after which a watch without a change is answered. A
 	// store that forgets its history does not tell a watch that is waiting, and
 	// changes must be in force within two seconds.
-	watchWait = 1300 * time.Millisecond
+	watchWait = 700 * time.Millisecond
 	// watchPause lets several changes come with one answer, since each call has
-	// a price. Together with watchWait it stays below two seconds.
+	// a price. Together with watchWait it stays below newsOld.
 	watchPause = 300 * time.Millisecond
 	// A failed call to the store is repeated after a pause that doubles from
 	// firstStorePause to lastStorePause. The store's return must be noticed
@@ -65,6 +65,8 @@
 // StoreListed reports everything that the store holds.
 type StoreListed struct {
 	Revision uint64
+	// Stale is that of the call.
+	Stale bool
 	// Routing is nil when none is published, or with RoutingProblem.
 	Routing *config.Routing
 	// RoutingProblem says why the published routing cannot be read.
@@ -89,7 +91,10 @@
 
 // ListStore reads everything from the store. The answer is StoreListed or
 // StoreFailed.
-type ListStore struct{}
+type ListStore struct {
+	// Stale allows an answer that is some seconds old, at a tenth of the price.
+	Stale bool
+}
 
 // WatchStore asks for changes after a revision. The answer is StoreChanged or
 // StoreFailed.
@@ -108,9 +113,11 @@
 	calling  bool
 	failures int
 	nextCall Instant
-	// lastAnswer is the instant of the last answer, returned that of the first
-	// one after failures.
+	// lastAnswer is the instant at which the store last said that what is known
+	// is all; heard is set once it did. returned is the instant of the first
+	// answer after failures.
 	lastAnswer Instant
+	heard      bool
 	returned   Instant
 	// lapsing holds servers whose entries went missing while the store was
 	// away, with the instant at which they count as gone.
@@ -148,15 +155,17 @@
 		return
 	}
 	if !s.mayCallStore() {
-		s.wake(max(s.now+1, g.lastAnswer.Add(newsLimit)))
+		s.wake(max(s.now+1, g.lastAnswer.Add(g.news.patience)))
 		return
 	}
 	g.calling = true
 	if g.listed {
-		s.out.add(WatchStore{After: g.revision, Wait: watchWait})
+		s.out.add(WatchStore{After: g.revision, Wait: s.watchTime()})
 		return
 	}
-	s.out.add(ListStore{})
+	// What changed since a stale listing comes with the next news. At the first
+	// start, a stale listing may lack the configuration.
+	s.out.add(ListStore{Stale: g.revision == 0 && !s.self.Registry.FirstStart})
 }
 
 func (s *State) tickRegistry() {
@@ -165,10 +174,21 @@
 	s.driveStore()
 }
 
-func (s *State) storeAnswered(revision uint64) {
+// watchTime is the time that a watch may take without a change. A host that
+// has a reader needs to know now what changed, to tell the reader.
+func (s *State) watchTime() time.Duration {
+	if s.reader() != nil {
+		return 0
+	}
+	return watchWait
+}
+
+func (s *State) storeAnswered(revision uint64, stale bool) {
 	g := &s.registry
 	g.calling = false
-	g.lastAnswer = s.now
+	if !stale {
+		s.noteHeard(s.now)
+	}
 	if g.failures > 0 {
 		g.returned = s.now
 		s.out.add(Log{Message: "the store answers again", Fields: []LogField{
@@ -182,7 +202,7 @@
 
 func (s *State) storeListed(e StoreListed) {
 	g := &s.registry
-	s.storeAnswered(e.Revision)
+	s.storeAnswered(e.Revision, e.Stale)
 	g.listed = true
 	listed := make(map[string]bool, len(e.Servers))
 	for _, change := range e.Servers {
@@ -201,10 +221,11 @@
 	s.adoptRegistry()
 	s.tellNews()
 	s.callLater()
+	s.pollReader()
 }
 
 func (s *State) storeChanged(e StoreChanged) {
-	s.storeAnswered(e.Revision)
+	s.storeAnswered(e.Revision, false)
 	s.changeServers(e.Servers)
 	s.takeRouting(e.Routing, e.RoutingProblem)
 	if len(e.Servers) > 0 || e.Routing != nil {
@@ -212,6 +233,7 @@
 		s.callLater()
 	}
 	s.tellNews()
+	s.tellReader()
 	s.driveStore()
 }
 
@@ -239,15 +261,20 @@
 		s.out.add(Log{Level: LogWarn, Message: "store call failed", Fields: []LogField{
 			{Key: "reason", Value: e.Reason},
 			{Key: "failures", Value: strconv.Itoa(g.failures)},
-			{Key: "age", Value: s.now.Sub(g.lastAnswer).String()},
+			{Key: "age", Value: s.newsAge().String()},
 		}})
 	}
-	longest := lastStorePause
-	if s.reader() != nil {
-		// The reader notices the store's return.
-		longest = memberCallPause
-	}
-	pause := min(firstStorePause<<min(g.failures-1, 8), longest)
+	pause := s.failurePause()
 	g.nextCall = s.now.Add(pause/2 + time.Duration(s.random.below(int(pause/2))))
 	s.wake(g.nextCall)
 }
+
+// failurePause returns the longest pause after a failed call. Hosts with the
+// same reader call as often together as the reader does alone: it notices the
+// store's return, and any of them that is served tells it.
+func (s *State) failurePause() time.Duration {
+	if reader := s.reader(); reader != nil {
+		return max(memberCallPause, lastStorePause*time.Duration(s.sharing(reader)))
+	}
+	return min(firstStorePause<<min(s.registry.failures-1, 8), lastStorePause)
+}
--- a/core/store_test.go
+++ b/core/store_test.go
@@ -124,7 +124,8 @@
 		const bound = 2 * time.Second
 		Expect(watchWait + watchPause).To(BeNumerically("<", bound))
 		Expect(newsLimit).To(BeNumerically("<", bound))
-		Expect(newsLimit).To(BeNumerically(">", watchWait))
+		Expect(newsLimit).To(BeNumerically(">", newsOld))
+		Expect(newsOld).To(BeNumerically(">", watchWait+watchPause))
 		Expect(lastStorePause + lapseGrace).To(BeNumerically("<=", bound))
 	})
 
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -37,7 +37,7 @@
 	case core.ReadHostList:
 		h.readHostList()
 	case core.ListStore:
-		h.listStore()
+		h.listStore(e)
 	case core.WatchStore:
 		h.watchStore(e)
 	case core.AskNews:
--- a/entryhost/relay.go
+++ b/entryhost/relay.go
@@ -57,7 +57,7 @@
 		if err != nil && h.ctx.Err() != nil {
 			return nil
 		}
-		event := core.NewsAnswered{Address: e.Address, Answer: answer}
+		event := core.NewsAnswered{Address: e.Address, Aside: e.Aside, Answer: answer}
 		if err != nil {
 			event.Failed = true
 			event.Reason = err.Error()
--- a/entryhost/store.go
+++ b/entryhost/store.go
@@ -47,8 +47,8 @@
 	return registry
 }
 
-func (h *Host) listStore() {
-	h.callStore(kindStoreList, func() (core.Event, error) { return h.store.List(h.ctx) })
+func (h *Host) listStore(e core.ListStore) {
+	h.callStore(kindStoreList, func() (core.Event, error) { return h.store.List(h.ctx, e.Stale) })
 }
 
 func (h *Host) watchStore(e core.WatchStore) {
