backend: keep connections as long as their servers say, probe again on a new one

Cause: probes used a kept connection only if it was idle for less than 5 s, so that hosts with few requests opened one for most of their questions; and a server that had forgotten an idle connection counted as unreachable for 0.2 s. Answers tell in Keep-Alive how long a connection is kept. Connections are now used until 0.5 s before that, probes included, and a probe whose kept connection is reset opens a new one.

Ruled out: longer times without the header, since orders must not meet a closing connection; theirs stays at 0.5 s.

The new specs of backend/pool_test.go fail on the code before.

--- a/backend/answer.go
+++ b/backend/answer.go
@@ -48,6 +48,7 @@
 	if r.StatusCode() == fasthttp.StatusSwitchingProtocols {
 		return &MalformedError{Err: errUpgrade}
 	}
+	x.conn.noteKeepAlive(&r.Header)
 	return nil
 }
 
--- a/backend/connection.go
+++ b/backend/connection.go
@@ -2,16 +2,29 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/valyala/fasthttp"
 )
 
 // readBufferBytes also bounds the head of an answer.
 const readBufferBytes = 32 << 10
 
+const (
+	// maxKeepAlive stands for the idle time of a server that told none, and
+	// bounds what it may tell.
+	maxKeepAlive = 24 * time.Hour
+	maxTold      = int(maxKeepAlive / time.Second)
+	// keepAliveMargin is left before the idle time that a server told, for the
+	// way of the request. Servers tell whole seconds.
+	keepAliveMargin = 500 * time.Millisecond
+)
+
 // past is a deadline that ends a pending read or write at once.
 var past = time.Unix(1, 0)
 
@@ -28,6 +41,9 @@
 	// generation is that of the address when the connection was opened.
 	generation uint64
 	idleSince  time.Time
+	// idleLimit is the time for which the connection may be idle, as the server
+	// told.
+	idleLimit time.Duration
 }
 
 func dial(ctx context.Context, network *net.Dialer, a *address, generation uint64) (*connection, error) {
@@ -35,7 +51,7 @@
 	if err != nil {
 		return nil, &DialError{Address: a.name, Err: err}
 	}
-	c := &connection{Conn: conn, home: a, generation: generation}
+	c := &connection{Conn: conn, home: a, generation: generation, idleLimit: maxKeepAlive}
 	c.takeReader()
 	return c, nil
 }
@@ -57,6 +73,21 @@
 	c.reader = nil
 }
 
+// noteKeepAlive takes the idle time that an answer tells.
+func (c *connection) noteKeepAlive(h *fasthttp.ResponseHeader) {
+	for parameter := range bytes.SplitSeq(h.Peek("Keep-Alive"), []byte{','}) {
+		name, value, _ := bytes.Cut(bytes.TrimSpace(parameter), []byte{'='})
+		if seconds, ok := parseNumber(value, maxTold); ok && bytes.EqualFold(name, []byte("timeout")) {
+			c.idleLimit = time.Duration(seconds)*time.Second - keepAliveMargin
+		}
+	}
+}
+
+// mayBeIdle reports whether the connection can still be used at the given time.
+func (c *connection) mayBeIdle(now time.Time, longest time.Duration) bool {
+	return now.Sub(c.idleSince) < min(longest, c.idleLimit)
+}
+
 // close closes a connection that nobody uses any more.
 func (c *connection) close() {
 	c.Close()
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -86,7 +86,7 @@
 		if c == nil {
 			return nil
 		}
-		if time.Since(c.idleSince) < p.idleTimeout && c.checkIdle() == nil {
+		if c.mayBeIdle(time.Now(), p.idleTimeout) && c.checkIdle() == nil {
 			c.takeReader()
 			return c
 		}
--- a/backend/pool_test.go
+++ b/backend/pool_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"wisteriapond/core"
 	"wisteriapond/outcome"
 	"wisteriapond/standin"
 )
@@ -39,6 +40,45 @@
 		Expect(b.pool.Open(s.Address())).To(Equal(2))
 	})
 
+	// Guards against a request on a connection that its server is about to close
+	// at the time that it told.
+	DescribeTable("keeps a connection no longer than its server says", func(header string, connections int) {
+		s := serve(standin.AnswerEach(ok + header + "Content-Length: 0\r\n\r\n"))
+		b := newBench()
+		for range 2 {
+			Expect(b.run(b.command(s.Address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
+		}
+		Expect(s.Accepted()).To(BeEquivalentTo(connections))
+	},
+		Entry("nothing", "", 1),
+		Entry("a long time", "Keep-Alive: max=100, timeout=10\r\n", 1),
+		Entry("no time at all", "Keep-Alive: timeout=0\r\n", 2),
+		Entry("something else", "Keep-Alive: timeout=soon\r\n", 1),
+	)
+
+	// Guards against a server that counts as unreachable, and gets no requests,
+	// since it has forgotten an idle connection.
+	It("probes on a new connection when a kept one was forgotten", func() {
+		s := serve(func(c *standin.RawConn) {
+			for c.ReadRequest() != nil {
+				if c.Number == 1 {
+					io.WriteString(c, empty)
+					c.ReadRequest()
+					return
+				}
+				io.WriteString(c, empty)
+			}
+		})
+		b := newBench()
+		for range 3 {
+			facts, _ := b.pool.Probe(GinkgoT().Context(), b.clock, core.StartProbe{
+				Address: s.Address(), Reuse: true, StartBefore: b.command("").StartBefore,
+			})
+			Expect(facts.Cause).To(Equal(outcome.CauseNone))
+		}
+		Expect(s.Accepted()).To(BeEquivalentTo(2))
+	})
+
 	// Guards against an unknown outcome where nothing was written yet.
 	It("replaces an idle connection that was closed", func() {
 		closed := make(chan struct{}, 2)
--- a/backend/probe.go
+++ b/backend/probe.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"time"
 
@@ -16,8 +17,6 @@
 	probeBufferBytes = 4 << 10
 	// probeTimeout applies when the command names none.
 	probeTimeout = time.Second
-	// probeMaxIdle is shorter than the usual keep-alive time of servers.
-	probeMaxIdle = 5 * time.Second
 )
 
 // Probe measures a backend server: one GET on a connection of its own. The
@@ -64,15 +63,24 @@
 }
 
 // probeKept measures on a kept connection, which is kept again after a whole
-// answer.
+// answer. A server may have forgotten a connection that was idle: that says
+// nothing about its health, so that a new one is opened.
 func (p *Pool) probeKept(ctx context.Context, clock Clock, command *core.StartProbe, facts *outcome.Facts) (time.Duration, error) {
-	conn := p.reuse(command.Address, probeMaxIdle)
-	if conn == nil {
-		var err error
-		if conn, err = p.open(ctx, command.Address, command.Connections); err != nil {
-			return 0, err
+	if conn := p.reuse(command.Address, p.idleTimeout); conn != nil {
+		took, err := p.probeOn(ctx, conn, clock, command, facts)
+		if causeOf(err) != outcome.CauseReset || errors.Is(err, errOtherInstance) {
+			return took, err
 		}
 	}
+	conn, err := p.open(ctx, command.Address, command.Connections)
+	if err != nil {
+		return 0, err
+	}
+	return p.probeOn(ctx, conn, clock, command, facts)
+}
+
+// probeOn measures on a connection, and keeps or drops it.
+func (p *Pool) probeOn(ctx context.Context, conn *connection, clock Clock, command *core.StartProbe, facts *outcome.Facts) (time.Duration, error) {
 	if clock.Now() > command.StartBefore {
 		p.drop(conn)
 		return 0, errExpired
@@ -101,6 +109,7 @@
 	if err := response.ReadLimitBody(conn.reader, int(command.Probe.AnswerLimit)); err != nil {
 		return false, headError(err)
 	}
+	conn.noteKeepAlive(&response.Header)
 	readFacts(&response.Header, d, &core.StartAttempt{}, facts)
 	if by := response.Header.Peek(d.AnsweredBy); d.AnsweredBy != "" && command.Instance != "" && string(by) != command.Instance {
 		return false, errOtherInstance
