core: ask upstreams first that a connection is open to

Cause: with a few requests a second, a host asked all upstreams of its failure domain in turn, and opened a connection to each of them again and again. Among upstreams that look equally free, those that told their load within 5 s come first; the others are asked when these are busy.

Ruled out: a fixed subset of the upstreams for each host, which needs a second round of questions when the subset is slow.

--- a/core/asking.go
+++ b/core/asking.go
@@ -27,6 +27,9 @@
 	questionTime = 400 * time.Millisecond
 	// refusedPause keeps requests from an upstream that could not be asked.
 	refusedPause = 200 * time.Millisecond
+	// metLately is the age of a report up to which the connection that it came
+	// over is most likely still open: shorter than usual keep-alive times.
+	metLately = 5 * time.Second
 	// goodWorth is the worth of the best upstream known, in thousandths, from
 	// which on no others are asked.
 	goodWorth = 700
@@ -107,7 +110,7 @@
 		}
 	}
 	slices.SortStableFunc(found, func(a, b *upstream) int {
-		return cmp.Compare(a.occupied(s.now), b.occupied(s.now))
+		return cmp.Or(cmp.Compare(a.occupied(s.now), b.occupied(s.now)), cmp.Compare(s.unmet(a), s.unmet(b)))
 	})
 	any = len(found) > 0
 	found = found[:min(len(found), maxQuestions)]
@@ -116,6 +119,15 @@
 	}), any
 }
 
+// unmet is 1 for an upstream that told nothing lately: a connection to it would
+// have to be opened, and that has a price.
+func (s *State) unmet(u *upstream) int {
+	if u.told.report.Known && s.now.Sub(u.told.at) < metLately {
+		return 0
+	}
+	return 1
+}
+
 // askForQueue asks again for the loads of the nearest upstreams, since the
 // requests of other hosts end without an event here.
 func (s *State) askForQueue(svc *service) {
