core: wait for the reader before the first listing

Cause: since a stale listing does not count as heard, a host that knew a reader at the first start took its news as infinitely old and listed the store itself once the 0.3 s for neighbours were over: 120 listings at the full price. The age that makes a host call for itself counts from its start now.

Ruled out: a longer time for neighbours, which delays hosts without any.

--- a/core/news.go
+++ b/core/news.go
@@ -166,6 +166,7 @@
 	n.dropped = make(map[string]Instant)
 	n.seedPause = firstSeedPause
 	n.patience = newsLimit
+	s.registry.lastAnswer = s.now
 	if len(s.self.Registry.Seeds) > 0 && s.self.Registry.FirstStart {
 		n.storeFrom = s.now.Add(peersBeforeStore)
 		s.wake(n.storeFrom)
@@ -211,7 +212,7 @@
 	if s.now.Before(g.news.storeFrom) && g.revision == 0 {
 		return false
 	}
-	return s.reader() == nil || s.newsAge() >= g.news.patience
+	return s.reader() == nil || s.now.Sub(g.lastAnswer) >= g.news.patience
 }
 
 // newsAge returns the time since the store said that what is known is all.
--- a/core/store.go
+++ b/core/store.go
@@ -114,8 +114,8 @@
 	failures int
 	nextCall Instant
 	// lastAnswer is the instant at which the store last said that what is known
-	// is all; heard is set once it did. returned is the instant of the first
-	// answer after failures.
+	// is all, or that of the start; heard is set once it did. returned is the
+	// instant of the first answer after failures.
 	lastAnswer Instant
 	heard      bool
 	returned   Instant
