--- a/core/registry.go
+++ b/core/registry.go
@@ -105,7 +105,7 @@
 		g.servers[change.ID] = *change.Server
 		s.noteChange(change.ID)
 		if !registered || known.Leaving != change.Server.Leaving || known.Born != change.Server.Born {
-			s.logServer("backend server changed", change.ID, change.Server.Service, leavingText(change.Server.Leaving))
+			s.noteServerLine(serverLine{id: change.ID, service: change.Server.Service, state: leavingText(change.Server.Leaving)})
 		}
 	}
 }
@@ -117,17 +117,59 @@
 	}
 	delete(s.registry.servers, id)
 	s.noteChange(id)
-	s.logServer("backend server removed", id, server.Service, reason)
+	s.noteServerLine(serverLine{id: id, service: server.Service, state: reason, removed: true})
 	return true
 }
 
-func (s *State) logServer(message, id, service, state string) {
-	s.out.add(Log{Message: message, Fields: []LogField{
-		{Key: "server", Value: id},
-		{Key: "service", Value: service},
-		{Key: "state", Value: state},
-		{Key: "revision", Value: strconv.FormatUint(s.registry.revision, 10)},
-	}})
+func (s *State) noteServerLine(line serverLine) {
+	s.registry.unlogged = append(s.registry.unlogged, line)
+}
+
+// maxServerLines is the number of servers up to which each change has a line of
+// its own. A listing changes all of them, and lines cost a small host its start.
+const maxServerLines = 16
+
+// serverLine is a change of a server that has no log line yet.
+type serverLine struct {
+	id, service, state string
+	removed            bool
+}
+
+// logServers writes the changes that an event made, one by one or as a sum.
+func (s *State) logServers() {
+	lines := s.registry.unlogged
+	if len(lines) == 0 {
+		return
+	}
+	s.registry.unlogged = nil
+	revision := LogField{Key: "revision", Value: strconv.FormatUint(s.registry.revision, 10)}
+	removed := 0
+	for _, line := range lines {
+		if line.removed {
+			removed++
+		}
+		if len(lines) > maxServerLines {
+			continue
+		}
+		message := "backend server changed"
+		if line.removed {
+			message = "backend server removed"
+		}
+		s.out.add(Log{Message: message, Fields: []LogField{
+			{Key: "server", Value: line.id},
+			{Key: "service", Value: line.service},
+			{Key: "state", Value: line.state},
+			revision,
+		}})
+	}
+	if len(lines) > maxServerLines {
+		s.out.add(Log{Message: "backend servers changed", Fields: []LogField{
+			{Key: "changed", Value: strconv.Itoa(len(lines) - removed)},
+			{Key: "removed", Value: strconv.Itoa(removed)},
+			{Key: "known", Value: strconv.Itoa(len(s.registry.servers))},
+			revision,
+		}})
+	}
 }
 
 func leavingText(leaving bool) string {
--- a/core/state.go
+++ b/core/state.go
@@ -99,6 +99,7 @@
 		s.explain(e)
 	}
 	s.drainDue()
+	s.logServers()
 	s.settle(event)
 	s.out = nil
 }
--- a/core/store.go
+++ b/core/store.go
@@ -122,7 +122,9 @@
 	// lapsing holds servers whose entries went missing while the store was
 	// away, with the instant at which they count as gone.
 	lapsing map[string]Instant
-	news    news
+	// unlogged holds the changes of servers that the event of this step made.
+	unlogged []serverLine
+	news     news
 }
 
 func (s *State) startRegistry() {
--- a/core/store_test.go
+++ b/core/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -141,6 +142,27 @@
 		Expect(first[WatchStore](effects).After).To(Equal(uint64(7)))
 	})
 
+	// Guards against a start that is slow on a small host since it logs every
+	// server of a large deployment.
+	ginkgo.DescribeTable("logs changes of servers one by one or as a sum", func(servers, lines int) {
+		b := newStoreBench(plainRegistry)
+		var listed []Server
+		for i := range servers {
+			listed = append(listed, entry("s"+strconv.Itoa(i), "read", "mtl-a"))
+		}
+		messages := make(map[string]int)
+		for _, effect := range b.list(routing(1), listed...) {
+			if l, ok := effect.(Log); ok {
+				messages[l.Message]++
+			}
+		}
+		Expect(messages["backend server changed"]).To(Equal(lines))
+		Expect(messages["backend servers changed"] == 1).To(Equal(lines == 0))
+	},
+		ginkgo.Entry("a few", maxServerLines, maxServerLines),
+		ginkgo.Entry("many", maxServerLines+1, 0),
+	)
+
 	// Guards against facts of a forgotten history, and against an outage of the
 	// reader while it lists again.
 	ginkgo.It("keeps what it knows until it has listed again", func() {
