core: do not pause after a refusal that tells free slots

Cause: an upstream that refuses is held off until a slot is likely to be free. Where all upstreams of a service refuse half of their requests for another reason, requests waited for slots that stood idle.

Ruled out: the retry budget, which is used up in the same way before and after.

The spec fails on the code before.

--- a/core/retry.go
+++ b/core/retry.go
@@ -131,7 +131,7 @@
 // noteResult updates the statistics of an upstream after an attempt.
 func (s *State) noteResult(r *request, facts outcome.Facts, class outcome.Class) {
 	u, svc := r.upstream, r.service
-	if class == outcome.NotRun && facts.Wrote {
+	if class == outcome.NotRun && facts.Wrote && !toldFree(facts) {
 		s.noteShed(u)
 	}
 	took := s.now.Sub(r.startedAt)
@@ -174,6 +174,13 @@
 	return took
 }
 
+// toldFree reports whether an answer tells that a slot is free: a server that
+// sheds all the same is not waited for, since its slots say nothing.
+func toldFree(facts outcome.Facts) bool {
+	told := &facts.Told
+	return told.Known && told.Running+told.Waiting < told.Slots
+}
+
 // noteShed holds off an upstream whose slots are taken by other hosts until
 // one is likely to be free. The wait is random, so that hosts which were
 // refused together do not come back together.
--- a/core/store_test.go
+++ b/core/store_test.go
@@ -437,6 +437,22 @@
 		ginkgo.Entry("near for a large answer, though it is slow", "/file/x", outcome.LoadReport{Slots: 2, Slowdown: 500}, "near"),
 	)
 
+	// Guards against requests that wait for a server whose refusals have nothing
+	// to do with its slots, when all of a service refuse.
+	ginkgo.DescribeTable("after a refusal", func(load outcome.LoadReport, starts int) {
+		b := started(entry("a", "read", "mtl-a"))
+		load.Known = true
+		lookup := first[StartAttempt](b.arrive("/lookup/x"))
+		b.now = b.now.Add(100 * time.Millisecond)
+		b.finish(lookup, ok)
+		lookup = first[StartAttempt](b.arrive("/lookup/x"))
+		b.finish(lookup, outcome.Facts{Wrote: true, Status: 503, NotRunHeader: true, Load: -1, Told: load})
+		Expect(count[StartAttempt](b.arrive("/lookup/x"))).To(Equal(starts))
+	},
+		ginkgo.Entry("goes on to a server that tells free slots", outcome.LoadReport{Slots: 2, Slowdown: 100}, 1),
+		ginkgo.Entry("waits for a server that is full", outcome.LoadReport{Running: 2, Waiting: 1, Slots: 2, Slowdown: 100}, 0),
+	)
+
 	// Guards against a slot that a request holds for several times as long since
 	// it began in the slow moment of a server, and against a wait without end for
 	// a server that stays slow.
