caller: bound the head of a request as the configuration says

Cause: the time that callers may take for the head of a request was the product's own 30 s, whatever the configuration in force said. The limit runs from the first byte on, also on a new connection, which is idle before; bodies have a time of their own.

Ruled out: one deadline for head and body, since fasthttp reads the beginning of a body before the handler runs, and a slow body ended with its head.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -21,8 +21,15 @@
 // listener wraps the connections that it accepts.
 type listener struct {
 	net.Listener
-	// idleLimit is the time for which a connection may stay idle.
-	idleLimit func() time.Duration
+	// limits returns the times that callers may take now.
+	limits func() readLimits
+}
+
+// readLimits bounds the waits for bytes of a caller.
+type readLimits struct {
+	// idle is the time for which a connection may stay idle, head that for the
+	// head of a request from its first byte on.
+	idle, head time.Duration
 }
 
 func (l listener) Accept() (net.Conn, error) {
@@ -31,7 +38,7 @@
 		return nil, err
 	}
 	wrapped := newConn(c)
-	wrapped.idleLimit = l.idleLimit
+	wrapped.limits = l.limits
 	return wrapped, nil
 }
 
@@ -55,8 +62,10 @@
 
 	linger bool
 	abort  bool
-	// idleLimit is nil for a connection without one.
-	idleLimit func() time.Duration
+	// limits is nil for a connection without any.
+	limits func() readLimits
+	// begun is set once the first byte of the first request was read.
+	begun bool
 }
 
 func newConn(c net.Conn) *conn {
@@ -88,19 +97,31 @@
 		return 0, err
 	}
 	c.mu.Unlock()
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.begun {
+		c.begun = true
+		if c.limits != nil {
+			c.Conn.SetReadDeadline(time.Now().Add(c.limits().head))
+		}
+	}
+	return n, err
 }
 
-// SetReadDeadline sets the deadline that fasthttp asks for. The one for an idle
-// connection, which is further off than any other, is cut to the limit of the
-// configuration in force.
+// SetReadDeadline sets the deadline that fasthttp asks for, cut to the limits of
+// the configuration in force. A new connection is idle until its first byte, and
+// fasthttp sets no other deadline then.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	if c.idleLimit != nil && time.Until(t) > headTimeout {
-		if limited := time.Now().Add(c.idleLimit()); limited.Before(t) {
-			t = limited
-		}
+	if c.limits == nil || t.IsZero() {
+		return c.Conn.SetReadDeadline(t)
+	}
+	limits, wait := c.limits(), time.Until(t)
+	switch {
+	case !c.begun || wait > bodyTimeout:
+		wait = min(wait, limits.idle)
+	case wait <= headTimeout:
+		wait = min(wait, limits.head)
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(time.Now().Add(wait))
 }
 
 // Write gives the caller time to take the bytes.
--- a/caller/server.go
+++ b/caller/server.go
@@ -23,9 +23,12 @@
 	// writeBufferBytes bounds what is buffered of an answer.
 	writeBufferBytes = 16 << 10
 	idleTimeout      = 75 * time.Second
-	// headTimeout bounds the wait for the head of a request, and for a body
-	// that is kept.
+	// headTimeout bounds the wait for the head of a request where the
+	// configuration does not, and bodyTimeout that for a body that is kept. A
+	// connection tells the waits apart by their length: headTimeout, then
+	// bodyTimeout, then idleTimeout.
 	headTimeout = 30 * time.Second
+	bodyTimeout = 60 * time.Second
 )
 
 // Server takes requests from callers.
@@ -53,6 +56,7 @@
 		DisablePreParseMultipartForm: true,
 		IdleTimeout:                  idleTimeout,
 		ReadTimeout:                  headTimeout,
+		HeaderReceived:               afterHead,
 		NoDefaultContentType:         true,
 		NoDefaultServerHeader:        true,
 		CloseOnShutdown:              true,
@@ -64,15 +68,25 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(listener{l, s.idleLimit})
+	return s.http.Serve(listener{l, s.readLimits})
 }
 
-// idleLimit is the time for which a connection may stay idle.
-func (s *Server) idleLimit() time.Duration {
-	if limit := s.loop.View().Limits.IdleTimeout; limit > 0 {
-		return min(limit, idleTimeout)
+// afterHead gives a request more time for its body than for its head.
+func afterHead(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+	return fasthttp.RequestConfig{ReadTimeout: bodyTimeout}
+}
+
+// readLimits returns the times that callers may take now.
+func (s *Server) readLimits() readLimits {
+	limits := readLimits{idle: idleTimeout, head: headTimeout}
+	configured := &s.loop.View().Limits
+	if configured.IdleTimeout > 0 {
+		limits.idle = min(configured.IdleTimeout, limits.idle)
+	}
+	if configured.HeaderTimeout > 0 {
+		limits.head = min(configured.HeaderTimeout, limits.head)
 	}
-	return idleTimeout
+	return limits
 }
 
 // Shutdown closes the listener and idle connections, and waits until every
