core: every host knows changes in time while the store serves any

A host that keeps servers whose entries may have lapsed told the revision of their end, so that others never heard of it. It tells the revision before. 2. A host that heard of the end of a server which it did not know kept no mark of it for those that know the server. 3. A host whose failure domain is turned away as a whole relied on the first of all hosts, which nobody fed. A host without news asks any other, readers learn each other's names, and news that come from aside are told on. 4. One host alone that is served read once in 1.6 s. It reads on for its reader as long as that is turned away. 5. A seed that is down and known as a neighbour made hosts ask all seeds every 0.4 s; a reader that may still be down was asked with the full wait.

--- a/core/neighbours.go
+++ b/core/neighbours.go
@@ -108,9 +108,13 @@
 	for _, name := range sortedKeys(s.registry.news.neighbours) {
 		other := s.registry.news.neighbours[name]
 		if other.Address == e.Address {
+			if !s.now.Before(other.downUntil) {
+				// The seeds may know another one. One that is known to be down is no
+				// reason to ask them again: it may be a seed itself.
+				s.registry.news.nextSeeds = s.now
+			}
 			other.downUntil = s.now.Add(min(firstDown<<min(other.failures, 8), lastDown))
 			other.failures++
-			s.registry.news.nextSeeds = s.now
 			s.out.add(Log{Level: LogWarn, Message: "entry host does not answer", Fields: []LogField{
 				{Key: "member", Value: other.Host},
 				{Key: "reason", Value: e.Reason},
@@ -121,6 +125,14 @@
 	s.driveStore()
 }
 
+func (s *State) neighbourAnswered(address string) {
+	for _, other := range s.registry.news.neighbours {
+		if other.Address == address {
+			other.downUntil, other.failures = 0, 0
+		}
+	}
+}
+
 // meet remembers an entry host. One that asks is alive.
 func (s *State) meet(name Neighbour, asks bool) {
 	n := &s.registry.news
@@ -161,7 +173,7 @@
 }
 
 // namesFor returns the hosts of the failure domain of the asker that were heard
-// of lately, and the first of all hosts.
+// of lately, the first of all hosts, and a random one for a reader.
 func (s *State) namesFor(asker Neighbour) []Neighbour {
 	n := &s.registry.news
 	var names []Neighbour
@@ -184,5 +196,28 @@
 	if !slices.Contains(names, first) {
 		names = append(names, first)
 	}
+	if other := s.anyHeard(asker); other != nil && !slices.Contains(names, other.Neighbour) {
+		names = append(names, other.Neighbour)
+	}
 	return names
 }
+
+// anyHeard returns a random host of a third failure domain for a reader that
+// asks, nil when there is none. Readers know each other by and by, so that they
+// find a host that is served when the first of all and the seeds are gone.
+func (s *State) anyHeard(asker Neighbour) *neighbour {
+	if asker.FailureDomain == s.self.FailureDomain {
+		return nil
+	}
+	var heard []*neighbour
+	for _, name := range sortedKeys(s.registry.news.neighbours) {
+		other := s.registry.news.neighbours[name]
+		if other.FailureDomain != asker.FailureDomain && s.now.Sub(other.heard) < heardLately && !s.now.Before(other.downUntil) {
+			heard = append(heard, other)
+		}
+	}
+	if len(heard) == 0 {
+		return nil
+	}
+	return heard[s.random.below(len(heard))]
+}
--- a/core/news.go
+++ b/core/news.go
@@ -50,6 +50,10 @@
 	// lateDropsKept is the time for which a server that was dropped without a
 	// change of the store is told as gone: a few questions of each neighbour.
 	lateDropsKept = 5 * time.Second
+	// A host that knows more is asked in turn when its news are younger by
+	// askBackGain, and goes on reading for feedTime: the reader is turned away.
+	askBackGain = 300 * time.Millisecond
+	feedTime    = 2 * time.Second
 	// neverHeard stands for the age of news that nobody has confirmed.
 	neverHeard = time.Hour
 	// Bounds on what others can make this host remember, and on the names in one
@@ -144,8 +148,14 @@
 	// askedBack is the address of a host that asked, knew more and was asked in
 	// turn, empty for none.
 	askedBack string
+	// fed says that the last news came from a host that asked, since those of the
+	// store and of the reader were old.
+	fed bool
 	// patience is the age of the news at which this host reads for itself.
 	patience time.Duration
+	// feedsUntil is the end of the time for which this host reads the store for
+	// its reader.
+	feedsUntil Instant
 	// nextSeeds is the instant at which the seeds are asked again.
 	nextSeeds Instant
 	seedPause time.Duration
@@ -191,7 +201,9 @@
 	if reader := s.reader(); reader != nil {
 		n.polled = reader.Address
 		wait := newsWait
-		if !s.registry.heard {
+		if !s.registry.heard || reader.failures > 0 {
+			// A host that is still down is found out soon, and a host that knows
+			// nothing yet needs an answer.
 			wait = 0
 		}
 		s.out.add(AskNews{Address: reader.Address, Ask: s.newsAsk(wait)})
@@ -212,9 +224,12 @@
 	if s.now.Before(g.news.storeFrom) && g.revision == 0 {
 		return false
 	}
-	return s.reader() == nil || s.now.Sub(g.lastAnswer) >= g.news.patience
+	return s.reader() == nil || s.feeds() || s.now.Sub(g.lastAnswer) >= g.news.patience
 }
 
+// feeds reports whether this host reads the store for its reader.
+func (s *State) feeds() bool { return s.now.Before(s.registry.news.feedsUntil) }
+
 // newsAge returns the time since the store said that what is known is all.
 func (s *State) newsAge() time.Duration {
 	if !s.registry.heard {
@@ -251,14 +266,35 @@
 // askBack asks a host that knows more than this one, whose own news are old.
 func (s *State) askBack(ask *NewsAsk) {
 	n := &s.registry.news
-	knowsMore := ask.After > 0 && ask.After >= s.registry.revision && ask.Age < newsOld
-	if n.askedBack != "" || ask.From.Address == "" || !knowsMore || s.newsAge() < newsOld {
+	known := s.registry.revision
+	younger := ask.After > 0 && ask.After == known && ask.Age < newsOld && ask.Age+askBackGain < s.newsAge()
+	needed := n.fed || s.newsAge() >= newsOld
+	if !needed || n.askedBack != "" || ask.From.Address == "" || ask.After <= known && !younger {
 		return
 	}
+	n.fed = true
 	n.askedBack = ask.From.Address
 	s.out.add(AskNews{Address: n.askedBack, Ask: s.newsAsk(0), Aside: true})
 }
 
+// askAnyone asks a random entry host when neither the store nor the reader has
+// told anything lately: all of a failure domain may be turned away.
+func (s *State) askAnyone() {
+	n := &s.registry.news
+	if s.newsAge() < newsLimit {
+		return
+	}
+	var known []*neighbour
+	for _, name := range sortedKeys(n.neighbours) {
+		if other := n.neighbours[name]; other.Address != n.polled && !s.now.Before(other.downUntil) {
+			known = append(known, other)
+		}
+	}
+	if len(known) > 0 {
+		s.out.add(AskNews{Address: known[s.random.below(len(known))].Address, Ask: s.newsAsk(0), Aside: true})
+	}
+}
+
 // newsAnswered takes the answer of another entry host.
 func (s *State) newsAnswered(e NewsAnswered) {
 	n := &s.registry.news
@@ -277,8 +313,17 @@
 	for _, name := range e.Answer.Neighbours {
 		s.meet(name, false)
 	}
+	s.neighbourAnswered(e.Address)
 	if e.Answer.Known {
+		wasOld := s.newsAge() >= newsOld
 		s.takeNews(&e.Answer)
+		if polled && s.newsAge() < newsOld {
+			n.fed = false
+		}
+		if e.Aside && wasOld && s.newsAge() < newsOld {
+			// The reader may have been turned away as well.
+			s.tellReader()
+		}
 	} else if polled {
 		n.nextPoll = s.now.Add(firstSeedPause)
 		s.wake(n.nextPoll)
@@ -340,6 +385,9 @@
 	n := &s.registry.news
 	s.meet(e.Ask.From, true)
 	s.askBack(&e.Ask)
+	if reader := s.reader(); reader != nil && !e.Ask.NamesOnly && e.Ask.From.Host == reader.Host {
+		s.registry.news.feedsUntil = s.now.Add(feedTime)
+	}
 	if e.Ask.NamesOnly || s.hasNewsFor(&e.Ask) || e.Ask.Wait <= 0 || len(n.held) >= maxHeldNews {
 		s.answerNews(e.ID, &e.Ask)
 		return
@@ -355,7 +403,7 @@
 	if g.routing != nil && g.routing.Version > ask.Routing {
 		return true
 	}
-	if g.revision <= ask.After {
+	if s.tellableRevision() <= ask.After {
 		return false
 	}
 	if ask.After < g.news.horizon {
@@ -401,7 +449,7 @@
 	answer := NewsAnswer{Neighbours: s.namesFor(ask.From)}
 	if !ask.NamesOnly && g.routing != nil && g.revision > 0 {
 		answer.Known = true
-		answer.Revision = g.revision
+		answer.Revision = s.tellableRevision()
 		answer.Age = s.newsAge()
 		answer.Whole = ask.After == 0 || ask.After < g.news.horizon
 		answer.Servers = s.serversAfter(ask.After, answer.Whole)
@@ -413,6 +461,17 @@
 	s.out.add(AnswerNews{ID: id, Answer: answer})
 }
 
+// tellableRevision returns the revision up to which this host tells everything.
+// It keeps servers whose entries may have lapsed; a host that took the revision
+// with them would never learn that they are gone.
+func (s *State) tellableRevision() uint64 {
+	g := &s.registry
+	if len(g.lapsing) > 0 {
+		return min(g.revision, g.lapsedAfter)
+	}
+	return g.revision
+}
+
 // serversAfter returns the servers that changed after a revision, or all.
 func (s *State) serversAfter(after uint64, whole bool) []ServerChange {
 	g := &s.registry
--- a/core/registry.go
+++ b/core/registry.go
@@ -90,7 +90,12 @@
 	known, registered := g.servers[change.ID]
 	switch {
 	case change.Server == nil && !registered:
+		// Others that ask this host may know the server.
+		s.noteChange(change.ID)
 	case change.Server == nil && lapsed && change.Problem == "" && !known.Leaving:
+		if len(g.lapsing) == 0 {
+			g.lapsedAfter = g.previous
+		}
 		if _, waits := g.lapsing[change.ID]; !waits {
 			g.lapsing[change.ID] = g.returned.Add(lapseGrace)
 			s.wake(g.lapsing[change.ID])
--- a/core/store.go
+++ b/core/store.go
@@ -122,6 +122,10 @@
 	// lapsing holds servers whose entries went missing while the store was
 	// away, with the instant at which they count as gone.
 	lapsing map[string]Instant
+	// lapsedAfter is the revision up to which everything is known while entries
+	// may have lapsed, previous the one before the last answer of the store.
+	lapsedAfter uint64
+	previous    uint64
 	// unlogged holds the changes of servers that the event of this step made.
 	unlogged []serverLine
 	news     news
@@ -179,7 +183,7 @@
 // watchTime is the time that a watch may take without a change. A host that
 // has a reader needs to know now what changed, to tell the reader.
 func (s *State) watchTime() time.Duration {
-	if s.reader() != nil {
+	if s.reader() != nil && !s.feeds() {
 		return 0
 	}
 	return watchWait
@@ -190,6 +194,7 @@
 	g.calling = false
 	if !stale {
 		s.noteHeard(s.now)
+		g.news.fed = false
 	}
 	if g.failures > 0 {
 		g.returned = s.now
@@ -198,6 +203,7 @@
 		}})
 	}
 	g.failures = 0
+	g.previous = g.revision
 	g.revision = max(g.revision, revision)
 	s.newsConfirmed()
 }
@@ -269,6 +275,7 @@
 	pause := s.failurePause()
 	g.nextCall = s.now.Add(pause/2 + time.Duration(s.random.below(int(pause/2))))
 	s.wake(g.nextCall)
+	s.askAnyone()
 }
 
 // failurePause returns the longest pause after a failed call. Hosts with the
