--- a/core/doc.go
+++ b/core/doc.go
@@ -25,6 +25,7 @@
 //	store.go                         when it is called
 //	registry.go                      what is believed of servers and routes
 //	news.go, neighbours.go           which host reads it for the others
+//	telling.go, feeding.go           what hosts tell each other of it
 //	routing.go                       routes and splits
 //	asking.go, told.go               loads that upstreams tell
 //	placing.go                       time against bytes
--- a/core/news.go
+++ b/core/news.go
@@ -1,7 +1,6 @@
 package core
 
 import (
-	"slices"
 	"time"
 
 	"wisteriapond/config"
@@ -50,10 +49,6 @@
 	// lateDropsKept is the time for which a server that was dropped without a
 	// change of the store is told as gone: a few questions of each neighbour.
 	lateDropsKept = 5 * time.Second
-	// A host that knows more is asked in turn when its news are younger by
-	// askBackGain, and goes on reading for feedTime: the reader is turned away.
-	askBackGain = 300 * time.Millisecond
-	feedTime    = 2 * time.Second
 	// neverHeard stands for the age of news that nobody has confirmed.
 	neverHeard = time.Hour
 	// Bounds on what others can make this host remember, and on the names in one
@@ -227,9 +222,6 @@
 	return s.reader() == nil || s.feeds() || s.now.Sub(g.lastAnswer) >= g.news.patience
 }
 
-// feeds reports whether this host reads the store for its reader.
-func (s *State) feeds() bool { return s.now.Before(s.registry.news.feedsUntil) }
-
 // newsAge returns the time since the store said that what is known is all.
 func (s *State) newsAge() time.Duration {
 	if !s.registry.heard {
@@ -250,51 +242,6 @@
 	g.news.patience = newsOld + time.Duration(s.random.below(int(newsLimit-newsOld)))
 }
 
-// tellReader lets the host that this one asks know that the store has answered
-// here, so that it asks in turn if it cannot read for itself. A host that keeps
-// servers whose entries may have lapsed does not know yet what it would tell.
-func (s *State) tellReader() {
-	reader := s.reader()
-	if reader == nil || len(s.registry.lapsing) > 0 {
-		return
-	}
-	ask := s.newsAsk(0)
-	ask.NamesOnly = true
-	s.out.add(AskNews{Address: reader.Address, Ask: ask, Aside: true})
-}
-
-// askBack asks a host that knows more than this one, whose own news are old.
-func (s *State) askBack(ask *NewsAsk) {
-	n := &s.registry.news
-	known := s.registry.revision
-	younger := ask.After > 0 && ask.After == known && ask.Age < newsOld && ask.Age+askBackGain < s.newsAge()
-	needed := n.fed || s.newsAge() >= newsOld
-	if !needed || n.askedBack != "" || ask.From.Address == "" || ask.After <= known && !younger {
-		return
-	}
-	n.fed = true
-	n.askedBack = ask.From.Address
-	s.out.add(AskNews{Address: n.askedBack, Ask: s.newsAsk(0), Aside: true})
-}
-
-// askAnyone asks a random entry host when neither the store nor the reader has
-// told anything lately: all of a failure domain may be turned away.
-func (s *State) askAnyone() {
-	n := &s.registry.news
-	if s.newsAge() < newsLimit {
-		return
-	}
-	var known []*neighbour
-	for _, name := range sortedKeys(n.neighbours) {
-		if other := n.neighbours[name]; other.Address != n.polled && !s.now.Before(other.downUntil) {
-			known = append(known, other)
-		}
-	}
-	if len(known) > 0 {
-		s.out.add(AskNews{Address: known[s.random.below(len(known))].Address, Ask: s.newsAsk(0), Aside: true})
-	}
-}
-
 // newsAnswered takes the answer of another entry host.
 func (s *State) newsAnswered(e NewsAnswered) {
 	n := &s.registry.news
@@ -379,134 +326,3 @@
 		{Key: "age", Value: s.newsAge().String()},
 	}})
 }
-
-// newsAsked answers another entry host, now or when there are news.
-func (s *State) newsAsked(e NewsAsked) {
-	n := &s.registry.news
-	s.meet(e.Ask.From, true)
-	s.askBack(&e.Ask)
-	if reader := s.reader(); reader != nil && !e.Ask.NamesOnly && e.Ask.From.Host == reader.Host {
-		s.registry.news.feedsUntil = s.now.Add(feedTime)
-	}
-	if e.Ask.NamesOnly || s.hasNewsFor(&e.Ask) || e.Ask.Wait <= 0 || len(n.held) >= maxHeldNews {
-		s.answerNews(e.ID, &e.Ask)
-		return
-	}
-	until := s.now.Add(min(e.Ask.Wait, newsWait))
-	n.held = append(n.held, heldNews{id: e.ID, ask: e.Ask, until: until})
-	s.wake(until)
-}
-
-// hasNewsFor reports whether this host knows what the asker does not.
-func (s *State) hasNewsFor(ask *NewsAsk) bool {
-	g := &s.registry
-	if g.routing != nil && g.routing.Version > ask.Routing {
-		return true
-	}
-	if s.tellableRevision() <= ask.After {
-		return false
-	}
-	if ask.After < g.news.horizon {
-		return true
-	}
-	for _, revision := range g.news.changedAt {
-		if revision > ask.After {
-			return true
-		}
-	}
-	return false
-}
-
-// tellNews answers the questions that are held, after news came or the store
-// said that there are none.
-func (s *State) tellNews() {
-	n := &s.registry.news
-	held := n.held
-	n.held = nil
-	for i := range held {
-		s.answerNews(held[i].id, &held[i].ask)
-	}
-}
-
-func (s *State) answerDue() {
-	n := &s.registry.news
-	n.held = slices.DeleteFunc(n.held, func(h heldNews) bool {
-		if s.now.Before(h.until) {
-			return false
-		}
-		s.answerNews(h.id, &h.ask)
-		return true
-	})
-	for _, id := range sortedKeys(n.dropped) {
-		if s.now.Sub(n.dropped[id]) >= lateDropsKept {
-			delete(n.dropped, id)
-		}
-	}
-}
-
-func (s *State) answerNews(id uint64, ask *NewsAsk) {
-	g := &s.registry
-	answer := NewsAnswer{Neighbours: s.namesFor(ask.From)}
-	if !ask.NamesOnly && g.routing != nil && g.revision > 0 {
-		answer.Known = true
-		answer.Revision = s.tellableRevision()
-		answer.Age = s.newsAge()
-		answer.Whole = ask.After == 0 || ask.After < g.news.horizon
-		answer.Servers = s.serversAfter(ask.After, answer.Whole)
-		if g.routing.Version > ask.Routing {
-			answer.Routing = g.routing
-		}
-	}
-	s.count(CounterNews, "told")
-	s.out.add(AnswerNews{ID: id, Answer: answer})
-}
-
-// tellableRevision returns the revision up to which this host tells everything.
-// It keeps servers whose entries may have lapsed; a host that took the revision
-// with them would never learn that they are gone.
-func (s *State) tellableRevision() uint64 {
-	g := &s.registry
-	if len(g.lapsing) > 0 {
-		return min(g.revision, g.lapsedAfter)
-	}
-	return g.revision
-}
-
-// serversAfter returns the servers that changed after a revision, or all.
-func (s *State) serversAfter(after uint64, whole bool) []ServerChange {
-	g := &s.registry
-	var changes []ServerChange
-	for _, id := range sortedKeys(g.news.changedAt) {
-		server, registered := g.servers[id]
-		_, dropped := g.news.dropped[id]
-		switch {
-		case registered && (whole || g.news.changedAt[id] > after):
-			changes = append(changes, ServerChange{ID: id, Server: &server})
-		case !registered && !whole && (g.news.changedAt[id] > after || dropped):
-			changes = append(changes, ServerChange{ID: id})
-		}
-	}
-	return changes
-}
-
-// noteChange remembers at which revision an entry changed.
-func (s *State) noteChange(id string) {
-	g := &s.registry
-	g.news.changedAt[id] = g.revision
-	if len(g.news.changedAt) > len(g.servers)+maxTombstones {
-		s.forgetChanges()
-	}
-}
-
-// forgetChanges makes those that know less than this host take everything
-// anew. After a listing, it does not know which entries have come and gone
-// before.
-func (s *State) forgetChanges() {
-	g := &s.registry
-	for _, id := range sortedKeys(g.news.changedAt) {
-		if _, registered := g.servers[id]; !registered {
-			delete(g.news.changedAt, id)
-		}
-	}
-	g.news.horizon = g.revision
-}
