core: fed hosts tell on what they are told

Two readers in a row were turned away; news that came from aside were told to the own reader only when the own news had been old, so that the delays added up along the chain to 2.02 s of 2 s. A host that is fed tells on all such news until its usual source tells again.

--- a/core/feeding.go
+++ b/core/feeding.go
@@ -56,6 +56,7 @@
 		}
 	}
 	if len(known) > 0 {
+		n.fed = true
 		s.out.add(AskNews{Address: known[s.random.below(len(known))].Address, Ask: s.newsAsk(0), Aside: true})
 	}
 }
--- a/core/news.go
+++ b/core/news.go
@@ -262,13 +262,12 @@
 	}
 	s.neighbourAnswered(e.Address)
 	if e.Answer.Known {
-		wasOld := s.newsAge() >= newsOld
 		s.takeNews(&e.Answer)
 		if polled && s.newsAge() < newsOld {
 			n.fed = false
 		}
-		if e.Aside && wasOld && s.newsAge() < newsOld {
-			// The reader may have been turned away as well.
+		if e.Aside && n.fed && s.newsAge() < newsOld {
+			// The reader may be turned away as well.
 			s.tellReader()
 		}
 	} else if polled {
--- a/core/store_fleet_test.go
+++ b/core/store_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -25,6 +26,11 @@
 	askSlack = 400 * time.Millisecond
 )
 
+// failedOnce holds the seeds beyond fleetSeeds that ever failed, with the cause.
+var failedOnce = map[uint64]string{
+	278: "two readers in a row are turned away, each fed by the next only when its news are old",
+}
+
 // storeFleet plays several reducers that share a store and talk to each other,
 // on a clock of its own. The store turns hosts away, forgets its history and is
 // down at times, hosts are killed and started again.
@@ -378,7 +384,11 @@
 // Guards against changes that some hosts learn late, or never, while the store
 // serves others: every host that runs must know them in time.
 var _ = ginkgo.Describe("a fleet that shares a store", func() {
+	seeds := slices.Sorted(maps.Keys(failedOnce))
 	for seed := range uint64(fleetSeeds) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		ginkgo.It(fmt.Sprintf("knows every change in time, seed %d", seed), func() {
 			f := newStoreFleet(seed, 2+int(seed%2))
 			f.run(2 * time.Minute)
