cmd: wait until a process is suspended before the order is sent

A stop signal stops a process once one of its threads takes it; until that thread is scheduled, the others run on.

--- a/cmd/wisteriapond/main_test.go
+++ b/cmd/wisteriapond/main_test.go
@@ -62,6 +62,25 @@
 	return p
 }
 
+// threadStates returns the state of each thread of the process as Linux names
+// it; T is stopped.
+func (p *program) threadStates() ([]string, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.Process.Pid))
+	if err != nil {
+		return nil, err
+	}
+	var states []string
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		_, after, _ := strings.Cut(string(raw), ") ")
+		states = append(states, after[:1])
+	}
+	return states, nil
+}
+
 func freeAddress() string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -113,6 +132,8 @@
 	// suspended while it arrives.
 	It("runs an order once that came while it was suspended", func() {
 		Expect(p.Process.Signal(syscall.SIGSTOP)).To(Succeed())
+		// On a busy machine threads run on until one of them takes the signal.
+		Eventually(p.threadStates).WithTimeout(patience).Should(HaveEach("T"))
 		answered := make(chan int, 1)
 		go func() {
 			defer GinkgoRecover()
