core: look for the reader only when the asker can be it

Read over the whole change: each question of another host sorted all known hosts twice to find the reader, also where the asker ranks behind this host and cannot be it. The cheap checks come first now, beside the other rules of feeding.

Behaviour is as before: a reader always ranks before the hosts that ask it.

--- a/core/feeding.go
+++ b/core/feeding.go
@@ -15,6 +15,18 @@
 // feeds reports whether this host reads the store for its reader.
 func (s *State) feeds() bool { return s.now.Before(s.registry.news.feedsUntil) }
 
+// noteFeeding notes that the reader of this host asks it for news. The reader
+// is looked for only if the asker can be it: every host asks often.
+func (s *State) noteFeeding(ask *NewsAsk) {
+	self := s.selfNeighbour()
+	if ask.NamesOnly || !ranksBefore(&ask.From, &self) {
+		return
+	}
+	if reader := s.reader(); reader != nil && reader.Host == ask.From.Host {
+		s.registry.news.feedsUntil = s.now.Add(feedTime)
+	}
+}
+
 // tellReader lets the host that this one asks know that the store has answered
 // here, so that it asks in turn if it cannot read for itself. A host that keeps
 // servers whose entries may have lapsed does not know yet what it would tell.
--- a/core/telling.go
+++ b/core/telling.go
@@ -9,9 +9,7 @@
 	n := &s.registry.news
 	s.meet(e.Ask.From, true)
 	s.askBack(&e.Ask)
-	if reader := s.reader(); reader != nil && !e.Ask.NamesOnly && e.Ask.From.Host == reader.Host {
-		s.registry.news.feedsUntil = s.now.Add(feedTime)
-	}
+	s.noteFeeding(&e.Ask)
 	if e.Ask.NamesOnly || s.hasNewsFor(&e.Ask) || e.Ask.Wait <= 0 || len(n.held) >= maxHeldNews {
 		s.answerNews(e.ID, &e.Ask)
 		return
