core, platform: what servers announce, odd entries, shares of the fleet, early requests

Cause: - Server-Leaving in responses was not read: a server that says it in every response got 47 of the next requests in half a second (platform spec on the former code). Problems of entries that named no known server were not logged.

--- a/backend/body.go
+++ b/backend/body.go
@@ -49,6 +49,9 @@
 	x.extendReadDeadline(stallTimeout)
 	n, err := b.stream.Read(p)
 	b.count(n)
+	if limit := x.command.UnsizedBytes; x.Facts.Unsized && limit > 0 && b.bytesRead > limit && err == nil {
+		err = &MalformedError{Err: errUnsizedTooLong}
+	}
 	if err != nil {
 		b.end(err)
 		err = b.endError()
--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -23,6 +23,8 @@
 	// ParseLoad.
 	Load      string
 	ParseLoad func(value []byte) outcome.LoadReport
+	// Leaving has the value 1 in the responses of a backend server that is leaving.
+	Leaving string
 	// FractionalRetryAfter is set if callers understand fractions of a second
 	// in Retry-After.
 	FractionalRetryAfter bool
--- a/backend/errors.go
+++ b/backend/errors.go
@@ -71,9 +71,11 @@
 	errUpgrade  = errors.New("backend server switched protocols")
 	errInternal = errors.New("attempt panicked")
 	// errOtherInstance means that the address now belongs to another instance.
-	errOtherInstance = errors.New("another instance responded")
-	errUnmatched     = errors.New("response belongs to another request")
-	errMissingID     = errors.New("successful response does not carry the request ID")
+	errOtherInstance  = errors.New("another instance responded")
+	errUnmatched      = errors.New("response belongs to another request")
+	errNoResponse     = errors.New("the first bytes are not those of a response")
+	errUnsizedTooLong = errors.New("response without an announced length exceeds the limit")
+	errMissingID      = errors.New("successful response does not carry the request ID")
 )
 
 // causeOf maps an error to the cause that is reported to the reducer. The order
--- a/backend/headers.go
+++ b/backend/headers.go
@@ -30,6 +30,9 @@
 	// HeaderDraining is set in the responses of a backend server that is leaving.
 	HeaderDraining = "Wisteriapond-Draining"
 
+	// leavingValue is the value of Dialect.Leaving of a server that is leaving.
+	leavingValue = "1"
+
 	// reservedPrefix is the lower-case prefix of all headers above.
 	reservedPrefix = "wisteriapond-"
 )
--- a/backend/parse.go
+++ b/backend/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"strconv"
 	"time"
 
@@ -31,20 +32,13 @@
 	return parseNumber(value, maxDepth)
 }
 
-// ParseRetryAfter parses a Retry-After header, which holds seconds or an HTTP
-// date. It returns 0 if the value is malformed or not in the future, and at
-// most one hour.
+// ParseRetryAfter parses a Retry-After header, which holds seconds, possibly with
+// a fraction, or an HTTP date. It returns 0 if the value is malformed or not in the
+// future, and at most one hour.
 func ParseRetryAfter(value []byte, now time.Time) time.Duration {
 	value = bytes.TrimSpace(value)
-	if len(value) == 0 {
-		return 0
-	}
-	if isDigits(value) {
-		seconds, ok := parseNumber(value, int(maxRetryAfter/time.Second))
-		if !ok {
-			return maxRetryAfter
-		}
-		return time.Duration(seconds) * time.Second
+	if isNumeral(value) {
+		return parseSeconds(string(value))
 	}
 	at, err := fasthttp.ParseHTTPDate(value)
 	if err != nil || !at.After(now) {
@@ -53,6 +47,25 @@
 	return min(at.Sub(now), maxRetryAfter)
 }
 
+// parseSeconds parses a number of seconds. The comparisons come before the
+// conversion, whose result for a value out of range depends on the processor.
+func parseSeconds(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(text, 64)
+	switch {
+	case seconds >= maxRetryAfter.Seconds():
+		return maxRetryAfter
+	case err != nil, !(seconds > 0):
+		return 0
+	}
+	return time.Duration(math.Ceil(seconds * float64(time.Second)))
+}
+
+// isNumeral reports whether the value consists of the characters of a decimal
+// number, which excludes the names of infinities and hexadecimal numbers.
+func isNumeral(value []byte) bool {
+	return len(value) > 0 && len(bytes.Trim(value, "0123456789.eE+-")) == 0
+}
+
 // parseNumber parses a decimal number without sign, space or fraction. It
 // reports false for numbers above limit.
 func parseNumber(value []byte, limit int) (int, bool) {
--- a/backend/response.go
+++ b/backend/response.go
@@ -40,7 +40,32 @@
 	return &MalformedError{Err: errUnmatched}
 }
 
+// protocolPrefix begins every response.
+const protocolPrefix = "HTTP/1."
+
+// checkPrefix fails at the first byte that shows that what the server sends is no
+// response. Otherwise that would show only at the end of a line, which may never
+// come. Empty lines before a response are tolerated.
+func (x *Exchange) checkPrefix() error {
+	for n := 1; n <= len(protocolPrefix); n++ {
+		received, err := x.conn.reader.Peek(n)
+		if err != nil {
+			return headerError(err)
+		}
+		switch c := received[n-1]; {
+		case n == 1 && (c == '\r' || c == '\n'):
+			return nil
+		case c != protocolPrefix[n-1]:
+			return &MalformedError{Err: errNoResponse}
+		}
+	}
+	return nil
+}
+
 func (x *Exchange) receiveHeader() error {
+	if err := x.checkPrefix(); err != nil {
+		return err
+	}
 	r := &x.response
 	r.StreamBody = true
 	r.SkipBody = x.request.Header.IsHead()
@@ -123,6 +148,7 @@
 	x.prefix = body
 	if int64(len(body)) > limit {
 		x.Streaming = true
+		x.Facts.Unsized = true
 		return nil
 	}
 	x.Facts.Bytes = int64(len(body))
@@ -138,18 +164,20 @@
 }
 
 func readFacts(h *fasthttp.ResponseHeader, d *Dialect, command *core.StartAttempt, f *outcome.Facts) {
-	readLoad(h, d, f)
 	f.Status = h.StatusCode()
 	if form := command.NotRun; form.Header != "" {
 		f.NotRunHeader = string(h.Peek(form.Header)) == form.Value
 	}
 	if command.Instance != "" && f.Status == fasthttp.StatusMisdirectedRequest {
 		// Status 421 comes from another instance that now has the address. It
-		// does not run requests meant for other instances.
+		// does not run requests meant for other instances. What it says of itself
+		// does not apply to this upstream.
 		f.NotRunHeader = true
+		return
 	}
+	readLoad(h, d, f)
 	f.GaveUp = len(h.Peek(HeaderGaveUp)) > 0
-	f.Draining = len(h.Peek(HeaderDraining)) > 0
+	f.Draining = len(h.Peek(HeaderDraining)) > 0 || d.Leaving != "" && string(h.Peek(d.Leaving)) == leavingValue
 	if load, ok := parseNumber(h.Peek(HeaderLoad), maxLoad); ok {
 		f.Load = load
 	}
--- a/budget/retry.go
+++ b/budget/retry.go
@@ -1,22 +1,21 @@
 package budget
 
-// The retry budget is counted in tenths of a token, which avoids fractions.
+// The retry budget is counted in thousandths of a token, which avoids fractions.
 const (
-	// TokenTenths is the price of a retry: one token, in tenths.
-	TokenTenths        = 10
-	defaultLimitTenths = 100
+	// Token is the price of a retry.
+	Token        = 1000
+	defaultLimit = 10 * Token
 )
 
-// Deposits per arriving request, in tenths of a token.
+// Deposits per arriving request.
 const (
-	// RetryDepositTenths limits the load added by retries to a tenth of the
-	// requests, no matter what fails.
-	RetryDepositTenths = 1
-	// ShedDepositTenths allows twice as many retries of requests that backend
-	// servers shed as there are requests. A server that sheds a request has not
-	// run it, so such a retry costs it little, and most find a free slot on
-	// another server.
-	ShedDepositTenths = 20
+	// RetryDeposit limits the load added by retries to a tenth of the requests, no
+	// matter what fails.
+	RetryDeposit = Token / 10
+	// ShedDeposit allows twice as many retries of requests that backend servers shed
+	// as there are requests. A server that sheds a request has not run it, so such a
+	// retry costs it little, and most find a free slot on another server.
+	ShedDeposit = 2 * Token
 )
 
 // Retries is a retry budget of one service. Each arriving request makes a
@@ -25,17 +24,29 @@
 // be able to retry its first one, and a restart adds no more retries than one
 // full budget.
 type Retries struct {
-	spentTenths int
-	// limitTenths is the size of a full budget, or 0 for defaultLimitTenths.
-	limitTenths int
+	spent int
+	// limit is the size of a full budget, or 0 for defaultLimit.
+	limit int
 }
 
-// SetLimit sets the size of a full budget in tenths of a token.
-func (r *Retries) SetLimit(tenths int) { r.limitTenths = tenths }
+// SetShare sets the size of a full budget to the share of this host in the retries
+// that all hosts together may make beyond their deposits. A budget holds at least
+// one token, but it starts with no more than the share, and when the share grows,
+// the difference has to be deposited: each host gains it only from its own
+// requests.
+func (r *Retries) SetShare(share int) {
+	limit := max(share, Token)
+	if r.limit == 0 {
+		r.spent += limit - min(share, limit)
+	} else {
+		r.spent = max(0, r.spent+limit-r.limit)
+	}
+	r.limit = limit
+}
 
-// Deposit adds the deposit of one arriving request, in tenths of a token.
-func (r *Retries) Deposit(tenths int) {
-	r.spentTenths = max(r.spentTenths-tenths, 0)
+// Deposit adds the deposit of one arriving request.
+func (r *Retries) Deposit(amount int) {
+	r.spent = max(r.spent-amount, 0)
 }
 
 // Withdraw deducts one token and reports whether there was one.
@@ -43,15 +54,15 @@
 	if r.Tokens() == 0 {
 		return false
 	}
-	r.spentTenths += TokenTenths
+	r.spent += Token
 	return true
 }
 
 // Tokens returns the number of retries that the budget currently allows.
 func (r *Retries) Tokens() int {
-	limit := r.limitTenths
+	limit := r.limit
 	if limit == 0 {
-		limit = defaultLimitTenths
+		limit = defaultLimit
 	}
-	return max(0, limit-r.spentTenths) / TokenTenths
+	return max(0, limit-r.spent) / Token
 }
--- a/core/completion.go
+++ b/core/completion.go
@@ -36,7 +36,11 @@
 // end of the attempt.
 func (s *State) callerDisconnected(e CallerGone) {
 	r := s.requests[e.ID]
-	if r == nil || r.disconnected {
+	if r == nil {
+		s.earlyCallerDisconnected(e.ID)
+		return
+	}
+	if r.disconnected {
 		return
 	}
 	r.disconnected = true
@@ -93,15 +97,16 @@
 }
 
 // suggestedRetryAfter returns the Retry-After time for a refused caller of a
-// route, 0 without a route. It is 0.5 to 1.5 times the usual service time of a
-// request, within which slots become free. The random part spreads out callers
-// that were refused at the same time.
+// route, 0 without a route. It is the time until an upstream accepts requests
+// again, plus 0.5 to 1.5 times the usual service time of a request, within which
+// slots become free. The random part spreads out callers that were refused at the
+// same time.
 func (s *State) suggestedRetryAfter(r *request) time.Duration {
 	if r.route == nil {
 		return 0
 	}
 	usual := r.service.serviceTime()
-	return usual/2 + time.Duration(s.random.intN(int(usual)))
+	return s.untilAccepted(r) + usual/2 + time.Duration(s.random.intN(int(usual)))
 }
 
 // sendRefusal counts a refusal and sends it to the caller.
--- a/core/counter.go
+++ b/core/counter.go
@@ -21,6 +21,9 @@
 	// CounterShed counts attempts that a backend server rejected without running
 	// them (service).
 	CounterShed Counter = "shed_total"
+	// CounterRequestedWaits counts responses with which a backend server asked this
+	// host to send nothing for some time (service).
+	CounterRequestedWaits Counter = "requested_waits_total"
 	// CounterHealthVerdicts counts ejections of upstreams and their ends (verdict).
 	CounterHealthVerdicts Counter = "health_verdicts_total"
 	// CounterTrials counts trial requests to ejected upstreams (service).
@@ -62,6 +65,8 @@
 	// hosts: responses to polls (told), updates applied (taken), polls that failed
 	// (failed), and neighbours beyond the limit (too_many_neighbours).
 	CounterStoreUpdates Counter = "news_total"
+	// CounterUnusableEntries counts entries of the store that name no server to use.
+	CounterUnusableEntries Counter = "unusable_entries_total"
 	// CounterLogEntriesOmitted counts request log entries beyond their rate limit
 	// (kind).
 	CounterLogEntriesOmitted Counter = "request_lines_left_out_total"
--- a/core/effect.go
+++ b/core/effect.go
@@ -51,6 +51,9 @@
 	Connections int
 	// HoldBytes is the size up to which a response is buffered completely.
 	HoldBytes int64
+	// UnsizedBytes is the size beyond which a response whose length was not
+	// announced is aborted; 0 means no limit.
+	UnsizedBytes int64
 	// Rate paces a long response, in bytes per second; 0 means no pacing.
 	Rate int64
 	// NotRun is the form in which the backend server reports that it did not
--- a/core/event.go
+++ b/core/event.go
@@ -44,6 +44,9 @@
 	// that a truncated one can be retried before the caller has seen any of it;
 	// 0 means DefaultHoldBytes.
 	HoldBytes int64
+	// UnsizedBytes is the size beyond which a response whose length was not
+	// announced is aborted; 0 means no limit. Such a response may never end.
+	UnsizedBytes int64
 	// Registry is set when routing and backend servers are read from a store,
 	// nil when they come from a configuration service and a host list.
 	Registry *RegistrySettings
--- a/core/hosts.go
+++ b/core/hosts.go
@@ -80,7 +80,11 @@
 // markLeaving marks the host of a backend server that has announced that it is
 // leaving. The known epoch is kept, so that only an entry with a higher epoch can
 // bring the host back.
-func (s *State) markLeaving(host string) {
+func (s *State) markLeaving(host string) { s.markLeavingFrom(host, "backend") }
+
+// markLeavingFrom marks the host of a backend server as leaving. source is the
+// label value of the counter.
+func (s *State) markLeavingFrom(host, source string) {
 	entry := s.hosts[host]
 	if entry.Leaving {
 		return
@@ -88,7 +92,8 @@
 	entry.Host = host
 	entry.Leaving = true
 	if s.setHost(entry) {
-		s.count(CounterLeavingMarks, "backend")
+		s.count(CounterLeavingMarks, source)
+		s.recordLeaving(host)
 		changed := []HostEntry{markOf(entry)}
 		s.propagateMarks(changed, s.propagationTargets())
 	}
--- a/core/loadquery.go
+++ b/core/loadquery.go
@@ -158,7 +158,7 @@
 
 // canQuery reports whether the load of an upstream can be queried for a request.
 func (s *State) canQuery(r *request, u *upstream) bool {
-	return !u.leaving && !u.health.Ejected() && !u.unresponsive(s.now) && !s.now.Before(u.notBefore) && !r.hasTried(u)
+	return u.accepts(s.now) && !u.health.Ejected() && !u.unresponsive(s.now) && !r.hasTried(u)
 }
 
 // startLoadQuery queries the load of an upstream, unless a query is already
@@ -218,8 +218,6 @@
 		s.backOff(u, failedQueryBackoff)
 	default:
 		s.count(CounterProbes, "answered")
-		if facts.Told.Known {
-			u.reported.update(facts.Told, s.now)
-		}
+		s.applyHints(u, facts)
 	}
 }
--- a/core/neighbours.go
+++ b/core/neighbours.go
@@ -28,6 +28,10 @@
 	// failure, and failures the number of consecutive failures.
 	backoffUntil Instant
 	failures     int
+	// polledAt is the instant of its last regular poll, and subtree the number of
+	// hosts for which it spoke then.
+	polledAt Instant
+	subtree  int
 }
 
 // selfNeighbour returns the description of this host for other entry hosts.
--- a/core/picking.go
+++ b/core/picking.go
@@ -24,6 +24,7 @@
 	tried        bool
 	ejected      bool
 	unresponsive bool
+	failing      bool
 }
 
 // chooseUpstream returns the upstream on which the request can start now, or nil
@@ -36,9 +37,9 @@
 	if r.route != nil {
 		return s.placeRouted(r)
 	}
-	found := s.collectCandidates(r, exclusions{tried: true, ejected: true})
+	found := s.collectCandidates(r, exclusions{tried: true, ejected: true, failing: true})
 	if found.usable == 0 {
-		// A tried or ejected upstream is better than none.
+		// A tried, ejected or failing upstream is better than none.
 		found = s.collectCandidates(r, exclusions{})
 	}
 	if found.usable == 0 {
@@ -71,7 +72,7 @@
 	g := r.group
 	typical := r.service.durationsFor(false).response.Value()
 	for i, u := range g.eligible {
-		if u.leaving || exclude.ejected && u.health.Ejected() || exclude.tried && r.hasTried(u) {
+		if s.excluded(r, u, exclude) {
 			continue
 		}
 		found.usable++
@@ -80,7 +81,7 @@
 			found.near++
 			found.slots += limit
 		}
-		if !free || s.now.Before(u.notBefore) {
+		if !free || !u.accepts(s.now) {
 			continue
 		}
 		s.candidates.Add(u.locality, pick.Candidate{
@@ -140,7 +141,7 @@
 		return nil
 	}
 	for _, u := range r.group.eligible {
-		if u.leaving || u.running >= s.currentLimit(svc, u) || s.now.Before(u.notBefore) {
+		if !u.accepts(s.now) || u.running >= s.currentLimit(svc, u) {
 			continue
 		}
 		if u.health.TrialDue(time.Duration(s.now)) {
--- a/core/placement.go
+++ b/core/placement.go
@@ -56,7 +56,7 @@
 // nil if the request should wait. usable is false if no upstream can take the
 // request, even after a wait.
 func (s *State) placeRouted(r *request) (chosen *upstream, usable bool) {
-	for _, exclude := range []exclusions{{tried: true, ejected: true, unresponsive: true}, {}} {
+	for _, exclude := range []exclusions{{tried: true, ejected: true, unresponsive: true, failing: true}, {}} {
 		minPrice, eligible := s.lowestPrice(r, exclude)
 		if eligible && !r.idempotent && s.confirming() {
 			return nil, true
@@ -71,7 +71,7 @@
 // excluded reports whether an upstream is left out of a decision.
 func (s *State) excluded(r *request, u *upstream, exclude exclusions) bool {
 	return u.leaving || exclude.ejected && u.health.Ejected() || exclude.tried && r.hasTried(u) ||
-		exclude.unresponsive && u.unresponsive(s.now)
+		exclude.unresponsive && u.unresponsive(s.now) || exclude.failing && s.now.Before(u.avoidUntil)
 }
 
 // lowestPrice returns the lowest price of the bytes of a request among the
@@ -97,7 +97,7 @@
 	requireReport := s.hasFreshReport(r)
 	onTime, remaining := s.canMeetGoal(r), r.goalAt().Sub(s.now)
 	for _, u := range r.group.eligible {
-		if s.excluded(r, u, exclude) || s.now.Before(u.notBefore) || s.atCapacity(r, u) || requireReport && !u.reported.fresh(s.now) {
+		if s.excluded(r, u, exclude) || !u.accepts(s.now) || s.atCapacity(r, u) || requireReport && !u.reported.fresh(s.now) {
 			continue
 		}
 		latency, price := s.expectedLatency(r, u), s.priceOf(r, u)
@@ -165,8 +165,12 @@
 
 // canMeetGoal reports whether a response can arrive by the goal if the request
 // starts now.
-func (s *State) canMeetGoal(r *request) bool {
-	return !r.goalAt().Before(s.now.Add(r.service.serviceTime()))
+func (s *State) canMeetGoal(r *request) bool { return s.canMeetGoalAfter(r, 0) }
+
+// canMeetGoalAfter reports whether a response can arrive by the goal if the
+// request starts after the given wait.
+func (s *State) canMeetGoalAfter(r *request, wait time.Duration) bool {
+	return !r.goalAt().Before(s.now.Add(wait + r.service.serviceTime()))
 }
 
 // expectedLatency estimates the time until the response of an upstream is
--- a/core/polls.go
+++ b/core/polls.go
@@ -9,6 +9,8 @@
 func (s *State) updatesRequested(e NewsAsked) {
 	p := &s.registry.propagation
 	s.upsertNeighbour(e.Ask.From, true)
+	s.leavingReceived(e.Ask.Leaving)
+	s.recordClient(&e.Ask)
 	s.reversePoll(&e.Ask)
 	s.recordReaderPoll(&e.Ask)
 	if e.Ask.NamesOnly || s.hasUpdatesFor(&e.Ask) || e.Ask.Wait <= 0 || len(p.pendingPolls) >= maxPendingPolls {
@@ -75,7 +77,7 @@
 // state, or if changes since its revision were discarded.
 func (s *State) respondToPoll(id uint64, poll *NewsAsk) {
 	reg := &s.registry
-	response := NewsAnswer{Neighbours: s.neighboursFor(poll.From)}
+	response := NewsAnswer{Neighbours: s.neighboursFor(poll.From), Leaving: s.recentLeaving(), Hosts: max(s.registry.fleet.largest, s.subtreeSize())}
 	if !poll.NamesOnly && reg.routing != nil && reg.revision > 0 {
 		response.Known = true
 		response.Revision = s.propagatedRevision()
--- a/core/probes.go
+++ b/core/probes.go
@@ -196,7 +196,7 @@
 
 // mayProbe reports whether an upstream is not leaving and has no recent result.
 func (s *State) mayProbe(u *upstream) bool {
-	if s.leaving(u.config.Host) {
+	if s.leaving(u.config.Host) || !u.accepts(s.now) {
 		return false
 	}
 	result, ok := s.probing.results[u]
@@ -232,8 +232,8 @@
 	}
 	s.count(CounterProbes, verdict)
 	s.applyMeasurement(result)
-	if u := s.upstreamOf(e.Service, e.Upstream); u != nil && e.Facts.Draining {
-		s.markLeaving(u.config.Host)
+	if u := s.upstreamOf(e.Service, e.Upstream); u != nil {
+		s.applyAnnouncements(u, e.Facts)
 	}
 }
 
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -83,6 +83,12 @@
 	// Age is the time since the store confirmed that nothing changed after
 	// After.
 	Age time.Duration
+	// Leaving names instances of backend servers that have lately announced that
+	// they are leaving.
+	Leaving []string
+	// Hosts is the number of entry hosts for which the sender speaks, itself
+	// included.
+	Hosts int
 }
 
 // NewsAnswer is the response to a NewsAsk.
@@ -98,6 +104,10 @@
 	// Age is the time since the store confirmed that this state is current.
 	Age        time.Duration
 	Neighbours []Neighbour
+	// Leaving is as in NewsAsk.
+	Leaving []string
+	// Hosts is the number of entry hosts that the responding host knows of.
+	Hosts int
 }
 
 // NewsAsked reports a poll from another entry host. The response is AnswerNews.
@@ -226,7 +236,7 @@
 // updateRequest returns a poll for the updates after the known revision, which the
 // receiver may hold for the given time.
 func (s *State) updateRequest(wait time.Duration) NewsAsk {
-	poll := NewsAsk{From: s.selfNeighbour(), After: s.registry.revision, Wait: wait, Age: s.storeStaleness()}
+	poll := NewsAsk{From: s.selfNeighbour(), After: s.registry.revision, Wait: wait, Age: s.storeStaleness(), Leaving: s.recentLeaving(), Hosts: s.subtreeSize()}
 	if s.registry.routing != nil {
 		poll.Routing = s.registry.routing.Version
 	}
@@ -284,6 +294,8 @@
 		s.upsertNeighbour(described, false)
 	}
 	s.neighbourResponded(e.Address)
+	s.leavingReceived(e.Answer.Leaving)
+	s.recordFleet(min(e.Answer.Hosts, maxNeighbours))
 	if e.Answer.Known {
 		s.applyUpdates(&e.Answer)
 		if polled && s.storeStaleness() < staleAfter {
--- a/core/queueing.go
+++ b/core/queueing.go
@@ -22,12 +22,13 @@
 		s.refuseRequest(r, outcome.RefusedQueueFull)
 		return
 	}
-	if r.route != nil && !s.canMeetGoal(r) {
+	wait := s.untilAccepted(r)
+	if r.route != nil && !s.canMeetGoalAfter(r, wait) {
 		// Slots are kept for requests that can still be on time.
 		s.refuseRequest(r, outcome.RefusedUpstreamsOverloaded)
 		return
 	}
-	if r.route == nil && s.wouldMissDeadline(r, s.expectedWait(r, s.capacity(r))) {
+	if r.route == nil && s.wouldMissDeadline(r, max(wait, s.expectedWait(r, s.capacity(r)))) {
 		s.refuseRequest(r, outcome.RefusedDeadline)
 		return
 	}
@@ -216,7 +217,7 @@
 		s.refuseRequest(r, outcome.RefusedNoHost)
 		return true
 	}
-	if u == nil && r.route != nil && !s.canMeetGoal(r) {
+	if u == nil && r.route != nil && !s.canMeetGoalAfter(r, s.untilAccepted(r)) {
 		s.refuseRequest(r, outcome.RefusedUpstreamsOverloaded)
 		return true
 	}
--- a/core/registry.go
+++ b/core/registry.go
@@ -94,6 +94,8 @@
 	reg := &s.registry
 	known, registered := reg.servers[change.ID]
 	switch {
+	case change.Problem != "" && !registered:
+		s.reportUnusableEntry(change)
 	case change.Server == nil && !registered:
 		// Other hosts that poll this one may know the server.
 		s.recordChange(change.ID)
@@ -106,6 +108,11 @@
 			s.scheduleTick(reg.pendingRemoval[change.ID])
 		}
 	case change.Server == nil:
+		// Running requests on the server go on, also if its entry has become
+		// unusable: the entry says nothing about them.
+		if change.Problem != "" {
+			s.count(CounterUnusableEntries, "")
+		}
 		delete(reg.pendingRemoval, change.ID)
 		s.removeServer(change.ID, cmp.Or(change.Problem, "entry removed from the store"))
 	case registered && change.Server.Born < known.Born:
@@ -120,6 +127,25 @@
 	}
 }
 
+// unusableEntriesPerSecond bounds the log entries about unusable entries of the
+// store, which another writer may rewrite at any rate.
+const unusableEntriesPerSecond = 10
+
+// reportUnusableEntry counts and logs an entry that names no server to use. Other
+// hosts that poll this one may know a server under its ID.
+func (s *State) reportUnusableEntry(change ServerChange) {
+	if change.ID != "" {
+		s.recordChange(change.ID)
+	}
+	s.count(CounterUnusableEntries, "")
+	if s.registry.unusableLog.allow(s.now, unusableEntriesPerSecond) {
+		s.out.add(Log{Level: LogWarn, Message: "unusable entry in the store", Fields: []LogField{
+			{Key: "server", Value: change.ID},
+			{Key: "problem", Value: change.Problem},
+		}})
+	}
+}
+
 // removeServer removes a server, and reports whether it was registered.
 func (s *State) removeServer(id, reason string) bool {
 	server, registered := s.registry.servers[id]
@@ -265,7 +291,7 @@
 		}
 		upstreams[server.Service] = append(upstreams[server.Service], config.Upstream{
 			Name:          id,
-			Host:          id + "/" + strconv.FormatUint(server.Born, 10),
+			Host:          instanceName(&server),
 			Address:       server.Address,
 			Region:        s.regionOf(server.FailureDomain),
 			FailureDomain: server.FailureDomain,
@@ -276,6 +302,12 @@
 	return upstreams
 }
 
+// instanceName returns the name of one run of a server, which serves as the name
+// of its host.
+func instanceName(server *Server) string {
+	return server.ID + "/" + strconv.FormatUint(server.Born, 10)
+}
+
 // regionOf returns the region of a failure domain. A failure domain that the
 // settings do not list is its own region.
 func (s *State) regionOf(domain string) string {
--- a/core/request.go
+++ b/core/request.go
@@ -100,12 +100,18 @@
 	timer        queue.Item[timerTarget]
 }
 
-// requestArrived routes a request and dispatches it, or refuses it.
+// requestArrived admits a request, or lets it wait until there is a configuration.
 func (s *State) requestArrived(e RequestArrived) {
 	if s.table == nil {
-		s.sendRefusal(Refuse{Request: e.ID, Reason: outcome.RefusedNotReady})
+		s.keepEarly(e)
 		return
 	}
+	s.admit(e, s.now)
+}
+
+// admit routes a request that arrived at the given instant and dispatches it, or
+// refuses it.
+func (s *State) admit(e RequestArrived, arrivedAt Instant) {
 	compiled, route := s.routeOf(&e.Request)
 	if compiled == nil {
 		s.sendRefusal(Refuse{Request: e.ID, Reason: outcome.RefusedNoService})
@@ -116,13 +122,13 @@
 		s.sendRefusal(Refuse{Request: e.ID, Reason: outcome.RefusedDepth, Service: compiled.Name})
 		return
 	}
-	r := s.newRequest(&e, compiled, route)
+	r := s.newRequest(&e, compiled, route, arrivedAt)
 	s.depositRetries(r)
 	s.requests[r.id] = r
 	s.dispatch(r)
 }
 
-func (s *State) newRequest(e *RequestArrived, compiled *config.CompiledService, route *config.Route) *request {
+func (s *State) newRequest(e *RequestArrived, compiled *config.CompiledService, route *config.Route, arrivedAt Instant) *request {
 	timeout := compiled.Timeout
 	if e.Timeout > 0 {
 		timeout = min(timeout, e.Timeout)
@@ -142,8 +148,8 @@
 		bodyKept:   e.BodyKept,
 		bodyBytes:  e.BodyBytes,
 		depth:      max(0, e.Depth),
-		deadline:   s.now.Add(timeout),
-		arrivedAt:  s.now,
+		deadline:   arrivedAt.Add(timeout),
+		arrivedAt:  arrivedAt,
 		route:      route,
 	}
 	if route != nil {
@@ -227,9 +233,11 @@
 		MaxIdle:     r.maxIdle(),
 		Connections: s.connectionShare(u),
 		HoldBytes:   s.holdBytes(),
-		Rate:        r.rate,
-		NotRun:      r.service.config.NotRun,
-		Instance:    u.config.Instance,
+
+		UnsizedBytes: s.self.UnsizedBytes,
+		Rate:         r.rate,
+		NotRun:       r.service.config.NotRun,
+		Instance:     u.config.Instance,
 	})
 }
 
@@ -267,6 +275,9 @@
 	if r == nil || r.streaming {
 		return
 	}
+	if s.abandonUnlikely(r, e.Facts) {
+		return
+	}
 	class := s.classify(r, e.Facts)
 	retry := s.decideRetry(r, e.Facts, class)
 	if class != outcome.Responded || retry != outcome.RetryNone {
@@ -289,10 +300,11 @@
 		return
 	}
 	u := r.upstream
-	class := s.classify(r, e.Facts)
+	facts := s.judgeDelivered(r, e.Facts)
+	class := s.classify(r, facts)
 	s.count(CounterAttempts, class.String())
-	s.applyHints(u, e.Facts)
-	s.updateStatistics(r, e.Facts, class)
+	s.applyHints(u, facts)
+	s.updateStatistics(r, facts, class)
 	s.releaseSlot(r, e.Facts)
 	if !e.Whole && !r.disconnected {
 		r.recordEnd(class, e.Facts, s.now)
--- a/core/retry.go
+++ b/core/retry.go
@@ -13,9 +13,11 @@
 	// each further one. The wait is random, so that requests which failed at the
 	// same time are not retried at the same time.
 	retryBackoff = 4 * time.Millisecond
-	// maxRetryAfter caps the wait that a backend server may request with
-	// Retry-After.
-	maxRetryAfter = time.Second
+	// An upstream that has failed failuresBeforeAvoidance times in a row is avoided
+	// for minAvoidance, which doubles with each further failure up to maxAvoidance.
+	failuresBeforeAvoidance = 3
+	minAvoidance            = 250 * time.Millisecond
+	maxAvoidance            = 5 * time.Second
 	// minErrorStatus and minServerErrorStatus are the lowest status codes of any
 	// error and of server errors.
 	minErrorStatus       = 400
@@ -44,12 +46,12 @@
 // depositRetries adds the share of an arriving request to the retry budgets.
 func (s *State) depositRetries(r *request) {
 	if r.route != nil {
-		r.service.retryBudget.SetLimit(s.self.Registry.RetryBurst)
-		r.service.retryBudget.Deposit(s.self.Registry.RetryPercent * budget.TokenTenths / percent)
+		r.service.retryBudget.SetShare(s.retryShare())
+		r.service.retryBudget.Deposit(s.self.Registry.RetryPermille * budget.Token / permille)
 		return
 	}
-	r.service.retryBudget.Deposit(budget.RetryDepositTenths)
-	r.service.shedBudget.Deposit(budget.ShedDepositTenths)
+	r.service.retryBudget.Deposit(budget.RetryDeposit)
+	r.service.shedBudget.Deposit(budget.ShedDeposit)
 }
 
 // budgetFor returns the budget that a retry is charged to.
@@ -106,36 +108,6 @@
 	return !facts.Wrote && r.sentAttempts == 0 || r.service.retryBudget.Withdraw()
 }
 
-// applyHints applies what a response reveals about its backend server: load
-// reports, the wait that it requests, and draining.
-func (s *State) applyHints(u *upstream, facts outcome.Facts) {
-	if facts.Told.Known {
-		u.reported.update(facts.Told, s.now)
-	}
-	if facts.Load >= 0 && facts.Status != 0 {
-		u.load = facts.Load
-		u.loadAt = s.now
-	}
-	// A server that sheds without a lease in force is usually just full: a slot
-	// becomes free long before the whole second that it requests.
-	full := facts.NotRunHeader && !u.leased
-	if facts.RetryAfter > 0 && facts.Status >= minErrorStatus && !full {
-		s.backOff(u, min(facts.RetryAfter, s.retryAfterCap))
-	}
-	if facts.Draining {
-		s.markLeaving(u.config.Host)
-	}
-}
-
-// backOff keeps this host from starting requests on the upstream until the wait
-// has passed.
-func (s *State) backOff(u *upstream, wait time.Duration) {
-	u.notBefore = max(u.notBefore, s.now.Add(wait))
-	if u.service.waiting > 0 {
-		s.scheduleQueueCheck(u.service, u.notBefore)
-	}
-}
-
 // updateStatistics updates the statistics of the service and the health of the
 // upstream after an attempt.
 func (s *State) updateStatistics(r *request, facts outcome.Facts, class outcome.Class) {
@@ -164,6 +136,7 @@
 	switch judged := outcome.HealthOf(facts, class); {
 	case judged == outcome.HealthBad:
 		verdict = svc.health.RecordFailure(&u.health, at, s.failureDuration(r, took), durations.response.Value())
+		s.avoidFailing(u)
 	case judged == outcome.HealthGood && (r.group.long || r.streaming):
 		svc.health.RecordResponse(&u.health)
 	case judged == outcome.HealthGood:
@@ -174,6 +147,16 @@
 	}
 }
 
+// avoidFailing keeps requests from an upstream that fails one after the other, as
+// long as another one can take them. Unlike an ejection this also applies to
+// services with few upstreams: the time is short, and the upstream is still used
+// when there is no other.
+func (s *State) avoidFailing(u *upstream) {
+	if failures := u.health.ConsecutiveFailures(); failures >= failuresBeforeAvoidance {
+		u.avoidUntil = s.now.Add(min(minAvoidance<<min(failures-failuresBeforeAvoidance, 8), maxAvoidance))
+	}
+}
+
 // failureDuration returns the duration with which a failure enters the response
 // times. It is 0 for a long request, whose duration indicates nothing about
 // response times.
--- a/core/service.go
+++ b/core/service.go
@@ -101,6 +101,9 @@
 	// notBefore is the end of the current backoff from the upstream. No request
 	// starts on it earlier.
 	notBefore Instant
+	// avoidUntil is the end of the time in which other upstreams are preferred, since
+	// the last requests on this one failed one after the other.
+	avoidUntil Instant
 	// receivedLabel and sentLabel are the label values of the cross-region byte
 	// counter; empty for an upstream in the region of this host.
 	receivedLabel string
@@ -271,6 +274,7 @@
 	}
 	u = &upstream{config: compiled, service: svc, load: -1, leaving: s.leaving(compiled.Host)}
 	s.setLocality(u)
+	s.restoreHold(u)
 	if s.table.Routed() {
 		u.warmUpUntil = s.now.Add(s.registry.servers[compiled.Name].ColdFor)
 	} else if !noWarmUp {
@@ -301,6 +305,7 @@
 // are closed.
 func (s *State) removeUpstream(u *upstream) {
 	u.removed = true
+	s.keepHold(u)
 	if s.self.Registry != nil {
 		s.out.add(CloseIdle{Address: u.config.Address})
 	}
--- a/core/state.go
+++ b/core/state.go
@@ -26,6 +26,8 @@
 	out        *Effects
 	registry   registry
 	requestLog requestLogLimits
+	// early holds the requests that wait for the first configuration.
+	early []earlyRequest
 	coordination
 	traffic
 }
@@ -100,6 +102,7 @@
 	case ExplainRequested:
 		s.explain(e)
 	}
+	s.checkEarly()
 	s.runScheduledDrains()
 	s.logServerChanges()
 	s.finishStep(event)
--- a/core/stop.go
+++ b/core/stop.go
@@ -43,7 +43,7 @@
 		s.stop.listenerClosed = true
 		s.out.add(StopAccepting{})
 	}
-	if len(s.requests) == 0 || s.stopTimedOut() {
+	if len(s.requests)+len(s.early) == 0 || s.stopTimedOut() {
 		s.out.add(Exit{})
 	}
 }
--- a/core/store.go
+++ b/core/store.go
@@ -45,11 +45,11 @@
 	// NotRun describes the response with which backend servers refuse requests
 	// without running them.
 	NotRun config.NotRunForm
-	// RetryPercent is the share of the requests, in percent, that may be
-	// retried. RetryBurst is the number of retries allowed beyond that share, in
-	// tenths.
-	RetryPercent int
-	RetryBurst   int
+	// RetryPermille is the share of the requests, in thousandths, that may be
+	// retried. RetrySlack is the number of retries that all hosts together may make
+	// beyond that share.
+	RetryPermille int
+	RetrySlack    int
 	// Transfer sets the price of bytes that leave a failure domain.
 	Transfer TransferPrices
 	// Address is the address of this host for other entry hosts, empty if it
@@ -139,11 +139,16 @@
 	// unloggedChanges holds the server changes of this step.
 	unloggedChanges []unloggedChange
 	propagation     propagation
+	leaving         leavingServers
+	fleet           fleetSize
+	unusableLog     logRateLimit
 }
 
 func (s *State) startRegistry() {
 	s.registry.servers = make(map[string]Server)
 	s.registry.pendingRemoval = make(map[string]Instant)
+	s.registry.fleet.startedAt = s.now
+	s.registry.leaving.markedAt = make(map[string]Instant)
 	s.startPropagation()
 	s.tickRegistry()
 }
@@ -188,6 +193,7 @@
 // calls.
 func (s *State) tickRegistry() {
 	s.removeExpired()
+	s.pruneLeaving()
 	s.tickPropagation()
 	s.callStoreIfDue()
 }
--- a/core/traffic.go
+++ b/core/traffic.go
@@ -1,8 +1,6 @@
 package core
 
 import (
-	"time"
-
 	"wisteriapond/pick"
 	"wisteriapond/queue"
 )
@@ -15,8 +13,9 @@
 	policy      pick.Policy
 	candidates  pick.CandidateSet
 	draw        pick.Draw
-	// retryAfterCap is the longest wait that a backend server may request.
-	retryAfterCap time.Duration
+	// holds remembers the backoffs of upstreams that are not in the configuration,
+	// by holdKey.
+	holds map[string]Instant
 	// scheduledDrains lists the services whose queues are drained at the end of
 	// the step.
 	scheduledDrains []*service
@@ -30,7 +29,7 @@
 	t.transfers = make(map[string][]*request)
 	t.policy = pick.PreferLeased
 	t.draw = s.random.intN
-	t.retryAfterCap = maxRetryAfter
+	t.holds = make(map[string]Instant)
 }
 
 // timerTarget is what a timer fires for: a request whose wait ends, or a service
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -210,8 +210,9 @@
 		Seed:          uint64(now.UnixNano()),
 		Incarnation:   uint64(now.UnixMilli()),
 		AcceptFor:     time.Duration(h.settings.AcceptFor),
-		StopTimeout:   time.Duration(h.settings.StopTimeout),
+		StopTimeout:   h.settings.StopLimit(),
 		HoldBytes:     int64(h.settings.ResponseBuffer),
+		UnsizedBytes:  int64(h.settings.UnsizedLimit),
 		Registry:      h.registrySettings(&h.settings.Store),
 	}
 	if h.peers != nil {
@@ -235,7 +236,7 @@
 // if there is one.
 func (h *Host) shutdownCallers() {
 	ctx := h.ctx
-	if limit := time.Duration(h.settings.StopTimeout); limit > 0 {
+	if limit := h.settings.StopLimit(); limit > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
--- a/entryhost/store.go
+++ b/entryhost/store.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"math"
 
-	"wisteriapond/budget"
 	"wisteriapond/core"
 	"wisteriapond/metrics"
 	"wisteriapond/platform"
@@ -17,9 +15,12 @@
 	kindStoreWatch = "store_watch"
 )
 
-// priceScale converts a price in requests to thousandths, the unit of the
-// reducer.
-const priceScale = 1000
+// priceScale and ratioScale convert prices in requests and ratios to thousandths,
+// the unit of the reducer.
+const (
+	priceScale = 1000
+	ratioScale = 1000
+)
 
 // registrySettings returns the settings of the reducer for a host with a store,
 // nil for a host without one.
@@ -28,9 +29,10 @@
 		return nil
 	}
 	registry := &core.RegistrySettings{
-		NotRun:       platform.NotRun(),
-		RetryPercent: s.RetryPercent,
-		RetryBurst:   int(math.Round(s.RetryBurst * budget.TokenTenths)),
+		NotRun: platform.NotRun(),
+		// Rounded down, so that the limit of the platform is kept.
+		RetryPermille: int(s.RetryRatio * ratioScale),
+		RetrySlack:    s.RetrySlack,
 		Transfer: core.TransferPrices{
 			BetweenDomains: int(s.BetweenDomains * priceScale),
 			BetweenRegions: int(s.BetweenRegions * priceScale),
--- a/health/health.go
+++ b/health/health.go
@@ -79,6 +79,10 @@
 // requests.
 func (u *Upstream) Ejected() bool { return u.ejected }
 
+// ConsecutiveFailures returns the number of failed requests since the last
+// successful one.
+func (u *Upstream) ConsecutiveFailures() int { return u.consecutiveFailures }
+
 // TrialDue reports whether an ejected upstream should receive a trial request.
 func (u *Upstream) TrialDue(now time.Duration) bool {
 	return u.ejected && !u.trialRunning && now >= u.nextTrial
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -76,6 +76,12 @@
 		"attempts",
 		"Attempts that a backend server refused as not run.",
 	},
+	{
+		string(core.CounterRequestedWaits), KindCounter,
+		[]string{"service"},
+		"responses",
+		"Errors with `Retry-After`: this host sends nothing to the upstream for that time.",
+	},
 	{
 		string(core.CounterHealthVerdicts), KindCounter,
 		[]string{"verdict"},
@@ -122,7 +128,7 @@
 		string(core.CounterLeavingMarks), KindCounter,
 		[]string{"source"},
 		"marks",
-		"Changes of leaving marks, by where they came from: `host_list`, `backend` or `peer`; `table_full` counts marks that were dropped.",
+		"Changes of leaving marks, by where they came from: `host_list`, `backend`, `peer` or `neighbour` (an entry host that reads a store); `table_full` counts marks that were dropped.",
 	},
 	{
 		string(core.CounterMarkExchanges), KindCounter,
@@ -172,6 +178,12 @@
 		"messages",
 		"News of the store between entry hosts: `told`, `taken`, `failed`, or `too_many_neighbours`.",
 	},
+	{
+		string(core.CounterUnusableEntries), KindCounter,
+		nil,
+		"entries",
+		"Entries of the store that name no server to use, each time that they are read.",
+	},
 	{
 		string(core.CounterLogEntriesOmitted), KindCounter,
 		[]string{"kind"},
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -105,6 +105,9 @@
 	// BodyTaken is set if a part of a streamed request body was consumed. The
 	// request cannot be sent again, whatever the class of the attempt.
 	BodyTaken bool
+	// Unsized is set if the length of the response body was not announced and the
+	// body exceeds the size up to which it is buffered.
+	Unsized bool
 	// Bytes is the number of bytes of the response body that were read.
 	Bytes int64
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -20,6 +20,9 @@
 	// DefaultAcceptFor is the time for which a stopping process keeps accepting
 	// connections.
 	DefaultAcceptFor = 10 * time.Second
+	// KillMargin is the time that a stopping process needs to deliver the last
+	// responses and to exit.
+	KillMargin = 500 * time.Millisecond
 )
 
 // Limits of settings.
@@ -50,12 +53,19 @@
 	// ResponseBuffer is the size up to which responses are buffered completely,
 	// so that a truncated one can be retried. Default "64KiB".
 	ResponseBuffer document.Size `json:"hold_answers"`
+	// UnsizedLimit is the size beyond which a response whose length was not
+	// announced is aborted. Default "1GiB".
+	UnsizedLimit document.Size `json:"unsized_limit"`
 	// AcceptFor is the time for which the listener stays open after SIGTERM.
 	// Default DefaultAcceptFor.
 	AcceptFor document.Duration `json:"accept_for"`
 	// StopTimeout bounds the wait for requests in flight after SIGTERM.
 	// Default "0s": no limit.
 	StopTimeout document.Duration `json:"stop_timeout"`
+	// KillAfter is the time after SIGTERM at which the platform kills the process.
+	// A stop ends all requests by KillMargin before it. Default "0s": the platform
+	// does not kill the process.
+	KillAfter document.Duration `json:"kill_after"`
 	// Profiling enables /debug/pprof on the admin listener. Default false.
 	Profiling bool `json:"profiling"`
 	// PeerListen is the UDP address at which peers reach this host. Default "":
@@ -77,10 +87,25 @@
 		Record:    Recording{MaxSize: DefaultMaxRecordingBytes},
 
 		ResponseBuffer: DefaultResponseBufferBytes,
+		UnsizedLimit:   DefaultUnsizedBytes,
 		Store:          defaultStore(),
 	}
 }
 
+// StopLimit returns the time after AcceptFor at which a stop ends the requests that
+// are still in flight, 0 for no limit.
+func (s *Settings) StopLimit() time.Duration {
+	limit := time.Duration(s.StopTimeout)
+	if s.KillAfter == 0 {
+		return limit
+	}
+	beforeKill := time.Duration(s.KillAfter-s.AcceptFor) - KillMargin
+	if limit == 0 {
+		return beforeKill
+	}
+	return min(limit, beforeKill)
+}
+
 // Load reads, parses and checks a settings file. The error is a *document.Error.
 func Load(file string) (*Settings, error) {
 	raw, err := os.ReadFile(file)
@@ -117,6 +142,10 @@
 	s.checkStore(source)
 	checkDuration(source, "accept_for", s.AcceptFor, maxAcceptFor)
 	checkDuration(source, "stop_timeout", s.StopTimeout, maxStopTimeout)
+	checkDuration(source, "kill_after", s.KillAfter, maxStopTimeout)
+	if s.KillAfter > 0 && s.KillAfter <= s.AcceptFor+document.Duration(KillMargin) {
+		source.Report("kill_after", fmt.Sprintf("must be more than accept_for plus %v, got %v", KillMargin, s.KillAfter))
+	}
 	s.checkPeers(source)
 	s.checkRecording(source)
 }
--- a/settings/store.go
+++ b/settings/store.go
@@ -11,21 +11,24 @@
 	// completely.
 	DefaultResponseBufferBytes = 64 << 10
 	maxResponseBufferBytes     = 16 << 20
-	minResponseBufferBytes     = 1 << 10
-	// DefaultRetryPercent and DefaultRetryBurst limit the retries of a fleet of
-	// a few dozen hosts to a fifth of the requests plus a few dozen retries.
-	DefaultRetryPercent = 20
-	DefaultRetryBurst   = 1.4
+	// DefaultUnsizedBytes is the size beyond which a response of unknown length is
+	// aborted, since it may never end.
+	DefaultUnsizedBytes    = 1 << 30
+	minResponseBufferBytes = 1 << 10
+	// DefaultRetryRatio and DefaultRetrySlack limit the retries of a fleet to a
+	// fifth of the requests plus a few dozen retries.
+	DefaultRetryRatio = 0.2
+	DefaultRetrySlack = 40
 	// DefaultBetweenDomains and DefaultBetweenRegions give the transfer of a
 	// large response from another failure domain the weight of a request. The
 	// unit is requests per megabyte.
 	DefaultBetweenDomains = 12.0
 	DefaultBetweenRegions = 25.0
 
-	maxRetryPercent = 100
-	maxRetryBurst   = 100 // retries
-	maxPrice        = 1e6 // requests per megabyte
-	maxDomains      = 256
+	maxRetryRatio = 1
+	maxRetrySlack = 1e6 // retries
+	maxPrice      = 1e6 // requests per megabyte
+	maxDomains    = 256
 )
 
 // Store configures a read-only store in which routing and backend servers are
@@ -36,12 +39,12 @@
 	Address string `json:"address"`
 	// Domains lists every failure domain with its region.
 	Domains []FailureDomain `json:"domains"`
-	// RetryPercent is the share of the requests of a service that may be
-	// retried, in percent. Default DefaultRetryPercent.
-	RetryPercent int `json:"retry_percent"`
-	// RetryBurst is the number of retries that each host may make beyond that
-	// share. Default DefaultRetryBurst.
-	RetryBurst float64 `json:"retry_burst"`
+	// RetryRatio is the share of the requests of a service that may be retried.
+	// Default DefaultRetryRatio.
+	RetryRatio float64 `json:"retry_ratio"`
+	// RetrySlack is the number of retries beyond that share that all hosts together
+	// may make. Each host takes its part of it. Default DefaultRetrySlack.
+	RetrySlack int `json:"retry_slack"`
 	// BetweenDomains and BetweenRegions are the prices of bytes that leave a
 	// failure domain or a region, in requests per megabyte. BetweenRegions is
 	// charged in addition to BetweenDomains. Defaults DefaultBetweenDomains and
@@ -70,7 +73,7 @@
 
 func defaultStore() Store {
 	return Store{
-		RetryPercent: DefaultRetryPercent, RetryBurst: DefaultRetryBurst,
+		RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack,
 		BetweenDomains: DefaultBetweenDomains, BetweenRegions: DefaultBetweenRegions,
 	}
 }
@@ -79,6 +82,9 @@
 	if s.ResponseBuffer < minResponseBufferBytes || s.ResponseBuffer > maxResponseBufferBytes {
 		source.Report("hold_answers", fmt.Sprintf("must be between %d and %d bytes", minResponseBufferBytes, maxResponseBufferBytes))
 	}
+	if s.UnsizedLimit < s.ResponseBuffer {
+		source.Report("unsized_limit", fmt.Sprintf("must be at least hold_answers, %d bytes", s.ResponseBuffer))
+	}
 	store := &s.Store
 	if store.Address == "" {
 		return
@@ -103,8 +109,8 @@
 	for i, address := range store.Seeds {
 		checkHostAddress(source, fmt.Sprintf("store.seeds[%d]", i), address)
 	}
-	checkNumber(source, "store.retry_percent", float64(store.RetryPercent), maxRetryPercent)
-	checkNumber(source, "store.retry_burst", store.RetryBurst, maxRetryBurst)
+	checkNumber(source, "store.retry_ratio", store.RetryRatio, maxRetryRatio)
+	checkNumber(source, "store.retry_slack", float64(store.RetrySlack), maxRetrySlack)
 	checkNumber(source, "store.between_domains", store.BetweenDomains, maxPrice)
 	checkNumber(source, "store.between_regions", store.BetweenRegions, maxPrice)
 }
