--- a/backend/fuzz_test.go
+++ b/backend/fuzz_test.go
@@ -1,12 +1,16 @@
 package backend_test
 
 import (
+	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"wisteriapond/backend"
+	"wisteriapond/outcome"
+	"wisteriapond/standin"
 )
 
 // Guards against values that overflow, exceed the bounds or crash the parser.
@@ -60,3 +64,47 @@
 		}
 	}
 }
+
+// Guards against a response that ends the process, keeps an attempt from ending, or
+// counts as complete without a status.
+func FuzzResponse(f *testing.F) {
+	for _, seed := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\nok", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nRetry-After: 1e300\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n", "garbage", "",
+	} {
+		f.Add([]byte(seed))
+	}
+	var mu sync.Mutex
+	var response []byte
+	server, err := standin.StartRawServer(func(c *standin.RawConn) {
+		if _, err := http.ReadRequest(c.Reader); err == nil {
+			mu.Lock()
+			defer mu.Unlock()
+			c.Write(response)
+		}
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(func() { server.Close() })
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		mu.Lock()
+		response = raw
+		mu.Unlock()
+		fx := newFixture()
+		command := fx.command(server.Address())
+		command.MaxIdle, command.HoldBytes, command.UnsizedBytes = 0, 1<<10, 4<<10
+		command.Deadline = fx.clock.Now().Add(5 * time.Second)
+		x := fx.run(command, get())
+		if x.Streaming {
+			body := x.Body(func(outcome.Facts, bool) {})
+			_, err := io.Copy(io.Discard, body)
+			body.CloseWithError(err)
+			return
+		}
+		if x.Facts.Cause == outcome.CauseNone && (x.Facts.Status < 100 || x.Facts.RetryAfter < 0 || x.Facts.RetryAfter > time.Hour) {
+			t.Fatalf("response %q counts as complete: %+v", raw, x.Facts)
+		}
+	})
+}
--- a/core/fleetsize.go
+++ b/core/fleetsize.go
@@ -16,7 +16,7 @@
 	assumedFleet = 500
 	// fleetLearnTime is the time after the start in which the number is assumed. A
 	// few polls pass in each layer of hosts within it.
-	fleetLearnTime = 10 * time.Second
+	fleetLearnTime = 6 * time.Second
 	// fleetMemory is the time for which the largest known number is kept. Hosts on
 	// the other side of a partition go on using their shares.
 	fleetMemory = 10 * time.Minute
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -328,7 +328,7 @@
 	listed := make(map[string]bool, len(response.Servers))
 	for _, change := range response.Servers {
 		listed[change.ID] = true
-		s.changeServer(change, false)
+		s.changeServer(change.checked(), false)
 	}
 	if response.Whole {
 		for _, id := range sortedKeys(reg.servers) {
--- a/core/registry.go
+++ b/core/registry.go
@@ -33,6 +33,25 @@
 	Problem string
 }
 
+const (
+	// maxServerSlots and maxColdFor bound what other entry hosts may report of a
+	// server. They are those of the store's entries.
+	maxServerSlots = 100_000
+	maxColdFor     = time.Hour
+)
+
+// checked returns a change that came from another entry host, as an entry that
+// names no server if its values are out of bounds: the other host may run an
+// earlier version, which does not check them.
+func (c ServerChange) checked() ServerChange {
+	server := c.Server
+	if server == nil || server.ID == c.ID && server.Service != "" && server.Slots >= 1 && server.Slots <= maxServerSlots &&
+		server.ColdFor >= 0 && server.ColdFor <= maxColdFor {
+		return c
+	}
+	return ServerChange{ID: c.ID, Problem: "another entry host reports a server with values out of bounds"}
+}
+
 // removeExpired removes servers whose entries were not registered again within
 // expiryGrace.
 func (s *State) removeExpired() {
