runtime, recovery: a panic costs one request or call instead of the process

Result: runtime spec 'goes on after a panic of the reducer'; without the recover the process of the spec ends.

--- a/backend/probe.go
+++ b/backend/probe.go
@@ -11,6 +11,7 @@
 
 	"wisteriapond/core"
 	"wisteriapond/outcome"
+	"wisteriapond/recovery"
 )
 
 const (
@@ -37,7 +38,8 @@
 	return facts, took
 }
 
-func (p *Pool) probe(ctx context.Context, clock Clock, command *core.StartProbe, facts *outcome.Facts) (time.Duration, error) {
+func (p *Pool) probe(ctx context.Context, clock Clock, command *core.StartProbe, facts *outcome.Facts) (took time.Duration, err error) {
+	defer recovery.ToError(&err)
 	if clock.Now() > command.StartBefore {
 		return 0, errExpired
 	}
--- a/core/counter.go
+++ b/core/counter.go
@@ -70,6 +70,8 @@
 	// CounterLogEntriesOmitted counts request log entries beyond their rate limit
 	// (kind).
 	CounterLogEntriesOmitted Counter = "request_lines_left_out_total"
+	// CounterPanics counts panics of the reducer from which the process recovered.
+	CounterPanics Counter = "panics_total"
 	// CounterPauses counts pauses of the process.
 	CounterPauses Counter = "pauses_total"
 )
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -190,6 +190,12 @@
 		"lines",
 		"Log lines of requests that were left out since there were too many in a second: `refused`, `failed`, `error_answer`, `broken_off` or `late`.",
 	},
+	{
+		string(core.CounterPanics), KindCounter,
+		nil,
+		"events",
+		"Events that were dropped after an internal fault. Any is a bug: report it with the log line.",
+	},
 	{
 		string(core.CounterPauses), KindCounter,
 		nil,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"wisteriapond/codec"
 	"wisteriapond/core"
+	"wisteriapond/recovery"
 )
 
 const (
@@ -66,8 +67,8 @@
 
 // Poll sends a poll to the entry host at an address and waits for the response, at
 // most for the wait time of the poll plus responseMargin. Errors are of type *Error.
-func (c *Client) Poll(address string, poll core.NewsAsk) (core.NewsAnswer, error) {
-	var response core.NewsAnswer
+func (c *Client) Poll(address string, poll core.NewsAsk) (response core.NewsAnswer, err error) {
+	defer recovery.ToError(&err)
 	raw, err := pollCodec.Encode(reflect.ValueOf(poll))
 	if err != nil {
 		return response, &Error{Address: address, Err: err}
@@ -122,8 +123,8 @@
 		ctx.Error("not found", fasthttp.StatusNotFound)
 		return
 	}
-	var poll core.NewsAsk
-	if err := pollCodec.Decode(ctx.PostBody(), reflect.ValueOf(&poll).Elem()); err != nil {
+	poll, err := decodePoll(ctx.PostBody())
+	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
@@ -141,3 +142,9 @@
 	}
 	ctx.Response.SetBodyRaw(raw)
 }
+
+func decodePoll(raw []byte) (poll core.NewsAsk, err error) {
+	defer recovery.ToError(&err)
+	err = pollCodec.Decode(raw, reflect.ValueOf(&poll).Elem())
+	return poll, err
+}
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -5,7 +5,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -52,7 +54,9 @@
 	wakeups      wakeups
 	nextTick     core.Instant
 	openRequests atomic.Int64
-	done         chan struct{}
+	// panics is the number of panics of the reducer.
+	panics int
+	done   chan struct{}
 }
 
 // NewLoop returns a loop with an empty state. A handler that implements
@@ -164,7 +168,7 @@
 		l.setStreaming(started.Attempt.Request, true)
 	}
 	startedAt := l.Now()
-	l.state.Step(startedAt, queued.event, &l.effects)
+	l.step(startedAt, queued.event)
 	if l.record != nil {
 		l.record(startedAt, queued.event, l.effects.All())
 	}
@@ -181,6 +185,56 @@
 	}
 }
 
+// step applies an event to the state. After a panic of the reducer the effects of
+// the step are dropped, and the request that the event belongs to is abandoned: the
+// loss of one request is better than that of all requests in progress.
+func (l *Loop) step(at core.Instant, event core.Event) {
+	defer func() {
+		if value := recover(); value != nil {
+			l.effects.Reset()
+			l.stepPanicked(event, value)
+		}
+	}()
+	l.state.Step(at, event, &l.effects)
+}
+
+// maxPanicLogs bounds the log entries about panics of the reducer.
+const maxPanicLogs = 100
+
+// stepPanicked reports a panic of the reducer and ends the request concerned.
+func (l *Loop) stepPanicked(event core.Event, value any) {
+	l.panics++
+	l.handler.Handle(core.Count{Counter: core.CounterPanics, Add: 1})
+	if l.panics <= maxPanicLogs {
+		l.handler.Handle(core.Log{Level: core.LogError, Message: "recovered from a panic of the reducer", Fields: []core.LogField{
+			{Key: "event", Value: fmt.Sprintf("%T", event)},
+			{Key: "fault", Value: fmt.Sprint(value)},
+			{Key: "stack", Value: string(debug.Stack())},
+		}})
+	}
+	if ticket := l.tickets[requestOf(event)]; ticket != nil {
+		delete(l.tickets, ticket.ID)
+		ticket.abandon()
+	}
+}
+
+// requestOf returns the request that an event belongs to, 0 if it belongs to none.
+func requestOf(event core.Event) core.RequestID {
+	switch e := event.(type) {
+	case core.RequestArrived:
+		return e.ID
+	case core.AnswerBegun:
+		return e.Attempt.Request
+	case core.AttemptFinished:
+		return e.Attempt.Request
+	case core.AnswerDelivered:
+		return e.Attempt.Request
+	case core.CallerGone:
+		return e.ID
+	}
+	return 0
+}
+
 // setStreaming records whether the response of a request is being streamed.
 func (l *Loop) setStreaming(id core.RequestID, streaming bool) {
 	if ticket := l.tickets[id]; ticket != nil {
--- a/runtime/loop_test.go
+++ b/runtime/loop_test.go
@@ -50,6 +50,25 @@
 }
 
 var _ = Describe("the loop", func() {
+	// Guards against one event that ends the process and with it every request in
+	// progress. A store event makes the reducer of a host without a store panic.
+	It("goes on after a panic of the reducer", func() {
+		r := &effectRecorder{}
+		l := NewLoop(r)
+		l.Send(core.Start{})
+		run(l)
+		waiting := l.Submit(core.RequestArrived{})
+		Eventually(waiting.Commands).WithTimeout(waitTimeout).Should(Receive(BeAssignableToTypeOf(core.Refuse{})))
+		l.Send(core.StoreListed{})
+		isPanic := func(effect core.Effect) bool {
+			entry, ok := effect.(core.Log)
+			return ok && entry.Level == core.LogError && entry.Fields[0].Value == "core.StoreListed"
+		}
+		Eventually(func() int { return r.indexOf(isPanic) }).WithTimeout(waitTimeout).Should(BeNumerically(">=", 0))
+		after := l.Submit(core.RequestArrived{})
+		Eventually(after.Commands).WithTimeout(waitTimeout).Should(Receive(BeAssignableToTypeOf(core.Refuse{})))
+	})
+
 	// Guards against events that the reducer handles before it has noticed how
 	// much time has passed since the previous one. A Tick that is due has to come
 	// first.
