backend: an error without an ID on a reused connection belongs to no request

Cause: a late copy of an error response without the request ID, on a connection in use again, was taken as the response to the next request. If it says that the request did not run, an order counted as not run while it ran. Change: such a response is accepted on a new connection only; on a reused one it is malformed, the connection is closed and the outcome is unknown.

--- a/backend/dialect_test.go
+++ b/backend/dialect_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriapond/backend"
+	"wisteriapond/config"
 	"wisteriapond/core"
 	"wisteriapond/outcome"
 	"wisteriapond/standin"
@@ -70,6 +71,42 @@
 		Expect(s.Accepted()).To(BeEquivalentTo(2))
 	})
 
+	// Guards against a late copy of an error response without an ID: the next request
+	// on the connection would count as not run while the server runs it.
+	It("are not replaced by an error without an ID on a reused connection", func() {
+		const refusal = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		s := serve(func(c *standin.RawConn) {
+			for _, raw := range []string{response("r1", "urns"), refusal} {
+				if c.ReadRequest() != nil {
+					io.WriteString(c, raw)
+				}
+			}
+		})
+		f := newDialectFixture()
+		command := f.command(s.Address())
+		command.NotRun = config.NotRunForm{Header: "X-Not-Run", Value: "1"}
+		Expect(f.run(command, requestWithID("r1")).Facts.Cause).To(Equal(outcome.CauseNone))
+		x := f.run(command, requestWithID("r2"))
+		Expect(s.Accepted()).To(BeEquivalentTo(1))
+		Expect(x.Facts.Cause).To(Equal(outcome.CauseMalformed))
+		Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.Unknown))
+	})
+
+	// Guards against work that counts as not run when its response is lost: at each
+	// byte of the response the connection may end.
+	It("that are lost at any byte leave the outcome unknown", func() {
+		for _, complete := range []string{response("r1", "urns"), "HTTP/1.1 503 Busy\r\nX-Request: r1\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nno"} {
+			for sent := range len(complete) {
+				s := serve(standin.RespondOnce(complete[:sent]))
+				f := newDialectFixture()
+				command := f.command(s.Address())
+				command.NotRun = config.NotRunForm{Header: "X-Not-Run", Value: "1"}
+				x := f.run(command, requestWithID("r1"))
+				Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.Unknown), "%q", complete[:sent])
+			}
+		}
+	})
+
 	// Guards against a request that is run by another instance at the same
 	// address.
 	It("with status 421 mean that another instance did not run the request", func() {
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -37,6 +37,9 @@
 	// the complete body of a buffered response.
 	prefix   []byte
 	upload   *upload
+	// reused is set if the connection has carried an earlier request, and reusable
+	// if it can carry another one.
+	reused   bool
 	reusable bool
 	pacer    pacer
 
@@ -111,6 +114,7 @@
 func (x *Exchange) connect(clock Clock) error {
 	deadline := clock.Deadline(x.command.Deadline)
 	if conn := x.pool.reuse(x.command.Address, x.command.MaxIdle); conn != nil {
+		x.reused = true
 		return x.useConnection(conn, deadline)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
--- a/backend/response.go
+++ b/backend/response.go
@@ -80,8 +80,10 @@
 }
 
 // matchesRequest reports whether the response belongs to the request of this
-// attempt. A response with a status below 300 must carry the request ID; any
-// other response is accepted without one.
+// attempt. A response with a status below 300 must carry the request ID. Any other
+// response is accepted without one, but only on a new connection: on a reused one
+// it may be a late copy of the response to an earlier request, whose statement that
+// the request did not run would be false for this one.
 func (x *Exchange) matchesRequest() (bool, error) {
 	name := x.pool.Dialect.RequestID
 	if name == "" {
@@ -92,7 +94,7 @@
 		return true, nil
 	}
 	gotID := x.response.Header.Peek(name)
-	if len(gotID) == 0 && x.response.StatusCode() < fasthttp.StatusMultipleChoices {
+	if len(gotID) == 0 && (x.reused || x.response.StatusCode() < fasthttp.StatusMultipleChoices) {
 		return false, &MalformedError{Err: errMissingID}
 	}
 	return len(gotID) == 0 || bytes.Equal(gotID, wantID), nil
