--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -35,8 +35,8 @@
 	response fasthttp.Response
 	// prefix holds the first bytes of a streamed response of unknown length, or
 	// the complete body of a buffered response.
-	prefix   []byte
-	upload   *upload
+	prefix []byte
+	upload *upload
 	// reused is set if the connection has carried an earlier request, and reusable
 	// if it can carry another one.
 	reused   bool
--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -92,8 +92,33 @@
 	// every second response. dropCounter counts the responses in that state.
 	droppingResponses atomic.Bool
 	dropCounter       atomic.Int64
+	// leaving makes the server announce in every response that it is leaving.
+	leaving atomic.Bool
+	// trouble is what the server does with requests, a backendTrouble.
+	trouble atomic.Int32
 }
 
+// backendTrouble is a fault of a backend server that shows in its responses.
+type backendTrouble int32
+
+const (
+	troubleNone backendTrouble = iota
+	// troubleBusy refuses every request and requests a wait.
+	troubleBusy
+	// troubleTwice sends a second copy of each response a little later.
+	troubleTwice
+	// troubleEndless sends bytes that are no response until the connection is closed.
+	troubleEndless
+	troubleCount
+)
+
+const (
+	requestedWait = "0.4"
+	secondCopyAt  = 15 * time.Millisecond
+	// endlessTime bounds the bytes without end.
+	endlessTime = 5 * time.Second
+)
+
 func newBackend(store *platformtest.Store, r *recorder, id string) (*backend, error) {
 	b := &backend{store: store, recorder: r}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -126,6 +151,16 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if b.leaving.Load() {
+		w.Header().Set(d.Leaving, "1")
+	}
+	if backendTrouble(b.trouble.Load()) == troubleBusy {
+		form := platform.NotRun()
+		w.Header().Set(form.Header, form.Value)
+		w.Header().Set("Retry-After", requestedWait)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if b.running.Add(1) > slots {
 		b.running.Add(-1)
 		form := platform.NotRun()
@@ -139,7 +174,42 @@
 	if b.droppingResponses.Load() && b.dropCounter.Add(1)%2 == 0 {
 		panic(http.ErrAbortHandler)
 	}
-	io.WriteString(w, responseBody(id))
+	switch backendTrouble(b.trouble.Load()) {
+	case troubleTwice:
+		respondTwice(w, d.RequestID, id)
+	case troubleEndless:
+		sendEndless(w)
+	default:
+		io.WriteString(w, responseBody(id))
+	}
+}
+
+// respondTwice sends the response to a request and, later, a copy of it.
+func respondTwice(w http.ResponseWriter, header, id string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	body := responseBody(id)
+	response := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", header, id, len(body), body)
+	io.WriteString(c, response)
+	time.Sleep(secondCopyAt)
+	io.WriteString(c, response)
+	time.Sleep(secondCopyAt)
+}
+
+// sendEndless sends bytes that are no response until the other side closes.
+func sendEndless(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(endlessTime))
+	for err == nil {
+		_, err = io.WriteString(c, strings.Repeat("x", 1024))
+	}
 }
 
 // responseBody returns the body of the response to a request.
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -31,13 +31,30 @@
 	stopped bool
 }
 
+// The addresses of hosts lie below the ports that the system gives to outgoing
+// connections: such a port may be taken between the choice of an address and the
+// start of the process that listens there.
+const (
+	firstPort = 20_000
+	portCount = 10_000
+)
+
+// portOffset is the offset of the next port. Test processes that run at the same
+// time start at different ones.
+var portOffset = os.Getpid() * 97 % portCount
+
+// freeAddress returns an address at which nothing listens.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range portCount {
+		portOffset = (portOffset + 1) % portCount
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+portOffset)); err == nil {
+			defer l.Close()
+			return l.Addr().String(), nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // newHost writes the settings of a host and starts it. The host reaches the store
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -199,7 +199,7 @@
 	h := e.hosts[e.random.IntN(len(e.hosts))]
 	b := e.backends[e.random.IntN(len(e.backends))]
 	duration := time.Duration(200+e.random.IntN(1500)) * time.Millisecond
-	switch e.random.IntN(12) {
+	switch e.random.IntN(15) {
 	case 0:
 		h.signal(syscall.SIGKILL)
 	case 1:
@@ -220,17 +220,40 @@
 		e.store.DropHistory()
 	case 9:
 		b.markLeaving()
-		e.addBackend()
-		e.backends = append(e.backends[:0:0], e.backends[len(e.backends)-backendCount:]...)
-		time.AfterFunc(propagationLimit+callTimeout, func() { e.store.Deregister(b.entry.ID); b.close() })
+		e.replace(b)
 	case 10:
 		b.droppingResponses.Store(true)
 		time.AfterFunc(duration, func() { b.droppingResponses.Store(false) })
 	case 11:
 		e.publish("/x/", fmt.Sprintf("/v%d/", e.version))
+	case 12:
+		b.trouble.Store(int32(1 + e.random.IntN(int(troubleCount)-1)))
+		time.AfterFunc(duration, func() { b.trouble.Store(int32(troubleNone)) })
+	case 13:
+		b.leaving.Store(true)
+		e.replace(b)
+	case 14:
+		e.store.Put(fmt.Sprint("servers/odd-", e.random.IntN(4)), []byte(oddEntries[e.random.IntN(len(oddEntries))]))
 	}
 }
 
+// oddEntries are entries of another writer that name no server to use.
+var oddEntries = []string{
+	"not JSON",
+	strings.Repeat("[", 20_000),
+	`{"service":"s1","address":"127.0.0.1:70000","zone":"mtl-a","version":"v1","slots":3,"state":"ready","warmupLeftMs":0,"sequence":1}`,
+	`{"service":"s1","address":"127.0.0.1:1","zone":"mtl-a","version":"v1","slots":4611686018427387904,"state":"ready","warmupLeftMs":0,"sequence":1}`,
+	`{"service":"s1","address":"127.0.0.1:1","zone":"mtl-a","version":"v1","slots":3,"state":"ready","warmupLeftMs":1e300,"sequence":1}`,
+}
+
+// replace adds a backend server in place of one that is leaving, which ends after
+// its running requests.
+func (e *environment) replace(b *backend) {
+	e.addBackend()
+	e.backends = append(e.backends[:0:0], e.backends[len(e.backends)-backendCount:]...)
+	time.AfterFunc(propagationLimit+callTimeout, func() { e.store.Deregister(b.entry.ID); b.close() })
+}
+
 func (e *environment) injectProxyFault(p *proxy, duration time.Duration) {
 	p.setFault(fault(1 + e.random.IntN(int(faultCount)-1)))
 	time.AfterFunc(duration, func() { p.setFault(faultNone) })
@@ -248,6 +271,7 @@
 	for _, b := range e.backends {
 		b.proxy.setFault(faultNone)
 		b.droppingResponses.Store(false)
+		b.trouble.Store(int32(troubleNone))
 	}
 }
 
