--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -233,19 +233,10 @@
 		b.leaving.Store(true)
 		e.replace(b)
 	case 14:
-		e.store.Put(fmt.Sprint("servers/odd-", e.random.IntN(4)), []byte(oddEntries[e.random.IntN(len(oddEntries))]))
+		e.store.RegisterOdd(fmt.Sprint("odd-", e.random.IntN(4)), e.random.IntN(platformtest.OddEntryCount))
 	}
 }
 
-// oddEntries are entries of another writer that name no server to use.
-var oddEntries = []string{
-	"not JSON",
-	strings.Repeat("[", 20_000),
-	`{"service":"s1","address":"127.0.0.1:70000","zone":"mtl-a","version":"v1","slots":3,"state":"ready","warmupLeftMs":0,"sequence":1}`,
-	`{"service":"s1","address":"127.0.0.1:1","zone":"mtl-a","version":"v1","slots":4611686018427387904,"state":"ready","warmupLeftMs":0,"sequence":1}`,
-	`{"service":"s1","address":"127.0.0.1:1","zone":"mtl-a","version":"v1","slots":3,"state":"ready","warmupLeftMs":1e300,"sequence":1}`,
-}
-
 // replace adds a backend server in place of one that is leaving, which ends after
 // its running requests.
 func (e *environment) replace(b *backend) {
