--- a/core/fleetsize.go
+++ b/core/fleetsize.go
@@ -12,7 +12,8 @@
 
 const (
 	// assumedFleet is the number of hosts assumed before this host has had time to
-	// learn the number. It is about the largest fleet in use.
+	// learn the number. Too large a number costs a few retries after a start, too
+	// small a one lets a fleet exceed its limit.
 	assumedFleet = 500
 	// fleetLearnTime is the time after the start in which the number is assumed. A
 	// few polls pass in each layer of hosts within it.
