--- a/review/kit/store.go
+++ b/review/kit/store.go
@@ -15,18 +15,24 @@
 type Store struct {
 	// Answer is the time that an answer takes.
 	Answer time.Duration
-	// StaleBy is how old an answer to a stale read is.
-	StaleBy time.Duration
+	// StaleBy is how old the answers to stale reads are, in turn.
+	StaleBy []time.Duration
+	// PageItems is the number of items in a page of a listing.
+	PageItems int
 
 	listener net.Listener
 	record   *Record
 
 	mu       sync.Mutex
+	stale    int
 	changed  chan struct{}
 	revision int
 	history  []storeItem
 }
 
+// maxPageItems is the largest number of items in a page.
+const maxPageItems = 500
+
 type storeItem struct {
 	Key      string `json:"key"`
 	Value    []byte `json:"value,omitempty"`
@@ -40,7 +46,7 @@
 
 // NewStore starts an empty store on a free loopback port.
 func NewStore(record *Record) (*Store, error) {
-	s := &Store{Answer: 4 * time.Millisecond, record: record, changed: make(chan struct{}), revision: 1}
+	s := &Store{Answer: 4 * time.Millisecond, PageItems: maxPageItems, record: record, changed: make(chan struct{}), revision: 1}
 	var err error
 	if s.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
 		return nil, err
@@ -126,10 +132,11 @@
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	stale := r.URL.Query().Get(names.Stale) == "1"
 	cut := time.Now()
-	if stale {
-		cut = cut.Add(-s.StaleBy)
-	}
 	s.mu.Lock()
+	if stale && len(s.StaleBy) > 0 {
+		cut = cut.Add(-s.StaleBy[s.stale%len(s.StaleBy)])
+		s.stale++
+	}
 	latest := make(map[string]storeItem)
 	revision := 1
 	for _, item := range s.history {
@@ -147,9 +154,11 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b storeItem) int { return strings.Compare(a.Key, b.Key) })
+	more := len(items) > s.PageItems
+	items = items[:min(len(items), s.PageItems)]
 	time.Sleep(s.Answer)
-	s.record.Add("store: listing for %s, stale %t, revision %d", r.RemoteAddr, stale, revision)
-	s.respond(w, map[string]any{"items": items, names.More: false, names.Revision: revision})
+	s.record.Add("store: page after %q for %s, stale %t, revision %d, %d items, more %t", r.URL.Query().Get("after"), r.RemoteAddr, stale, revision, len(items), more)
+	s.respond(w, map[string]any{"items": items, names.More: more, names.Revision: revision})
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
