review: case 5, a process that gets SIGTERM while it starts never ends

Sent SIGTERM at moments up to 50 ms after the start, and read the goroutines of those that stayed.

Seen: a stop that is handled before the start ends the loop at once, and the server for other entry hosts is closed before it serves; it then accepts for ever, and the process stays.

--- a/review/kit/host.go
+++ b/review/kit/host.go
@@ -41,18 +41,30 @@
 	seeds               []string
 }
 
+// Ports of hosts lie below those that the system gives to outgoing connections: such
+// a port may be taken between its choice and the start of the process.
+const (
+	firstPort = 20_000
+	portCount = 10_000
+)
+
 // FreeAddresses returns loopback addresses at which nothing listens.
 func FreeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	offset := os.Getpid() * 97 % portCount
+	for range portCount {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		offset = (offset + 1) % portCount
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+offset))
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer l.Close()
 		addresses = append(addresses, l.Addr().String())
+		l.Close()
 	}
-	return addresses, nil
+	return nil, errors.New("no free ports")
 }
 
 // NewHosts returns one host for each of the zones, which may be repeated. They are
@@ -196,3 +208,22 @@
 		}
 	}
 }
+
+// EndedBySignal reports whether a signal ended the process, rather than the program
+// itself. The process must have ended.
+func (h *Host) EndedBySignal() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	status, ok := h.process.ProcessState.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled()
+}
+
+// Accepts reports whether connections to an address are accepted.
+func Accepts(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	conn.Close()
+	return true
+}
