backend: a connection that delivered a refusal is closed

Callers were told 503, not run, for orders that had run. A backend server sent a refusal twice, the second time while the retry of the refused order was running on the same connection. Both attempts carry the same request ID, so the copy passed as the response to the retry.

No later request can meet the copy once the connection is closed. The same holds for a load query that was answered with an error.

--- a/backend/dialect_test.go
+++ b/backend/dialect_test.go
@@ -92,6 +92,48 @@
 		Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.Unknown))
 	})
 
+	// Guards against a retry that counts as not run because of a late copy of the
+	// refusal that it follows: the copy carries the ID of the request as well, so only
+	// a new connection separates the two. Without request IDs, the copy would match
+	// any later request.
+	DescribeTable("are not replaced by a late copy of a refusal",
+		func(f *fixture, id string) {
+			const head = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n"
+			refusal := head + idHeader + ": r1\r\n\r\n"
+			s := serve(func(c *standin.RawConn) {
+				answer := response("r1", "urns")
+				if c.Number == 1 {
+					answer = refusal
+				}
+				for c.ReadRequest() != nil {
+					io.WriteString(c, answer)
+				}
+			})
+			command := f.command(s.Address())
+			command.NotRun = config.NotRunForm{Header: "X-Not-Run", Value: "1"}
+			Expect(outcome.Classify(f.run(command, requestWithID(id)).Facts, 0)).To(Equal(outcome.NotRun))
+			x := f.run(command, requestWithID(id))
+			Expect(x.Facts.Cause).To(Equal(outcome.CauseNone))
+			Expect(string(x.BufferedBody())).To(Equal("urns"))
+			Expect(s.Accepted()).To(BeEquivalentTo(2))
+		},
+		Entry("with request IDs", newDialectFixture(), "r1"),
+		Entry("without request IDs", newFixture(), "r1"),
+	)
+
+	// Guards against a refused load query on a kept connection, whose late copy would be
+	// read as the response to the next request.
+	It("are not replaced by a late copy of a refused load query", func() {
+		s := serve(standin.RespondToEach("HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nX-By: i-7\r\nContent-Length: 0\r\n\r\n"))
+		f := newDialectFixture()
+		for range 2 {
+			f.pool.Probe(GinkgoT().Context(), f.clock, core.StartProbe{
+				Address: s.Address(), Instance: "i-7", Reuse: true, StartBefore: f.command("").StartBefore,
+			})
+		}
+		Expect(s.Accepted()).To(BeEquivalentTo(2))
+	})
+
 	// Guards against work that counts as not run when its response is lost: at each
 	// byte of the response the connection may end.
 	It("that are lost at any byte leave the outcome unknown", func() {
--- a/backend/probe.go
+++ b/backend/probe.go
@@ -119,7 +119,8 @@
 	if instance := response.Header.Peek(d.RespondingInstance); d.RespondingInstance != "" && command.Instance != "" && string(instance) != command.Instance {
 		return false, errOtherInstance
 	}
-	return !response.ConnectionClose(), nil
+	// As with requests, a copy of a refusal may follow late.
+	return !response.ConnectionClose() && response.StatusCode() == fasthttp.StatusOK, nil
 }
 
 func probeHeader(command *core.StartProbe) []byte {
--- a/backend/response.go
+++ b/backend/response.go
@@ -120,7 +120,9 @@
 func (x *Exchange) receiveMatched() error {
 	r := &x.response
 	readFacts(&r.Header, &x.pool.Dialect, x.command, &x.Facts)
-	x.reusable = !r.ConnectionClose()
+	// A copy of a refusal may follow late, with the ID of the same request. A retry
+	// on this connection would count as not run while the server runs it.
+	x.reusable = !r.ConnectionClose() && !x.Facts.NotRunHeader
 	stream := r.BodyStream()
 	if stream == nil {
 		return nil
