core: responses of the store that updates have overtaken are ignored

After a restart, an entry host went on sending requests to a backend server that was leaving (DRAIN). Its first listing may be seconds old. If the response of another entry host came first, the listing replaced the newer entries, while the known revision stayed the newer one, so that nothing reported the change again. A watch had the same gap.

A listing or watch of an earlier revision than the known one now changes nothing, and does not confirm that the known state is current. It is logged and counted.

--- a/core/counter.go
+++ b/core/counter.go
@@ -63,7 +63,8 @@
 	CounterProbeBytes Counter = "probe_bytes_total"
 	// CounterStoreUpdates counts the propagation of store updates between entry
 	// hosts: responses to polls (told), updates applied (taken), polls that failed
-	// (failed), and neighbours beyond the limit (too_many_neighbours).
+	// (failed), responses of the store that updates have overtaken (outdated), and
+	// neighbours beyond the limit (too_many_neighbours).
 	CounterStoreUpdates Counter = "news_total"
 	// CounterUnusableEntries counts entries of the store that name no server to use.
 	CounterUnusableEntries Counter = "unusable_entries_total"
--- a/core/propagation_test.go
+++ b/core/propagation_test.go
@@ -233,6 +233,44 @@
 		Expect(r.upstreams("read")).To(Equal([]string{"a", "b"}))
 	})
 
+	// Guards against a response of the store that was overtaken by another host: after
+	// a restart, a stale listing made a leaving server ready again for good.
+	ginkgo.DescribeTable("ignore a response of the store that their updates have overtaken", func(overtaken Event) {
+		ready, leaving := storeServer("a", "read", "mtl-a"), storeServer("a", "read", "mtl-a")
+		leaving.Leaving = true
+		reader := newPropagationTestReducer("entry-1", 5)
+		reader.revision = 4
+		reader.list(routing(2), leaving, storeServer("b", "read", "mtl-a"))
+
+		r := newPropagationTestReducer("entry-2", 5)
+		if _, changed := overtaken.(StoreChanged); changed {
+			r.list(routing(1), ready)
+			r.advance(watchBatchDelay)
+		}
+		Expect(r.state.registry.callPending).To(BeTrue())
+		poll := firstEffect[AskNews](r.deliverNeighbours(neighbourNamed("entry-1", 5))).Ask
+		r.step(NewsAnswered{Address: "entry-1:1", Answer: responseOf(reader, poll)})
+		staleness := r.state.storeStaleness()
+		r.step(overtaken)
+		Expect(r.upstreams("read")).To(Equal([]string{"b"}))
+		Expect(r.state.registry.revision).To(Equal(uint64(5)))
+		Expect(r.state.storeStaleness()).To(Equal(staleness))
+
+		calls := r.advance(maxStaleness)
+		Expect(firstEffect[WatchStore](calls).After).To(Equal(uint64(5)))
+		Expect(count[ListStore](calls)).To(BeZero())
+	},
+		ginkgo.Entry("a stale listing", StoreListed{Revision: 3, Stale: true, Routing: routing(1), Servers: []ServerChange{
+			{ID: "a", Server: new(storeServer("a", "read", "mtl-a"))},
+		}}),
+		ginkgo.Entry("a listing", StoreListed{Revision: 4, Routing: routing(2), Servers: []ServerChange{
+			{ID: "a", Server: new(storeServer("a", "read", "mtl-a"))},
+		}}),
+		ginkgo.Entry("the changes of a watch", StoreChanged{Revision: 4, Servers: []ServerChange{
+			{ID: "a", Server: new(storeServer("a", "read", "mtl-a"))},
+		}}),
+	)
+
 	// Guards against servers that left before a reader started: it never knew
 	// them and could not report them as removed.
 	ginkgo.It("replace the state of other hosts after a listing", func() {
--- a/core/store.go
+++ b/core/store.go
@@ -230,19 +230,30 @@
 	s.confirmFromStore()
 }
 
-// storeListed applies a complete listing. Known servers that it lacks are removed,
-// or pending removal if their entries have most likely expired.
+// storeListed applies a complete listing, unless updates of another entry host have
+// overtaken it. Known servers that it lacks are removed, or pending removal if their
+// entries have most likely expired.
 func (s *State) storeListed(e StoreListed) {
 	reg := &s.registry
-	s.storeCallSucceeded(e.Revision, e.Stale)
+	outdated := s.isOutdated(e.Revision)
+	s.storeCallSucceeded(e.Revision, e.Stale || outdated)
+	// Updates that have overtaken the listing left the known state complete.
 	reg.listed = true
+	if !outdated {
+		s.applyListing(&e)
+	}
+	s.delayStoreCall()
+	s.pollReader()
+}
+
+func (s *State) applyListing(e *StoreListed) {
 	listed := make(map[string]bool, len(e.Servers))
 	for _, change := range e.Servers {
 		listed[change.ID] = true
 		s.changeServer(change, false)
 	}
 	var missing []ServerChange
-	for _, id := range sortedKeys(reg.servers) {
+	for _, id := range sortedKeys(s.registry.servers) {
 		if !listed[id] {
 			missing = append(missing, ServerChange{ID: id})
 		}
@@ -252,13 +263,17 @@
 	s.acceptRouting(e.Routing, e.RoutingProblem)
 	s.adoptRegistry()
 	s.respondToPendingPolls()
-	s.delayStoreCall()
-	s.pollReader()
 }
 
-// storeChanged applies the changes that a watch reported, and relays them.
+// storeChanged applies the changes that a watch reported, and relays them. A
+// response that updates of another entry host have overtaken reports nothing new.
 func (s *State) storeChanged(e StoreChanged) {
-	s.storeCallSucceeded(e.Revision, false)
+	outdated := s.isOutdated(e.Revision)
+	s.storeCallSucceeded(e.Revision, outdated)
+	if outdated {
+		s.delayStoreCall()
+		return
+	}
 	s.changeServers(e.Servers)
 	s.acceptRouting(e.Routing, e.RoutingProblem)
 	if len(e.Servers) > 0 || e.Routing != nil {
@@ -270,6 +285,22 @@
 	s.callStoreIfDue()
 }
 
+// isOutdated reports whether a response of the store describes an earlier revision
+// than the known one. If such a response were applied, it would revert changes that
+// no later watch or poll reports again.
+func (s *State) isOutdated(revision uint64) bool {
+	known := s.registry.revision
+	if revision >= known {
+		return false
+	}
+	s.count(CounterStoreUpdates, "outdated")
+	s.out.add(Log{Message: "outdated response of the store ignored", Fields: []LogField{
+		{Key: "revision", Value: strconv.FormatUint(revision, 10)},
+		{Key: "known", Value: strconv.FormatUint(known, 10)},
+	}})
+	return true
+}
+
 // delayStoreCall schedules the next store call after watchBatchDelay.
 func (s *State) delayStoreCall() {
 	s.registry.nextCall = s.now.Add(watchBatchDelay)
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -176,7 +176,7 @@
 		string(core.CounterStoreUpdates), KindCounter,
 		[]string{"event"},
 		"messages",
-		"News of the store between entry hosts: `told`, `taken`, `failed`, or `too_many_neighbours`.",
+		"News of the store between entry hosts: `told`, `taken`, `failed`, `outdated` (a response of the store, overtaken by such news), or `too_many_neighbours`.",
 	},
 	{
 		string(core.CounterUnusableEntries), KindCounter,
