core, runtime: a planned stop admits no order that its end would cut off

Callers lost orders around a planned stop: an order that arrived late in the grace time, on a connection opened before, was sent to a server and cut off with 502 by the end of the process (LOST). fasthttp closes a connection that has carried no request only 5 s after it was accepted, and the reducer admitted whatever arrived.

The deadline of a request that arrives during a stop now ends with the stop. Once the listener is closed, a request with a later deadline is refused as not run. After Exit the reducer starts nothing: an arrival in the same batch of events was sent, and its response dropped.

--- a/core/request.go
+++ b/core/request.go
@@ -102,6 +102,10 @@
 
 // requestArrived admits a request, or lets it wait until there is a configuration.
 func (s *State) requestArrived(e RequestArrived) {
+	if s.stop.exiting {
+		s.refuseForStop(e.ID, "")
+		return
+	}
 	if s.table == nil {
 		s.keepEarly(e)
 		return
@@ -123,6 +127,10 @@
 		return
 	}
 	r := s.newRequest(&e, compiled, route, arrivedAt)
+	if !s.fitsIntoStop(r) {
+		s.refuseForStop(e.ID, compiled.Name)
+		return
+	}
 	s.depositRetries(r)
 	s.requests[r.id] = r
 	s.dispatch(r)
--- a/core/retry.go
+++ b/core/retry.go
@@ -29,7 +29,7 @@
 // that is made from the budget.
 func (s *State) decideRetry(r *request, facts outcome.Facts, class outcome.Class) outcome.Retry {
 	reason := outcome.RetryReason(facts, class, r.idempotent)
-	if reason == outcome.RetryNone || r.disconnected {
+	if reason == outcome.RetryNone || r.disconnected || s.stop.exiting {
 		return outcome.RetryNone
 	}
 	if reason == outcome.RetryShed {
--- a/core/stop.go
+++ b/core/stop.go
@@ -1,12 +1,24 @@
 package core
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"wisteriapond/outcome"
+)
+
+// maxStopRetryAfter bounds the random Retry-After time of a caller that a stopping
+// host refuses. Other hosts can serve it at once; the random part spreads the callers.
+const maxStopRetryAfter = 50 * time.Millisecond
 
 // stopState tracks a planned stop.
 type stopState struct {
 	requested      bool
 	acceptUntil    Instant
 	listenerClosed bool
+	// exiting is set once Exit was emitted. Nothing starts after that.
+	exiting bool
 }
 
 func (s *State) stopRequested() {
@@ -43,14 +55,51 @@
 		s.stop.listenerClosed = true
 		s.out.add(StopAccepting{})
 	}
-	if len(s.requests)+len(s.early) == 0 || s.stopTimedOut() {
-		s.out.add(Exit{})
+	end, limited := s.stopEnd()
+	if len(s.requests)+len(s.early) > 0 && (!limited || s.now.Before(end)) {
+		return
+	}
+	s.stop.exiting = true
+	s.refuseIdleRequests()
+	s.out.add(Exit{})
+}
+
+// stopEnd returns the instant at which a planned stop ends the requests that are
+// still in flight, and false if there is no such limit.
+func (s *State) stopEnd() (end Instant, limited bool) {
+	if !s.stop.requested || s.self.StopTimeout == 0 {
+		return 0, false
+	}
+	return s.stop.acceptUntil.Add(s.self.StopTimeout), true
+}
+
+// refuseIdleRequests ends the requests without an attempt in progress.
+func (s *State) refuseIdleRequests() {
+	for _, id := range slices.Sorted(maps.Keys(s.requests)) {
+		if r := s.requests[id]; r.upstream == nil {
+			s.refuseRequest(r, outcome.RefusedNotReady)
+		}
+	}
+}
+
+// fitsIntoStop limits the deadline of a request that arrives during a planned stop to
+// the end of the stop. Once the listener is closed, a request whose time limit lies
+// beyond that end is not admitted: it arrived on a connection that was open before,
+// another host can serve it, and the end of the process might cut it off.
+func (s *State) fitsIntoStop(r *request) bool {
+	end, limited := s.stopEnd()
+	if !limited || !end.Before(r.deadline) {
+		return true
 	}
+	r.deadline = end
+	return !s.stop.listenerClosed
 }
 
-func (s *State) stopTimedOut() bool {
-	if s.self.StopTimeout == 0 {
-		return false
+// refuseForStop refuses a request since this host stops.
+func (s *State) refuseForStop(id RequestID, service string) {
+	refusal := Refuse{Request: id, Reason: outcome.RefusedNotReady, Service: service}
+	if s.self.Registry != nil {
+		refusal.RetryAfter = time.Millisecond + time.Duration(s.random.intN(int(maxStopRetryAfter)))
 	}
-	return !s.now.Before(s.stop.acceptUntil.Add(s.self.StopTimeout))
+	s.sendRefusal(refusal)
 }
--- /dev/null
+++ b/core/stop_test.go
@@ -0,0 +1,97 @@
+package core
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
+	"wisteriapond/outcome"
+)
+
+const (
+	testAcceptFor   = 3 * time.Second
+	testStopTimeout = 2500 * time.Millisecond
+)
+
+// newStopTestReducer returns a reducer with one server for orders.
+func newStopTestReducer() *storeTestReducer {
+	r := &storeTestReducer{testReducer: &testReducer{state: New()}}
+	r.step(Start{
+		Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a", Seed: 1, Registry: registrySettings(),
+		AcceptFor: testAcceptFor, StopTimeout: testStopTimeout,
+	})
+	routes := routing(1)
+	for i := range routes.Routes {
+		routes.Routes[i].Timeout = time.Minute
+	}
+	r.list(routes, storeServer("w", "write", "mtl-a"))
+	return r
+}
+
+// arriveWithin delivers an order whose caller waits for the given time, and starts it
+// without a load report if it is admitted.
+func (r *storeTestReducer) arriveWithin(budget time.Duration) []Effect {
+	r.lastID++
+	effects := r.step(RequestArrived{
+		ID: r.lastID, BodyKept: true, Timeout: budget, Request: config.Request{Method: "POST", Host: "h", Path: "/order/x"},
+	})
+	if count[StartAttempt](effects)+count[Refuse](effects) == 0 {
+		effects = r.advance(50 * time.Millisecond)
+	}
+	return effects
+}
+
+var _ = ginkgo.Describe("a planned stop", func() {
+	// Guards against an order that is handled in the same batch of events as the end of
+	// the process: it was sent to a server, and its response was lost.
+	ginkgo.It("starts nothing after the end of the process was requested", func() {
+		r := newStopTestReducer()
+		r.step(StopRequested{})
+		Expect(count[Exit](r.advance(testAcceptFor))).To(Equal(1))
+		effects := r.arriveWithin(time.Second)
+		Expect(count[StartAttempt](effects)).To(BeZero())
+		Expect(refusal(effects)).To(Equal(outcome.RefusedNotReady))
+		Expect(firstEffect[Refuse](effects).RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", maxStopRetryAfter+time.Millisecond)))
+	})
+
+	// Guards against orders that arrive late in the stop, on connections that were open
+	// before, and are cut off by the end of the process.
+	ginkgo.DescribeTable("admits a late order only if it ends before the process does",
+		func(after, budget time.Duration, admitted bool, left time.Duration) {
+			r := newStopTestReducer()
+			r.step(StopRequested{})
+			running := firstEffect[StartAttempt](r.arriveWithin(testAcceptFor + testStopTimeout))
+			Expect(running.Attempt.Request).NotTo(BeZero())
+			r.now = Instant(after)
+			r.step(Tick{})
+			effects := r.arriveWithin(budget)
+			Expect(count[Refuse](effects) == 0).To(Equal(admitted))
+			Expect(count[StartAttempt](effects) == 1).To(Equal(admitted))
+			if admitted {
+				Expect(firstEffect[StartAttempt](effects).Deadline.Sub(Instant(after))).To(Equal(left))
+			}
+		},
+		ginkgo.Entry("while the listener is open", testAcceptFor/2, time.Second, true, time.Second),
+		ginkgo.Entry("while the listener is open, with a long time limit", testAcceptFor/2, time.Minute, true, testAcceptFor/2+testStopTimeout),
+		ginkgo.Entry("later, with a time limit before the end", testAcceptFor+time.Second, time.Second, true, time.Second),
+		ginkgo.Entry("later, with a time limit beyond the end", testAcceptFor+time.Second, 2*time.Second, false, time.Duration(0)),
+	)
+
+	// Guards against responses that are ready when the time for the stop is over and are
+	// not passed on, and against requests without an attempt that end with an unknown
+	// outcome.
+	ginkgo.It("passes on ready responses and refuses what has not run at its end", func() {
+		r := newStopTestReducer()
+		running := firstEffect[StartAttempt](r.arriveWithin(time.Minute))
+		shedding := firstEffect[StartAttempt](r.arriveWithin(time.Minute))
+		Expect(shedding.Attempt.Request).NotTo(BeZero())
+		r.step(StopRequested{})
+		r.advance(testAcceptFor)
+		r.now = r.now.Add(testStopTimeout)
+		Expect(count[Exit](r.step(Tick{}))).To(Equal(1))
+		Expect(count[PassAnswer](r.finishAttempt(running, success))).To(Equal(1))
+		Expect(refusal(r.finishAttempt(shedding, shed))).To(Equal(outcome.RefusedUnavailable))
+	})
+})
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -32,6 +32,10 @@
 	"wisteriapond/settings"
 )
 
+// finalWriteTime is the time for writing the responses that end at the end of a planned
+// stop. The rest of settings.KillMargin is for the exit of the process.
+const finalWriteTime = settings.KillMargin / 2
+
 // Host is one running entry host.
 type Host struct {
 	settings *settings.Settings
@@ -233,12 +237,12 @@
 }
 
 // shutdownCallers shuts the caller server down, within the setting stop_timeout
-// if there is one.
+// if there is one, and finalWriteTime.
 func (h *Host) shutdownCallers() {
 	ctx := h.ctx
 	if limit := h.settings.StopLimit(); limit > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, limit)
+		ctx, cancel = context.WithTimeout(ctx, limit+finalWriteTime)
 		defer cancel()
 	}
 	if err := h.caller.Shutdown(ctx); err != nil && !closedNormally(err) {
--- a/runtime/loop.go
+++ b/runtime/loop.go
@@ -56,6 +56,8 @@
 	openRequests atomic.Int64
 	// panics is the number of panics of the reducer.
 	panics int
+	// exited is set once the reducer has emitted Exit.
+	exited bool
 	done   chan struct{}
 }
 
@@ -271,6 +273,7 @@
 		l.ready.Store(e.Ready)
 		l.handler.Handle(e)
 	case core.Exit:
+		l.exited = true
 		l.closeDone()
 	default:
 		l.handler.Handle(effect)
@@ -315,11 +318,16 @@
 	}
 }
 
-// shutdown releases the traffic goroutines whose requests have not ended.
+// shutdown releases the traffic goroutines whose requests have not ended. After Exit
+// it applies the events that are still queued, so that responses which are ready are
+// passed on and arrivals are refused.
 func (l *Loop) shutdown() {
 	l.closeDone()
 	for _, queued := range l.mailbox.close() {
-		if queued.ticket != nil {
+		switch {
+		case l.exited:
+			l.apply(queued)
+		case queued.ticket != nil:
 			queued.ticket.abandon()
 		}
 	}
--- a/runtime/loop_test.go
+++ b/runtime/loop_test.go
@@ -110,6 +110,18 @@
 		Expect(l.OpenRequests()).To(BeZero())
 	})
 
+	// Guards against events that are dropped because they are queued as the process
+	// exits: a response that is ready would be lost, and an arrival not be refused.
+	It("applies the events that are queued when the reducer has emitted Exit", func() {
+		l := NewLoop(&effectRecorder{})
+		l.Send(core.Start{})
+		l.execute(core.Exit{})
+		queued := l.Submit(core.RequestArrived{})
+		l.shutdown()
+		Expect(queued.Commands).To(Receive(BeAssignableToTypeOf(core.Refuse{})))
+		Expect(l.Submit(core.RequestArrived{})).To(BeNil())
+	})
+
 	// Guards against a control goroutine that blocks because a traffic goroutine
 	// has not received the previous command.
 	It("abandons a request instead of blocking on it", func() {
