core: the fleet simulation covers slow and stale responses of the store

The simulation compared revisions only, and its store always responded before another host, so it missed a stale listing that replaces newer state. It now also checks that no host uses a server after it has left, and runs each seed with a store that responds in 5 to 80 ms and whose stale listings are 3 s old.

--- a/core/store_fleet_test.go
+++ b/core/store_fleet_test.go
@@ -25,6 +25,13 @@
 	// delay between hosts.
 	storeDelay = 5 * time.Millisecond
 	hostDelay  = 10 * time.Millisecond
+	// maxSlowDelay bounds the delay of responses of a slow store. It exceeds the time
+	// in which another host responds.
+	maxSlowDelay = 80 * time.Millisecond
+	// staleListingAge and slowStaleListingAge are the age of a stale listing, of the
+	// store and of a slow one.
+	staleListingAge     = time.Second
+	slowStaleListingAge = 3 * time.Second
 	// pollTimeoutSlack is the time beyond its wait after which a poll fails.
 	pollTimeoutSlack = 400 * time.Millisecond
 )
@@ -57,6 +64,9 @@
 	// the servers registered so far.
 	lastDisturbance Instant
 	registrations   int
+	// delays draws the delays of the responses of a slow store, nil for a store
+	// with storeDelay.
+	delays *rand.Rand
 }
 
 // storeHost is an entry host of a store fleet, with its pending watch.
@@ -177,6 +187,14 @@
 	}
 }
 
+// storeDelay returns the delay of the next response of the store.
+func (f *storeFleet) storeDelay() time.Duration {
+	if f.delays == nil {
+		return storeDelay
+	}
+	return storeDelay + time.Duration(f.delays.Int64N(int64(maxSlowDelay-storeDelay)))
+}
+
 func (f *storeFleet) hostNamed(name string) *storeHost {
 	for _, h := range f.hosts {
 		if h.name == name {
@@ -186,18 +204,22 @@
 	return nil
 }
 
-// list responds with the contents of the store, or with those of one second ago if the
-// host accepts a stale listing.
+// list responds with the contents of the store, or with earlier ones if the host accepts
+// a stale listing.
 func (f *storeFleet) list(h *storeHost, e ListStore) {
 	f.calls++
+	age := staleListingAge
+	if f.delays != nil {
+		age = slowStaleListingAge
+	}
 	if f.down || h.rejected {
-		f.send(storeDelay, h, h.run, StoreFailed{Reason: "refused"})
+		f.send(f.storeDelay(), h, h.run, StoreFailed{Reason: "refused"})
 		return
 	}
 	listed := StoreListed{Revision: f.revision, Stale: e.Stale, Routing: routing(1)}
 	servers := make(map[string]Server)
 	for _, c := range f.changes {
-		if e.Stale && f.now.Sub(c.at) < time.Second && c.at > 0 {
+		if e.Stale && f.now.Sub(c.at) < age && c.at > 0 {
 			listed.Revision = min(listed.Revision, c.revision-1)
 			continue
 		}
@@ -208,7 +230,7 @@
 	for _, id := range sortedKeys(servers) {
 		listed.Servers = append(listed.Servers, ServerChange{ID: id, Server: new(servers[id])})
 	}
-	f.send(storeDelay, h, h.run, listed)
+	f.send(f.storeDelay(), h, h.run, listed)
 }
 
 // respondToWatch responds to the watch of a host if there are changes, if the wait is
@@ -235,7 +257,7 @@
 		return
 	}
 	h.watch = nil
-	f.send(storeDelay, h, h.run, event)
+	f.send(f.storeDelay(), h, h.run, event)
 }
 
 // changeServers registers a server, marks one as leaving, or removes one.
@@ -378,6 +400,11 @@
 			if !h.stopped {
 				Expect(h.state.registry.revision).To(BeNumerically(">=", c.revision),
 					"%s (rejected: %v) has not applied the change of %v at %v", h.name, h.rejected, time.Duration(c.at), time.Duration(f.now))
+				if c.change.Server == nil || c.change.Server.Leaving {
+					server, known := h.state.registry.servers[c.change.ID]
+					Expect(known && !server.Leaving).To(BeFalse(), "%s uses %s again at %v, which left at %v",
+						h.name, c.change.ID, time.Duration(f.now), time.Duration(c.at))
+				}
 			}
 		}
 	}
@@ -418,6 +445,12 @@
 			f.run(2 * time.Minute)
 			f.settle()
 		})
+		ginkgo.It(fmt.Sprintf("applies every change of a slow store in time, seed %d", seed), func() {
+			f := newStoreFleet(seed, 2+int(seed%2))
+			f.delays = rand.New(rand.NewPCG(seed, 11))
+			f.run(2 * time.Minute)
+			f.settle()
+		})
 	}
 
 	// Guards against store calls that grow with the number of hosts when the
