caller: an idle connection without a request is closed without a response

Callers whose first request on a connection crossed the idle limit got 400, which they do not retry. fasthttp passes the timeout of a new connection to the error handler, and sends what the handler writes.

The handler now closes a connection that ends before its first byte.

--- a/caller/errorresponse.go
+++ b/caller/errorresponse.go
@@ -75,8 +75,15 @@
 	})
 }
 
-// refuseUnreadable responds to a request that fasthttp could not read.
+// refuseUnreadable responds to a request that fasthttp could not read. A connection
+// that ends before its first byte is closed without a response: there is no request,
+// and a caller that sends one at this moment would take the response for its own.
 func (s *Server) refuseUnreadable(ctx *fasthttp.RequestCtx, err error) {
+	c, ok := ctx.Conn().(*conn)
+	if ok && !c.receivedFirst {
+		c.Conn.Close()
+		return
+	}
 	var large *fasthttp.ErrSmallBuffer
 	status, reason := fasthttp.StatusBadRequest, outcome.RefusedMalformed
 	switch {
@@ -86,7 +93,7 @@
 		status, reason = fasthttp.StatusRequestEntityTooLarge, outcome.RefusedTooLarge
 	}
 	s.observeRefusal(reason)
-	if c, ok := ctx.Conn().(*conn); ok {
+	if ok {
 		c.lingerOnClose()
 	}
 	writeError(ctx, status, errorBody{
