soak: orders that end during a stop, refusals sent twice, signals in series

Callers of the soak sent short orders only, so the end of a planned stop never met a running one, and its store had no stale reads. Orders now begin before a stop and end at any time during it; a server refuses twice; a host gets signals in series while a server leaves and the store forgets its history; all hosts stop at once; stale reads are 2 s old.

--- a/soak/backend_test.go
+++ b/soak/backend_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,6 +19,7 @@
 	slots        = 4
 	workDuration = 20 * time.Millisecond
 	probePath    = "/health"
+	slowPath     = "slow-"
 )
 
 // recorder records which requests ran and which were rejected as not run, and
@@ -107,6 +109,9 @@
 	troubleBusy
 	// troubleTwice sends a second copy of each response a little later.
 	troubleTwice
+	// troubleRefuseTwice refuses requests, and sends the refusal once more while it runs
+	// the next request on the connection.
+	troubleRefuseTwice
 	// troubleEndless sends bytes that are no response until the connection is closed.
 	troubleEndless
 	troubleCount
@@ -161,6 +166,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if backendTrouble(b.trouble.Load()) == troubleRefuseTwice {
+		b.refuseTwice(w, id)
+		return
+	}
 	if b.running.Add(1) > slots {
 		b.running.Add(-1)
 		form := platform.NotRun()
@@ -170,7 +179,7 @@
 	}
 	defer b.running.Add(-1)
 	b.recorder.recordRun(id, b.entry.ID)
-	time.Sleep(workDuration)
+	time.Sleep(workTime(r.URL.Path))
 	if b.droppingResponses.Load() && b.dropCounter.Add(1)%2 == 0 {
 		panic(http.ErrAbortHandler)
 	}
@@ -184,6 +193,16 @@
 	}
 }
 
+// workTime returns the time that a request takes. A path that ends in slowPath and a
+// number asks for that many milliseconds.
+func workTime(path string) time.Duration {
+	_, number, _ := strings.Cut(path, slowPath)
+	if milliseconds, err := strconv.Atoi(number); err == nil {
+		return time.Duration(milliseconds) * time.Millisecond
+	}
+	return workDuration
+}
+
 // respondTwice sends the response to a request and, later, a copy of it.
 func respondTwice(w http.ResponseWriter, header, id string) {
 	c, _, err := http.NewResponseController(w).Hijack()
@@ -199,6 +218,30 @@
 	time.Sleep(secondCopyAt)
 }
 
+// refuseTwice refuses a request, and sends a copy of the refusal while it runs the next
+// request of the connection, if there is one.
+func (b *backend) refuseTwice(w http.ResponseWriter, id string) {
+	c, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	d, form := platform.Dialect(), platform.NotRun()
+	refusal := fmt.Sprintf("HTTP/1.1 503 Busy\r\n%s: %s\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", d.RequestID, id, form.Header, form.Value)
+	io.WriteString(c, refusal)
+	c.SetDeadline(time.Now().Add(time.Second))
+	next, err := http.ReadRequest(buffered.Reader)
+	if err != nil || next.URL.Path == probePath {
+		return
+	}
+	id = next.Header.Get(d.RequestID)
+	b.recorder.recordRun(id, b.entry.ID)
+	io.WriteString(c, refusal)
+	time.Sleep(workDuration)
+	body := responseBody(id)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", d.RequestID, id, len(body), body)
+}
+
 // sendEndless sends bytes that are no response until the other side closes.
 func sendEndless(w http.ResponseWriter) {
 	c, _, err := http.NewResponseController(w).Hijack()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,10 +3,12 @@
 package soak
 
 import (
+	"bufio"
 	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -44,6 +46,14 @@
 	// fault.
 	recoveryLimit = 15 * time.Second
 	callTimeout   = 3 * time.Second
+	// staleAge is the age of stale reads of the store.
+	staleAge = 2 * time.Second
+	// stopDelay is the time for which a host is under load before it is stopped, and
+	// stopLimit the time within which it has to end.
+	stopDelay = 200 * time.Millisecond
+	stopLimit = 6 * time.Second
+	// lateOrders is the number of orders that begin before a stop and end during it.
+	lateOrders = 16
 )
 
 func TestMain(m *testing.M) {
@@ -91,6 +101,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), store: platformtest.NewStore(), recorder: newRecorder(), stop: make(chan struct{}),
 	}
 	t.Cleanup(e.close)
+	e.store.SetStaleAge(staleAge)
 	e.publish("/x/")
 	for range backendCount {
 		e.addBackend()
@@ -199,7 +210,7 @@
 	h := e.hosts[e.random.IntN(len(e.hosts))]
 	b := e.backends[e.random.IntN(len(e.backends))]
 	duration := time.Duration(200+e.random.IntN(1500)) * time.Millisecond
-	switch e.random.IntN(15) {
+	switch e.random.IntN(17) {
 	case 0:
 		h.signal(syscall.SIGKILL)
 	case 1:
@@ -234,6 +245,19 @@
 		e.replace(b)
 	case 14:
 		e.store.RegisterOdd(fmt.Sprint("odd-", e.random.IntN(4)), e.random.IntN(platformtest.OddEntryCount))
+	case 15:
+		// A host is stopped, and changes follow each other while it stops and starts.
+		h.signal(syscall.SIGHUP)
+		h.signal(syscall.SIGTERM)
+		h.signal(syscall.SIGHUP)
+		b.markLeaving()
+		e.replace(b)
+		e.store.DropHistory()
+		e.publish("/x/", fmt.Sprintf("/v%d/", e.version))
+	case 16:
+		for _, h := range e.hosts {
+			h.signal(syscall.SIGTERM)
+		}
 	}
 }
 
@@ -314,6 +338,12 @@
 	if err != nil {
 		return 0
 	}
+	return e.checkResponse(response, path, id)
+}
+
+// checkResponse reads and checks the response to a request. It returns the status, or 0
+// if the response is not complete.
+func (e *environment) checkResponse(response *http.Response, path, id string) int {
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	switch {
@@ -358,6 +388,9 @@
 	h := e.hosts[e.random.IntN(len(e.hosts))]
 	var group sync.WaitGroup
 	done := make(chan struct{})
+	for i := range lateOrders {
+		e.sendLate(&group, h, i)
+	}
 	for i := range callers {
 		group.Go(func() {
 			client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}
@@ -375,13 +408,42 @@
 			}
 		})
 	}
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(stopDelay)
 	exited := h.signal(syscall.SIGTERM)
+	h.signal(syscall.SIGHUP)
+	h.signal(syscall.SIGTERM)
 	select {
 	case <-exited:
-	case <-time.After(6 * time.Second):
+	case <-time.After(stopLimit):
 		e.recorder.recordViolation("%s did not exit within 6 s after SIGTERM", h.name)
 	}
 	close(done)
 	group.Wait()
 }
+
+// sendLate sends the beginning of a slow order to a host that is about to stop, and its
+// end at some time until the process has to be gone. An order that a server has run must
+// get its response.
+func (e *environment) sendLate(group *sync.WaitGroup, h *host, i int) {
+	connection, err := net.Dial("tcp", h.address)
+	e.must(err)
+	wait := stopDelay + stopLimit*time.Duration(i)/lateOrders
+	work := time.Duration(100+e.random.IntN(1700)) * time.Millisecond
+	id := fmt.Sprint("o-late-", i)
+	path := fmt.Sprintf("/x/order/%s%d", slowPath, work.Milliseconds())
+	d := platform.Dialect()
+	fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\n%s: 2000\r\nContent-Length: 4\r\n\r\nbo", path, d.RequestID, id, d.Timeout)
+	group.Go(func() {
+		defer connection.Close()
+		time.Sleep(wait)
+		connection.SetDeadline(time.Now().Add(callTimeout))
+		io.WriteString(connection, "dy")
+		status := 0
+		if response, err := http.ReadResponse(bufio.NewReader(connection), nil); err == nil {
+			status = e.checkResponse(response, path, id)
+		}
+		if status != http.StatusOK && e.recorder.runCount(id) > 0 {
+			e.recorder.recordViolation("%s, complete after %v, ran for %v and got status %d from %s, which was stopping", id, wait, work, status, h.name)
+		}
+	})
+}
