--- a/backend/endless_test.go
+++ b/backend/endless_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"wisteriapond/config"
+	"wisteriapond/core"
 	"wisteriapond/outcome"
 	"wisteriapond/standin"
 )
@@ -52,6 +54,32 @@
 		Entry("in a header line", "HTTP/1.1 200 OK\r\nX-A: ", strings.Repeat("a", 1000), time.Duration(0)),
 		Entry("in header lines", "HTTP/1.1 200 OK\r\n", "X-A: a\r\n", time.Duration(0)),
 		Entry("in the header of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "00000000", time.Duration(0)),
+		Entry("in interim responses", "", "HTTP/1.1 103 Early Hints\r\nX-A: a\r\n\r\n", time.Duration(0)),
+		Entry("in a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: a\r\n", time.Duration(0)),
+	)
+
+	// Guards against load queries that keep what a server sends without end.
+	DescribeTable("end a load query soon", func(first, repeated string) {
+		f := newFixture()
+		command := core.StartProbe{
+			Address: startEndless(first, repeated, 0).Address(), Reuse: true, StartBefore: f.command("").StartBefore,
+			Probe: config.Probe{Path: "/load", Timeout: waitTimeout, AnswerLimit: 4 << 10},
+		}
+		started := time.Now()
+		facts, _ := f.pool.Probe(GinkgoT().Context(), f.clock, command)
+		Expect(facts.Cause).NotTo(Equal(outcome.CauseNone))
+		Expect(time.Since(started)).To(BeNumerically("<", 10*time.Second))
+		Expect(f.pool.HasUsableIdle(command.Address)).To(BeFalse())
+	},
+		Entry("in place of a response", "", strings.Repeat("x", 1000)),
+		Entry("in empty lines", "", "\r\n"),
+		Entry("in interim responses", "", "HTTP/1.1 103 Early Hints\r\nX-A: a\r\n\r\n"),
+		Entry("in header lines", "HTTP/1.1 200 OK\r\n", "X-A: a\r\n"),
+		Entry("in a body without a length", "HTTP/1.1 200 OK\r\n\r\n", strings.Repeat("x", 1000)),
+		Entry("in small chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"),
+		Entry("in the header of a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "00000000"),
+		Entry("in a trailer", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: a\r\n"),
+		Entry("in a body with a huge length", "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", strings.Repeat("x", 1000)),
 	)
 
 	// Guards against a body without end that is forwarded for as long as the caller
