entryhost: the end of the control loop ends pending polls of other hosts

A host was still running 6 s after SIGTERM: its relay waited for polls that it held, up to 1.9 s, while the control loop that would respond to them had ended. The senders waited as long before they turned to another host.

Pending polls now fail when the control loop ends.

--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -50,6 +50,10 @@
 	relayClient   *relay.Client
 	relayListener net.Listener
 	pendingPolls  pendingQueries[core.NewsAnswer]
+	// loopEnded is done once the control loop has ended. Polls that are pending then get
+	// no response; to wait for them would delay the end of the process.
+	loopEnded context.Context
+	endLoop   context.CancelFunc
 	// store is nil if routing and servers come from the configuration service.
 	store  *platform.Store
 	caller *caller.Server
@@ -108,6 +112,7 @@
 		h.store = platform.NewStore(s.Store.Address)
 		h.pool.Dialect = platform.Dialect()
 	}
+	h.loopEnded, h.endLoop = context.WithCancel(context.Background())
 	h.loop = runtime.NewLoop(h)
 	h.caller = caller.NewServer(h.loop, h.pool, h.log)
 	h.caller.ObserveLatency = h.metrics.ObserveRequest
@@ -183,6 +188,7 @@
 	h.group.Go(func() error {
 		defer cancel()
 		err := h.loop.Run(h.ctx)
+		h.endLoop()
 		endRecording()
 		h.flushPeers()
 		h.drainCallers()
--- a/entryhost/relay.go
+++ b/entryhost/relay.go
@@ -21,6 +21,9 @@
 	}
 	h.relayClient = relay.NewClient()
 	h.relay = relay.NewServer(func(ctx context.Context, poll core.NewsAsk) (core.NewsAnswer, error) {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(h.loopEnded, cancel)()
 		return h.pendingPolls.query(ctx, func(id uint64) { h.loop.Send(core.NewsAsked{ID: id, Ask: poll}) })
 	})
 	return nil
