entryhost: a planned stop does not wait for the host's own poll

The end of the process waited for the poll that another host held for it, up to 1.9 s beyond the time for the stop. Such a poll cannot be canceled; it no longer belongs to the group whose end is waited for.

--- a/core/store.go
+++ b/core/store.go
@@ -286,8 +286,8 @@
 }
 
 // isOutdated reports whether a response of the store describes an earlier revision
-// than the known one. If such a response were applied, it would revert changes that
-// no later watch or poll reports again.
+// than the known one, and counts and logs it then. If such a response were applied, it
+// would revert changes that no later watch or poll reports again.
 func (s *State) isOutdated(revision uint64) bool {
 	known := s.registry.revision
 	if revision >= known {
--- a/entryhost/relay.go
+++ b/entryhost/relay.go
@@ -51,15 +51,16 @@
 }
 
 // pollNeighbour polls another entry host for store updates in the background.
-// The reducer bounds the number of concurrent polls.
+// The reducer bounds the number of concurrent polls. The end of the process does not
+// wait for them: a poll cannot be canceled, and may be held by its receiver.
 func (h *Host) pollNeighbour(e core.AskNews) {
 	if h.relayClient == nil {
 		return
 	}
-	h.group.Go(func() error {
+	go func() {
 		response, err := h.relayClient.Poll(e.Address, e.Ask)
 		if err != nil && h.ctx.Err() != nil {
-			return nil
+			return
 		}
 		event := core.NewsAnswered{Address: e.Address, Aside: e.Aside, Answer: response}
 		if err != nil {
@@ -67,6 +68,5 @@
 			event.Reason = err.Error()
 		}
 		h.loop.Send(event)
-		return nil
-	})
+	}()
 }
