--- a/core/propagation.go
+++ b/core/propagation.go
@@ -44,8 +44,8 @@
 	// A host without neighbours queries the seeds again after a jittered
 	// interval that doubles from minSeedInterval to maxSeedInterval. A host with
 	// neighbours queries them about every maxSeedInterval, so that two separate
-	// groups find each other. A reader that has no state yet is polled again
-	// after minSeedInterval.
+	// groups find each other. A reader that has no state yet, or an older one, is
+	// polled again after minSeedInterval.
 	minSeedInterval = 150 * time.Millisecond
 	maxSeedInterval = 15 * time.Second
 	// minBackoffWithReader is the lower limit of the backoff, before jitter,
@@ -296,7 +296,8 @@
 	s.neighbourResponded(e.Address)
 	s.leavingReceived(e.Answer.Leaving)
 	s.recordFleet(min(e.Answer.Hosts, maxNeighbours))
-	if e.Answer.Known {
+	switch {
+	case e.Answer.Known && e.Answer.Revision >= s.registry.revision:
 		s.applyUpdates(&e.Answer)
 		if polled && s.storeStaleness() < staleAfter {
 			p.relayed = false
@@ -305,7 +306,9 @@
 			// The store may reject the reader as well.
 			s.notifyReader()
 		}
-	} else if polled {
+	case polled:
+		// A host without a confirmed state polls without a wait, and would poll a
+		// reader that has no newer state again and again.
 		p.nextPoll = s.now.Add(minSeedInterval)
 		s.scheduleTick(p.nextPoll)
 	}
@@ -313,13 +316,10 @@
 	s.callStoreIfDue()
 }
 
-// applyUpdates applies the state of another entry host, unless this host has a
-// newer one.
+// applyUpdates applies the state of another entry host, which must not be older than
+// the known one.
 func (s *State) applyUpdates(response *NewsAnswer) {
 	reg := &s.registry
-	if response.Revision < reg.revision {
-		return
-	}
 	s.count(CounterStoreUpdates, "taken")
 	before := reg.revision
 	reg.revision = response.Revision
--- a/core/propagation_test.go
+++ b/core/propagation_test.go
@@ -271,6 +271,20 @@
 		}}),
 	)
 
+	// Guards against a restarted host whose stale listing is newer than the state of its
+	// reader, and that polls the reader again without a pause until that has caught up.
+	ginkgo.It("pause before they poll a reader with older state again", func() {
+		reader, r := newPropagationTestReducer("entry-1", 5), newPropagationTestReducer("entry-2", 5)
+		reader.list(routing(1), storeServer("a", "read", "mtl-a"))
+		poll := firstEffect[AskNews](r.deliverNeighbours(neighbourNamed("entry-1", 5))).Ask
+		r.step(StoreListed{Revision: 9, Stale: true, Routing: routing(1)})
+		answer := NewsAnswered{Address: "entry-1:1", Answer: responseOf(reader, poll)}
+		Expect(count[AskNews](r.step(answer))).To(BeZero())
+		Expect(count[AskNews](r.advance(minSeedInterval - 1))).To(BeZero())
+		Expect(firstEffect[AskNews](r.advance(1)).Address).To(Equal("entry-1:1"))
+		Expect(r.state.registry.revision).To(Equal(uint64(9)))
+	})
+
 	// Guards against servers that left before a reader started: it never knew
 	// them and could not report them as removed.
 	ginkgo.It("replace the state of other hosts after a listing", func() {
