core: a host with servers pending removal propagates no state

Another host had responded to its poll with the revision before the outage and with its current servers, some of them pending removal. The receiver adopted that revision, and no later response reported their removal.

--- a/core/polls.go
+++ b/core/polls.go
@@ -26,10 +26,13 @@
 // poll lacks.
 func (s *State) hasUpdatesFor(poll *NewsAsk) bool {
 	reg := &s.registry
-	if reg.routing != nil && reg.routing.Version > poll.Routing {
+	if !s.mayPropagate() {
+		return false
+	}
+	if reg.routing.Version > poll.Routing {
 		return true
 	}
-	if s.propagatedRevision() <= poll.After {
+	if reg.revision <= poll.After {
 		return false
 	}
 	if poll.After < reg.propagation.historyStart {
@@ -44,8 +47,12 @@
 }
 
 // respondToPendingPolls responds to all pending polls, after updates arrived or
-// the store confirmed that there are none.
+// the store confirmed that there are none. While servers are pending removal the polls
+// stay pending, at most until their waits are over.
 func (s *State) respondToPendingPolls() {
+	if len(s.registry.pendingRemoval) > 0 {
+		return
+	}
 	p := &s.registry.propagation
 	pending := p.pendingPolls
 	p.pendingPolls = nil
@@ -78,9 +85,9 @@
 func (s *State) respondToPoll(id uint64, poll *NewsAsk) {
 	reg := &s.registry
 	response := NewsAnswer{Neighbours: s.neighboursFor(poll.From), Leaving: s.recentLeaving(), Hosts: max(s.registry.fleet.largest, s.subtreeSize())}
-	if !poll.NamesOnly && reg.routing != nil && reg.revision > 0 {
+	if !poll.NamesOnly && s.mayPropagate() {
 		response.Known = true
-		response.Revision = s.propagatedRevision()
+		response.Revision = reg.revision
 		response.Age = s.storeStaleness()
 		response.Whole = poll.After == 0 || poll.After < reg.propagation.historyStart
 		response.Servers = s.serversChangedAfter(poll.After, response.Whole)
@@ -92,16 +99,12 @@
 	s.out.add(AnswerNews{ID: id, Answer: response})
 }
 
-// propagatedRevision returns the revision that this host reports for its state. It
-// is not the latest one while the state includes servers that are pending removal:
-// a host that adopted the latest revision with them would never learn that they
-// were removed.
-func (s *State) propagatedRevision() uint64 {
+// mayPropagate reports whether this host has a state to propagate. While servers are
+// pending removal it has none: its state is that of no revision, and a host that adopted
+// it with a revision would not learn of the removals from others.
+func (s *State) mayPropagate() bool {
 	reg := &s.registry
-	if len(reg.pendingRemoval) > 0 {
-		return min(reg.revision, reg.revisionBeforeExpiry)
-	}
-	return reg.revision
+	return reg.routing != nil && reg.revision > 0 && len(reg.pendingRemoval) == 0
 }
 
 // serversChangedAfter returns the servers that changed after a revision, or all
--- a/core/propagation_test.go
+++ b/core/propagation_test.go
@@ -172,6 +172,26 @@
 		Expect(notifications(r.advance(expiryGrace))).To(HaveLen(1))
 	})
 
+	// Guards against servers that stay in use for good on a host that polled while they
+	// were pending removal: with the revision it adopted, no host reports the removal.
+	ginkgo.It("respond with no state while entries are pending removal", func() {
+		r := newPropagationTestReducer("entry-1", 5)
+		r.list(routing(1), storeServer("a", "read", "mtl-a"), storeServer("b", "read", "mtl-a"))
+		r.advance(watchBatchDelay)
+		r.step(StoreFailed{Reason: "reset"})
+		r.advance(maxStoreBackoff)
+		r.change(removed("a"), removed("b"))
+		Expect(r.state.registry.pendingRemoval).To(HaveLen(2))
+		Expect(responseOf(r, NewsAsk{From: neighbourNamed("entry-2", 5)}).Known).To(BeFalse())
+		held := NewsAsked{ID: 7, Ask: NewsAsk{From: neighbourNamed("entry-2", 5), After: 1, Routing: 1, Wait: pollWait}}
+		Expect(count[AnswerNews](r.step(held))).To(BeZero())
+		Expect(count[AnswerNews](r.step(StoreChanged{Revision: r.revision}))).To(BeZero())
+		update := firstEffect[AnswerNews](r.advance(expiryGrace))
+		Expect(update.ID).To(Equal(uint64(7)))
+		Expect(update.Answer.Revision).To(Equal(r.revision))
+		Expect(update.Answer.Servers).To(ConsistOf(removed("a"), removed("b")))
+	})
+
 	// Guards against store calls that grow with the number of hosts while the
 	// store is down for all of them.
 	ginkgo.It("call a store that is down no more often than a single host", func() {
--- a/core/registry.go
+++ b/core/registry.go
@@ -56,16 +56,17 @@
 // expiryGrace.
 func (s *State) removeExpired() {
 	reg := &s.registry
-	changed := false
+	ended := false
 	for _, id := range sortedKeys(reg.pendingRemoval) {
 		if s.now.Before(reg.pendingRemoval[id]) {
 			continue
 		}
+		ended = true
 		delete(reg.pendingRemoval, id)
-		changed = s.removeServer(id, "entry not registered again after a store outage") || changed
+		s.removeServer(id, "entry not registered again after a store outage")
 		reg.propagation.expired[id] = s.now
 	}
-	if changed {
+	if ended {
 		s.adoptRegistry()
 		s.respondToPendingPolls()
 		s.notifyReader()
@@ -119,9 +120,6 @@
 		// Other hosts that poll this one may know the server.
 		s.recordChange(change.ID)
 	case change.Server == nil && expired && change.Problem == "" && !known.Leaving:
-		if len(reg.pendingRemoval) == 0 {
-			reg.revisionBeforeExpiry = reg.previousRevision
-		}
 		if _, scheduled := reg.pendingRemoval[change.ID]; !scheduled {
 			reg.pendingRemoval[change.ID] = reg.recoveredAt.Add(expiryGrace)
 			s.scheduleTick(reg.pendingRemoval[change.ID])
--- a/core/store.go
+++ b/core/store.go
@@ -131,11 +131,6 @@
 	// pendingRemoval holds the servers whose entries went missing during a store
 	// outage, with the instant at which they are removed.
 	pendingRemoval map[string]Instant
-	// revisionBeforeExpiry is the revision up to which the state is complete
-	// while entries are pending removal. previousRevision is the revision before
-	// the last response of the store.
-	revisionBeforeExpiry uint64
-	previousRevision     uint64
 	// unloggedChanges holds the server changes of this step.
 	unloggedChanges []unloggedChange
 	propagation     propagation
@@ -225,7 +220,6 @@
 		}})
 	}
 	reg.failures = 0
-	reg.previousRevision = reg.revision
 	reg.revision = max(reg.revision, revision)
 	s.confirmFromStore()
 }
--- a/core/store_fleet_test.go
+++ b/core/store_fleet_test.go
@@ -39,6 +39,7 @@
 // regressionSeeds holds the seeds beyond fleetSeeds that have failed before,
 // with the cause.
 var regressionSeeds = map[uint64]string{
+	43:  "with a slow store, a host propagates servers that are pending removal, and its receiver gets their removals from nobody",
 	278: "the store rejects two successive readers, and each gets updates from the next host only when its own are stale",
 }
 
