--- a/core/request.go
+++ b/core/request.go
@@ -127,7 +127,7 @@
 		return
 	}
 	r := s.newRequest(&e, compiled, route, arrivedAt)
-	if !s.fitsIntoStop(r) {
+	if !s.admitDuringStop(r) {
 		s.refuseForStop(e.ID, compiled.Name)
 		return
 	}
--- a/core/stop.go
+++ b/core/stop.go
@@ -82,11 +82,11 @@
 	}
 }
 
-// fitsIntoStop limits the deadline of a request that arrives during a planned stop to
-// the end of the stop. Once the listener is closed, a request whose time limit lies
-// beyond that end is not admitted: it arrived on a connection that was open before,
-// another host can serve it, and the end of the process might cut it off.
-func (s *State) fitsIntoStop(r *request) bool {
+// admitDuringStop limits the deadline of a request that arrives during a planned stop to
+// the end of the stop, and reports whether the request is admitted. Once the listener is
+// closed, one whose time limit lies beyond that end is not: it arrived on a connection that
+// was open before, another host can serve it, and the end of the process might cut it off.
+func (s *State) admitDuringStop(r *request) bool {
 	end, limited := s.stopEnd()
 	if !limited || !end.Before(r.deadline) {
 		return true
--- a/core/store.go
+++ b/core/store.go
@@ -229,7 +229,7 @@
 // entries have most likely expired.
 func (s *State) storeListed(e StoreListed) {
 	reg := &s.registry
-	outdated := s.isOutdated(e.Revision)
+	outdated := s.discardOutdated(e.Revision)
 	s.storeCallSucceeded(e.Revision, e.Stale || outdated)
 	// Updates that have overtaken the listing left the known state complete.
 	reg.listed = true
@@ -262,7 +262,7 @@
 // storeChanged applies the changes that a watch reported, and relays them. A
 // response that updates of another entry host have overtaken reports nothing new.
 func (s *State) storeChanged(e StoreChanged) {
-	outdated := s.isOutdated(e.Revision)
+	outdated := s.discardOutdated(e.Revision)
 	s.storeCallSucceeded(e.Revision, outdated)
 	if outdated {
 		s.delayStoreCall()
@@ -279,10 +279,10 @@
 	s.callStoreIfDue()
 }
 
-// isOutdated reports whether a response of the store describes an earlier revision
-// than the known one, and counts and logs it then. If such a response were applied, it
-// would revert changes that no later watch or poll reports again.
-func (s *State) isOutdated(revision uint64) bool {
+// discardOutdated reports whether a response of the store is discarded, since it describes
+// an earlier revision than the known one. If it were applied, it would revert changes that
+// no later watch or poll reports again. Discarded responses are counted and logged.
+func (s *State) discardOutdated(revision uint64) bool {
 	known := s.registry.revision
 	if revision >= known {
 		return false
