--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -89,7 +89,9 @@
 		return nil
 	}
 	command := exec.Command(os.Args[0], "serve", "--settings", h.settings)
-	command.Env = append(os.Environ(), programVariable+"=1")
+	// Under the race detector a program sleeps for 1 s before it exits, unless told
+	// otherwise.
+	command.Env = append(os.Environ(), programVariable+"=1", "GORACE=atexit_sleep_ms=0")
 	command.Stdout, command.Stderr = h.log, h.log
 	if err := command.Start(); err != nil {
 		return err
