--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -79,9 +79,22 @@
 		ginkgo.Entry("later, with a time limit beyond the end", testAcceptFor+time.Second, 2*time.Second, false, time.Duration(0)),
 	)
 
+	// Guards against a request that waits for its next attempt when the time for the stop
+	// is over, and that ends with an unknown outcome though it has not run.
+	ginkgo.It("refuses a request that waits for an attempt at its end", func() {
+		r := newStopTestReducer()
+		waiting := firstEffect[StartAttempt](r.arriveWithin(time.Minute))
+		r.step(StopRequested{})
+		r.advance(testAcceptFor)
+		r.now = r.now.Add(testStopTimeout - 1)
+		Expect(count[Refuse](r.finishAttempt(waiting, shed))).To(BeZero())
+		effects := r.advance(1)
+		Expect(count[Exit](effects)).To(Equal(1))
+		Expect(refusal(effects)).To(Equal(outcome.RefusedNotReady))
+	})
+
 	// Guards against responses that are ready when the time for the stop is over and are
-	// not passed on, and against requests without an attempt that end with an unknown
-	// outcome.
+	// not passed on, and against an attempt that ends later, has not run, and is retried.
 	ginkgo.It("passes on ready responses and refuses what has not run at its end", func() {
 		r := newStopTestReducer()
 		running := firstEffect[StartAttempt](r.arriveWithin(time.Minute))
