--- a/config/routing.go
+++ b/config/routing.go
@@ -50,6 +50,9 @@
 	MaxAttempts int
 	// Rank is the priority of the route; 0 is the highest.
 	Rank int
+	// Regions are the regions whose backend servers may run the requests. Empty
+	// means every region.
+	Regions []string
 }
 
 // Target is a service and its weight among the targets of a route.
@@ -66,6 +69,11 @@
 	// Connections is the number of connections that each backend server accepts
 	// from all entry hosts in total. 0 keeps the value of Upstream.Connections.
 	Connections int
+	// WarmUp is the time after its start for which a backend server is cold.
+	WarmUp time.Duration
+	// WarmUpRate is the number of requests per second that a cold backend server
+	// bears from all entry hosts in total. 0 means no limit.
+	WarmUpRate int
 }
 
 // CallerLimits bounds the requests of callers. A zero field means no limit.
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -89,6 +89,10 @@
 	// Hosts is the number of entry hosts for which the sender speaks, itself
 	// included.
 	Hosts int
+	// Era is the era of the store that After belongs to, 0 if it is unknown.
+	Era uint64
+	// Domains holds the marks of failure domains that the sender knows.
+	Domains []DomainMark
 }
 
 // NewsAnswer is the response to a NewsAsk.
@@ -108,6 +112,10 @@
 	Leaving []string
 	// Hosts is the number of entry hosts that the responding host knows of.
 	Hosts int
+	// Era is the era of the store that Revision belongs to, 0 if it is unknown.
+	Era uint64
+	// Domains holds the marks of failure domains that the responding host knows.
+	Domains []DomainMark
 }
 
 // NewsAsked reports a poll from another entry host. The response is AnswerNews.
--- a/core/store.go
+++ b/core/store.go
@@ -60,6 +60,11 @@
 	// FirstStart reports that the complete deployment starts for the first time,
 	// so that there is time to learn from other hosts.
 	FirstStart bool
+	// WarmUpPercent and WarmUpSlack limit the requests that a cold backend server
+	// receives in any second from all entry hosts together: WarmUpPercent of its
+	// warm-up rate, and WarmUpSlack requests more.
+	WarmUpPercent int
+	WarmUpSlack   int
 }
 
 // FailureDomain is a failure domain and the region it lies in.
@@ -78,6 +83,10 @@
 	// RoutingProblem describes why the published routing cannot be read.
 	RoutingProblem string
 	Servers        []ServerChange
+	// Era is the era of the store, as of its oldest response, 0 if it names none.
+	Era uint64
+	// Domains holds the marks of all emptied failure domains.
+	Domains []DomainMark
 }
 
 // StoreChanged reports the end of a watch with the changes up to Revision.
@@ -86,6 +95,21 @@
 	Routing        *config.Routing
 	RoutingProblem string
 	Servers        []ServerChange
+	// Era is the era of the store, 0 if it names none.
+	Era uint64
+	// Domains holds the changed marks of failure domains.
+	Domains []DomainMark
+}
+
+// DomainMark reports whether the operator has emptied a failure domain. Nothing
+// is sent to the backend servers of an emptied domain until it is taken back. Of
+// two marks of a domain, the one with the higher era, then the higher revision,
+// holds.
+type DomainMark struct {
+	Domain   string
+	Emptied  bool
+	Era      uint64
+	Revision uint64
 }
 
 // StoreFailed reports a store call without a usable response.
@@ -94,6 +118,8 @@
 	// known revision.
 	HistoryGone bool
 	Reason      string
+	// Era is the era of the store, 0 if it names none or did not respond.
+	Era uint64
 }
 
 // ListStore reads the complete store. It results in StoreListed or StoreFailed.
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -76,6 +76,13 @@
 	Slowdown int
 }
 
+// WarmUpReport is the remaining warm-up time that a backend server reports. Known
+// is false if it reported none.
+type WarmUpReport struct {
+	Known bool
+	Left  time.Duration
+}
+
 // Facts holds what the transport observed during an attempt, without any
 // interpretation.
 type Facts struct {
@@ -110,6 +117,8 @@
 	Unsized bool
 	// Bytes is the number of bytes of the response body that were read.
 	Bytes int64
+	// WarmUp is what the backend server reports of its warm-up.
+	WarmUp WarmUpReport
 }
 
 // Classify returns the class of an attempt. notRunStatus is the status of the
