core: requests wait for a connection instead of failing

Cause: the reducer started requests as long as slots were free, and the pool refused connections beyond the share of the host. Each such attempt used up a try of its request, which then waited for its deadline. Change: a request that finds the share of connections in use waits, and starts when an exchange on that upstream ends.

--- a/core/doc.go
+++ b/core/doc.go
@@ -16,6 +16,7 @@
 //	retry.go                         retry decisions, budgets and results
 //	queueing.go, group.go            waiting for a slot, early refusals
 //	service.go, traffic.go           services, upstreams, timers
+//	connections.go                   share in the connections of an upstream
 //	counter.go, time.go, random.go   metrics, instants, random numbers
 //	requestlog.go                    log entries of requests
 //	transfer.go                      pacing of long responses between regions
--- a/core/loadquery.go
+++ b/core/loadquery.go
@@ -158,7 +158,8 @@
 
 // canQuery reports whether the load of an upstream can be queried for a request.
 func (s *State) canQuery(r *request, u *upstream) bool {
-	return u.accepts(s.now) && !u.health.Ejected() && !u.unresponsive(s.now) && !r.hasTried(u)
+	return u.accepts(s.now) && !u.health.Ejected() && !u.unresponsive(s.now) && !r.hasTried(u) &&
+		(u.loadQuery.pending || !s.connectionsTaken(u))
 }
 
 // startLoadQuery queries the load of an upstream, unless a query is already
--- a/core/placement.go
+++ b/core/placement.go
@@ -146,13 +146,13 @@
 // atCapacity reports whether this host starts no further request like r on an
 // upstream now. Requests wait on this host, from which they can still go to the upstream
 // that has a free slot first. A request that cannot meet its goal leaves one slot
-// free for others.
+// free for others. Each request needs a connection besides its slot.
 func (s *State) atCapacity(r *request, u *upstream) bool {
 	limit := u.config.Slots
 	if !s.canMeetGoal(r) {
 		limit = u.config.Slots - 1
 	}
-	return u.occupied(s.now) >= limit
+	return u.occupied(s.now) >= limit || s.connectionsTaken(u)
 }
 
 // goalAt returns the instant up to which a response meets the latency goal.
--- a/core/request.go
+++ b/core/request.go
@@ -256,12 +256,6 @@
 	return DefaultHoldBytes
 }
 
-// connectionShare returns this host's share of the connections that an upstream
-// accepts from all entry hosts together, at least one.
-func (s *State) connectionShare(u *upstream) int {
-	return max(1, u.config.Connections/max(1, s.table.Manifest.EntryHosts))
-}
-
 func (r *request) attempt() AttemptID {
 	return AttemptID{Request: r.id, Number: r.attempts}
 }
