caller: a response is not held back by pipelined requests

Cause: fasthttp does not flush a response while bytes of another request are buffered. Requests of a connection run one after the other, so that the first response waited for the last. Change: ReduceMemoryUsage, with which each response is flushed.

--- a/caller/server.go
+++ b/caller/server.go
@@ -69,6 +69,9 @@
 		CloseOnShutdown:              true,
 		SecureErrorLogMessage:        true,
 		LazyRequestTime:              true,
+		// Without it, a response is held back while further requests of its
+		// connection are buffered, until the last of them has been answered.
+		ReduceMemoryUsage: true,
 	}
 	return s
 }
