core: callers return at once when servers with room reject them

Cause: a server in trouble rejects a part of its requests although it has free slots. Callers whose second attempt was rejected as well were told to wait for 0.5 to 1.5 times the usual service time, as if slots were short. They came back too late for the latency goal. Ruled out: more second attempts; the budget of the fleet was used up. Change: if the last server that rejected the request reported a free slot, Retry-After is 10 to 30 ms.

--- a/core/completion.go
+++ b/core/completion.go
@@ -6,6 +6,11 @@
 	"wisteriapond/outcome"
 )
 
+// retryAfterWithRoom replaces the usual service time in the Retry-After time of a
+// caller whose request was shed by a server with a free slot: there is no slot to
+// wait for, and the next attempt has the same chance at once.
+const retryAfterWithRoom = 20 * time.Millisecond
+
 // shouldMarkGaveUp reports whether a response is forwarded with the mark that
 // retries are used up, by this host or by a layer below.
 func (r *request) shouldMarkGaveUp(facts outcome.Facts) bool {
@@ -106,6 +111,9 @@
 		return 0
 	}
 	usual := r.service.serviceTime()
+	if r.shedWithRoom {
+		usual = retryAfterWithRoom
+	}
 	return s.untilAccepted(r) + usual/2 + time.Duration(s.random.intN(int(usual)))
 }
 
--- a/core/request.go
+++ b/core/request.go
@@ -89,6 +89,9 @@
 	heldUpstream string
 	// shedAttempts is the number of attempts that the backend server shed.
 	shedAttempts int
+	// shedWithRoom is set if the last attempt was shed by a server that reported a
+	// free slot.
+	shedWithRoom bool
 	tried        [maxAttempts]*upstream
 	// transferFrom is the region that a long response comes from, empty if it
 	// crosses no regions. rate bounds the transfer of the response in bytes per
--- a/core/retry.go
+++ b/core/retry.go
@@ -112,8 +112,11 @@
 // upstream after an attempt.
 func (s *State) updateStatistics(r *request, facts outcome.Facts, class outcome.Class) {
 	u, svc := r.upstream, r.service
-	if class == outcome.NotRun && facts.Wrote && !reportsFreeSlot(facts) {
-		s.backOffShedding(u)
+	if class == outcome.NotRun && facts.Wrote {
+		r.shedWithRoom = reportsFreeSlot(facts)
+		if !r.shedWithRoom {
+			s.backOffShedding(u)
+		}
 	}
 	took := s.now.Sub(r.startedAt)
 	durations := svc.durationsFor(r.group.long)
