core, config: requests stay in the regions that their route allows

A route may be kept to regions, and the product ignored the column.

Change: requests of a service are grouped by labels and regions, and the eligible upstreams of a group respect both the regions of the route and those of the service, so that attempts, retries, load queries, waiting and trials need no filter of their own. A new version moves waiting requests to the group of its regions and applies to retries. Own interface: allowed_regions of a service part; check refuses a region in which no upstream stands. A region that the settings do not name is logged and counted with a store, and the version stays accepted: settings differ between hosts while they are changed. explain knows routes of a store now, and names "region not allowed".

Tried with the mechanism taken out: without the route's regions in eligible, five specs fail, among them the property after 0 inputs; without the service's, "uses no upstream elsewhere"; without applyRouteRegions, four; without moveToGroup, two (the property after 5 inputs); without the regions in the key of the group cache, the property after 1; without the regions in leasableSlots, "uses no upstream elsewhere".

Result: go test of config, core, cli, document, platform, metrics, eventlog, admin, relay, proof and entryhost passes; -race of the region specs passes.

--- a/cli/check_test.go
+++ b/cli/check_test.go
@@ -96,6 +96,9 @@
 		Entry("for a match that two services claim",
 			map[string]string{"orders": fmt.Sprintf(validPart, "orders", "/"), "proofs": fmt.Sprintf(validPart, "proofs", "/")},
 			"services/proofs.json:3: match: the same match is claimed by service orders"),
+		Entry("for a region in which no upstream stands",
+			map[string]string{"orders": strings.Replace(fmt.Sprintf(validPart, "orders", "/"), `"upstreams"`, `"allowed_regions": ["mtl", "qc"], "upstreams"`, 1)},
+			`services/orders.json: allowed_regions[1]: no upstream of any service is in the region "qc"`),
 		Entry("for a part of another service",
 			map[string]string{"orders": fmt.Sprintf(validPart, "proofs", "/")},
 			"manifest.json: services.orders: the part with this hash is of another service"),
@@ -210,3 +213,15 @@
 	Eventually(recorder.recorded).WithTimeout(waitTimeout).Should(HaveLen(count))
 	return recorder.recorded()
 }
+
+// Guards against a region list of a service part that is not applied, or that
+// operators cannot find as the reason.
+var _ = It("explain names a region that the service does not allow", func() {
+	part := strings.Replace(fmt.Sprintf(validPart, "orders", "/"), "\n\t],", `
+		{"name": "b", "host": "b", "address": "127.0.0.1:2", "region": "qc", "failure_domain": "qc-a", "slots": 3, "connections": 220},
+	],
+	"allowed_regions": ["qc"],`, 1)
+	status, text, problems := run("explain", "--config", writeDeployment(map[string]string{"orders": part}), "/x")
+	Expect(status).To(Equal(0), problems)
+	Expect(text).To(And(MatchRegexp(`(?m)^regions: +qc$`), MatchRegexp(`a +a +mtl +mtl-a +false +region not allowed`), MatchRegexp(`b +b +qc +qc-a +true`)))
+})
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -28,7 +28,8 @@
 func (*explainCommand) Help() string {
 	return `Shows the service, the labels of the request, and for each upstream whether it
 is eligible, or the host selector that excludes it and the term that does not
-match. A running host also reports which upstreams are leaving or ejected.
+match. An upstream outside the regions that the route or the service allows is
+excluded with "region not allowed". A running host also reports which upstreams are leaving or ejected.
 
 Examples:
   wisteriapond explain --config examples/boisclair --method POST /orders/
@@ -103,8 +104,15 @@
 		_, err := fmt.Fprintln(w, "no service claims this request")
 		return err
 	}
-	fmt.Fprintf(w, "generation:  %d\nservice:     %s\nlabels:      %s\nidempotent:  %v\nlong:        %v\n\n",
+	fmt.Fprintf(w, "generation:  %d\nservice:     %s\nlabels:      %s\nidempotent:  %v\nlong:        %v\n",
 		e.Generation, e.Service, e.Labels, e.Idempotent, e.Long)
+	if e.Route != "" {
+		fmt.Fprintf(w, "route:       %s\n", e.Route)
+	}
+	if len(e.Regions) > 0 {
+		fmt.Fprintf(w, "regions:     %s\n", strings.Join(e.Regions, ", "))
+	}
+	fmt.Fprintln(w)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "UPSTREAM\tHOST\tREGION\tFAILURE DOMAIN\tELIGIBLE\tEXCLUDED BY")
 	for _, u := range e.Upstreams {
--- a/config/config.go
+++ b/config/config.go
@@ -85,6 +85,9 @@
 	ColdStart time.Duration
 	NotRun    NotRunForm
 	Probe     Probe
+	// AllowedRegions are the regions whose upstreams may run the requests. Empty
+	// means every region.
+	AllowedRegions []string
 }
 
 // Match describes requests by host, path prefix and method. An empty field
--- a/config/routing.go
+++ b/config/routing.go
@@ -129,6 +129,7 @@
 		total += target.Weight
 	}
 	c.require(total > 0, field, "at least one weight must be greater than 0")
+	c.regions(field, r.Regions)
 }
 
 // Defaults of services whose backend servers register themselves.
@@ -183,6 +184,7 @@
 	t, _ := NewTable(Version{Generation: r.Version}, manifest, services)
 	t.Limits = r.Limits
 	t.hostRoutes = newHostRoutes(r.Routes)
+	t.routeList = r.Routes
 	return t
 }
 
@@ -239,6 +241,7 @@
 	next, _ := NewTable(t.Version, t.Manifest, services)
 	next.Limits = t.Limits
 	next.hostRoutes = t.hostRoutes
+	next.routeList = t.routeList
 	return next
 }
 
--- a/config/table.go
+++ b/config/table.go
@@ -16,8 +16,9 @@
 	routes   []route
 	index    routeIndex
 	headers  []string
-	// hostRoutes is nil for a table built from service parts.
+	// hostRoutes and routeList are nil for a table built from service parts.
 	hostRoutes *hostRoutes
+	routeList  []Route
 	// Limits bounds the requests of callers. A zero field means no limit.
 	Limits CallerLimits
 }
@@ -140,7 +141,7 @@
 	slices.SortStableFunc(t.routes, compareRoutes)
 	t.index = newRouteIndex(t.routes)
 	slices.Sort(t.headers)
-	return t, append(t.missingParts(), t.matchConflicts()...)
+	return t, slices.Concat(t.missingParts(), t.matchConflicts(), t.unknownRegions())
 }
 
 func compareName(s *CompiledService, name string) int {
--- a/config/validate.go
+++ b/config/validate.go
@@ -65,6 +65,7 @@
 	c.notRun(s.NotRun)
 	c.probe(s.Probe)
 	c.upstreams(s.Upstreams)
+	c.regions("allowed_regions", s.AllowedRegions)
 	return c.problems
 }
 
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -235,7 +235,9 @@
 func (s *State) adopt(table *config.Table) {
 	s.table = table
 	s.updateServices()
-	if !table.Routed() {
+	if table.Routed() {
+		s.applyRouteRegions()
+	} else {
 		// A routed table has neither shared slots nor deployment-wide budgets, so
 		// there is nothing to coordinate with other hosts.
 		s.updateLeases()
--- a/core/counter.go
+++ b/core/counter.go
@@ -34,7 +34,7 @@
 	// CounterAttempts counts attempts that ended (class).
 	CounterAttempts Counter = "attempts_total"
 	// CounterConfigurations counts configurations and their documents by
-	// outcome (verdict).
+	// outcome, and routes kept to unknown regions (verdict).
 	CounterConfigurations Counter = "configurations_total"
 	// CounterMemberChanges counts state changes of entry hosts (new state).
 	CounterMemberChanges Counter = "member_changes_total"
--- a/core/explain.go
+++ b/core/explain.go
@@ -30,10 +30,11 @@
 	if s.table != nil {
 		report.Explanation = s.table.Explain(&e.Request)
 	}
-	svc := s.services[report.Explanation.Service]
 	for i := range report.Explanation.Upstreams {
 		u := &report.Explanation.Upstreams[i]
-		u.State = s.excludedState(svc, u)
+		if u.State == "" {
+			u.State = s.excludedState(s.services[u.Service], u)
+		}
 		u.Eligible = u.Eligible && u.State == ""
 	}
 	s.out.add(report)
--- a/core/request.go
+++ b/core/request.go
@@ -55,7 +55,10 @@
 	bodyBytes  int64
 	depth      int
 	// route is nil if the configuration defines services without routes.
-	route     *config.Route
+	route *config.Route
+	// regions are the regions that the route allows in the configuration in force,
+	// empty for every region.
+	regions   []string
 	arrivedAt Instant
 	deadline  Instant
 	// queriedBelow is the locality below which upstreams were queried for their
@@ -150,7 +153,6 @@
 		id:         e.ID,
 		name:       e.Name,
 		service:    svc,
-		group:      svc.groupFor(labels),
 		labels:     labels,
 		idempotent: compiled.Idempotent(e.Request.Method, labels),
 		bodyKept:   e.BodyKept,
@@ -162,7 +164,9 @@
 	}
 	if route != nil {
 		r.idempotent = route.Repeat != config.AtMostOnce
+		r.regions = route.Regions
 	}
+	r.group = svc.groupFor(labels, r.regions)
 	r.timer.Value.request = r
 	return r
 }
@@ -178,7 +182,7 @@
 	if r.attempts > 0 || r.queriedBelow > pick.SameDomain {
 		// Services may have changed since the last attempt or while load queries
 		// were pending.
-		r.group = r.service.groupFor(r.labels)
+		r.group = r.service.groupFor(r.labels, r.regions)
 	}
 	if r.route != nil && r.queriedBelow == pick.SameDomain && s.queryLoads(r) {
 		return
--- a/core/store.go
+++ b/core/store.go
@@ -163,6 +163,8 @@
 	leaving         leavingServers
 	fleet           fleetSize
 	unusableLog     logRateLimit
+	// unknownRegionLog limits the log entries about routes kept to unknown regions.
+	unknownRegionLog logRateLimit
 }
 
 func (s *State) startRegistry() {
--- a/document/service.go
+++ b/document/service.go
@@ -25,6 +25,7 @@
 	IdempotentWhen []string       `json:"idempotent_when"`
 	LongWhen       []string       `json:"long_when"`
 	Upstreams      []upstreamFile `json:"upstreams"`
+	AllowedRegions []string       `json:"allowed_regions"`
 	Timeout        Duration       `json:"timeout"`
 	Queue          int            `json:"queue"`
 	ColdStart      Duration       `json:"cold_start"`
@@ -120,6 +121,7 @@
 		Name:           f.Service,
 		IdempotentWhen: f.IdempotentWhen,
 		LongWhen:       f.LongWhen,
+		AllowedRegions: f.AllowedRegions,
 		Timeout:        time.Duration(f.Timeout),
 		Queue:          f.Queue,
 		ColdStart:      time.Duration(f.ColdStart),
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -110,7 +110,7 @@
 		string(core.CounterConfigurations), KindCounter,
 		[]string{"verdict"},
 		"documents",
-		"Configurations by verdict: `accepted`, `refused`, `stale` (older than the one in force), `conflict` (another one of the same generation), `part_mismatch` (a part with other content than the manifest names) or `bad_patch` (a difference from a peer that did not fit).",
+		"Configurations by verdict: `accepted`, `refused`, `stale` (older than the one in force), `conflict` (another one of the same generation), `part_mismatch` (a part with other content than the manifest names) or `bad_patch` (a difference from a peer that did not fit); `unknown_region` counts the routes of accepted ones that are kept to a region which the settings do not name.",
 	},
 	{
 		string(core.CounterMemberChanges), KindCounter,
