warmup, core: limit of requests to cold servers over the whole fleet

Cause: nothing in the product kept the rate that a cold server bears, and all hosts together exceed it as soon as a failure domain comes back.

Change: the warm-up time that a server reports is divided into turns, and each turn falls to one host of the server's failure domain by rendezvous hashing (package warmup). First attempts, retries, trials and waiting requests pass the same check; a request needs a recent report of the server. The platform's warm-up columns and header, the settings store.warm_up_ratio and store.warm_up_slack, and cold_rate of the own interface are decoded. RoutedService.WarmUpRate is in thousandths, since rates have fractions.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -23,6 +23,10 @@
 	// ParseLoad.
 	Load      string
 	ParseLoad func(value []byte) outcome.LoadReport
+	// WarmUp carries the remaining warm-up time of a backend server, which is
+	// parsed by ParseWarmUp.
+	WarmUp      string
+	ParseWarmUp func(value []byte) outcome.WarmUpReport
 	// Leaving has the value 1 in the responses of a backend server that is leaving.
 	Leaving string
 	// FractionalRetryAfter is set if callers understand fractions of a second
--- a/backend/response.go
+++ b/backend/response.go
@@ -180,6 +180,7 @@
 		return
 	}
 	readLoad(h, d, f)
+	readWarmUp(h, d, f)
 	f.GaveUp = len(h.Peek(HeaderGaveUp)) > 0
 	f.Draining = len(h.Peek(HeaderDraining)) > 0 || d.Leaving != "" && string(h.Peek(d.Leaving)) == leavingValue
 	if load, ok := parseNumber(h.Peek(HeaderLoad), maxLoad); ok {
@@ -199,6 +200,15 @@
 	}
 }
 
+func readWarmUp(h *fasthttp.ResponseHeader, d *Dialect, f *outcome.Facts) {
+	if d.WarmUp == "" || d.ParseWarmUp == nil {
+		return
+	}
+	if value := h.Peek(d.WarmUp); len(value) > 0 {
+		f.WarmUp = d.ParseWarmUp(value)
+	}
+}
+
 // CopyHeader copies the response header to dst, which must be empty.
 func (x *Exchange) CopyHeader(dst *fasthttp.ResponseHeader) {
 	CopyResponseHeader(dst, &x.response.Header)
--- a/config/config.go
+++ b/config/config.go
@@ -85,6 +85,10 @@
 	ColdStart time.Duration
 	NotRun    NotRunForm
 	Probe     Probe
+	// ColdRate is the number of requests per second, in thousandths, that a new
+	// upstream bears from all entry hosts in total while it warms up. 0 means no
+	// limit.
+	ColdRate int
 }
 
 // Match describes requests by host, path prefix and method. An empty field
--- a/config/routing.go
+++ b/config/routing.go
@@ -71,8 +71,8 @@
 	Connections int
 	// WarmUp is the time after its start for which a backend server is cold.
 	WarmUp time.Duration
-	// WarmUpRate is the number of requests per second that a cold backend server
-	// bears from all entry hosts in total. 0 means no limit.
+	// WarmUpRate is the number of requests per second, in thousandths, that a cold
+	// backend server bears from all entry hosts in total. 0 means no limit.
 	WarmUpRate int
 }
 
@@ -104,6 +104,8 @@
 		c.name(field, service.Name)
 		c.require(!services[service.Name], field, "the service is listed more than once")
 		c.require(service.Connections >= 0, field, "the number of connections must not be negative")
+		c.require(service.WarmUp >= 0, field, "the warm-up time must not be negative")
+		c.require(service.WarmUpRate >= 0 && service.WarmUpRate <= MaxColdRate, field, "the warm-up rate must be between 0 and %d thousandths per second, got %d", MaxColdRate, service.WarmUpRate)
 		services[service.Name] = true
 	}
 	for i := range r.Routes {
@@ -158,6 +160,7 @@
 		Name:      s.Name,
 		Timeout:   routedTimeout,
 		Queue:     routedQueueLimit,
+		ColdRate:  s.WarmUpRate,
 		NotRun:    notRun,
 		Upstreams: upstreams,
 		Probe:     Probe{Path: s.ProbePath, Timeout: routedProbeTimeout, AnswerLimit: routedProbeResponseBytes},
--- a/config/validate.go
+++ b/config/validate.go
@@ -10,13 +10,15 @@
 
 // Limits of configuration values.
 const (
-	MaxServices           = 4096
-	MaxUpstreams          = 4096 // per service
-	MaxLabels             = 64   // per upstream, and rules per service
-	MaxSlots              = 4096 // per upstream
-	MaxQueue              = 65536
-	MaxRequestTimeout     = time.Hour
-	MaxWarmUp             = 10 * time.Minute
+	MaxServices       = 4096
+	MaxUpstreams      = 4096 // per service
+	MaxLabels         = 64   // per upstream, and rules per service
+	MaxSlots          = 4096 // per upstream
+	MaxQueue          = 65536
+	MaxRequestTimeout = time.Hour
+	MaxWarmUp         = 10 * time.Minute
+	// MaxColdRate is in thousandths of a request per second.
+	MaxColdRate           = 1_000_000_000
 	MaxEntryHosts         = 4096
 	MaxProbeResponseBytes = 1 << 20
 	minNotRunStatus       = 400
@@ -62,6 +64,7 @@
 	c.durationBetween("timeout", s.Timeout, time.Millisecond, MaxRequestTimeout)
 	c.between("queue", s.Queue, 0, MaxQueue)
 	c.durationBetween("cold_start", s.ColdStart, 0, MaxWarmUp)
+	c.require(s.ColdRate >= 0 && s.ColdRate <= MaxColdRate, "cold_rate", "must be between 0 and %d requests per second", MaxColdRate/1000)
 	c.notRun(s.NotRun)
 	c.probe(s.Probe)
 	c.upstreams(s.Upstreams)
--- a/core/counter.go
+++ b/core/counter.go
@@ -21,6 +21,10 @@
 	// CounterShed counts attempts that a backend server rejected without running
 	// them (service).
 	CounterShed Counter = "shed_total"
+	// CounterColdStarts counts attempts on cold backend servers (service).
+	CounterColdStarts Counter = "cold_starts_total"
+	// CounterColdReports counts warm-ups that backend servers reported (service).
+	CounterColdReports Counter = "cold_reports_total"
 	// CounterRequestedWaits counts responses with which a backend server asked this
 	// host to send nothing for some time (service).
 	CounterRequestedWaits Counter = "requested_waits_total"
--- a/core/hints.go
+++ b/core/hints.go
@@ -81,7 +81,7 @@
 		if s.excluded(r, u, exclude) {
 			continue
 		}
-		left := max(0, u.notBefore.Sub(s.now))
+		left := max(0, u.notBefore.Sub(s.now), s.coldWait(u))
 		if !found || left < wait {
 			wait, found = left, true
 		}
--- a/core/loadquery.go
+++ b/core/loadquery.go
@@ -158,7 +158,7 @@
 
 // canQuery reports whether the load of an upstream can be queried for a request.
 func (s *State) canQuery(r *request, u *upstream) bool {
-	return u.accepts(s.now) && !u.health.Ejected() && !u.unresponsive(s.now) && !r.hasTried(u)
+	return u.accepts(s.now) && s.mayAskWarmUp(u) && !u.health.Ejected() && !u.unresponsive(s.now) && !r.hasTried(u)
 }
 
 // startLoadQuery queries the load of an upstream, unless a query is already
@@ -219,5 +219,6 @@
 	default:
 		s.count(CounterProbes, "answered")
 		s.applyHints(u, facts)
+		s.applyWarmUpReport(u, facts.WarmUp.Left, facts.WarmUp.Known)
 	}
 }
--- a/core/neighbours.go
+++ b/core/neighbours.go
@@ -165,6 +165,9 @@
 			{Key: "known", Value: strconv.Itoa(len(p.neighbours))},
 		}})
 	}
+	if described.FailureDomain == s.self.FailureDomain {
+		s.cold.crew.See(time.Duration(s.now), described.Host)
+	}
 	known.Neighbour = described
 	known.lastNamed = s.now
 	if polling {
--- a/core/picking.go
+++ b/core/picking.go
@@ -81,7 +81,7 @@
 			found.near++
 			found.slots += limit
 		}
-		if !free || !u.accepts(s.now) {
+		if !free || !s.mayStart(u) {
 			continue
 		}
 		s.candidates.Add(u.locality, pick.Candidate{
@@ -141,12 +141,13 @@
 		return nil
 	}
 	for _, u := range r.group.eligible {
-		if !u.accepts(s.now) || u.running >= s.currentLimit(svc, u) {
+		if !u.accepts(s.now) || u.running >= s.currentLimit(svc, u) || !u.health.TrialDue(time.Duration(s.now)) {
 			continue
 		}
-		if u.health.TrialDue(time.Duration(s.now)) {
+		if s.admits(u) {
 			return u
 		}
+		s.askBeforeTrial(u)
 	}
 	return nil
 }
--- a/core/placement.go
+++ b/core/placement.go
@@ -97,7 +97,7 @@
 	requireReport := s.hasFreshReport(r)
 	onTime, remaining := s.canMeetGoal(r), r.goalAt().Sub(s.now)
 	for _, u := range r.group.eligible {
-		if s.excluded(r, u, exclude) || !u.accepts(s.now) || s.atCapacity(r, u) || requireReport && !u.reported.fresh(s.now) {
+		if s.excluded(r, u, exclude) || !s.mayStart(u) || s.atCapacity(r, u) || requireReport && !u.reported.fresh(s.now) {
 			continue
 		}
 		latency, price := s.expectedLatency(r, u), s.priceOf(r, u)
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -298,6 +298,7 @@
 		s.neighbourFailed(e)
 		return
 	}
+	s.cold.contacted = true
 	for _, described := range e.Answer.Neighbours {
 		s.upsertNeighbour(described, false)
 	}
--- a/core/registry.go
+++ b/core/registry.go
@@ -137,6 +137,7 @@
 	default:
 		delete(reg.pendingRemoval, change.ID)
 		reg.servers[change.ID] = *change.Server
+		s.applyRegisteredWarmUp(change.Server)
 		s.recordChange(change.ID)
 		if !registered || known.Leaving != change.Server.Leaving || known.Born != change.Server.Born {
 			s.deferServerLog(unloggedChange{id: change.ID, service: change.Server.Service, state: leavingText(change.Server.Leaving)})
@@ -339,7 +340,7 @@
 // sameUpstreams reports whether a compiled service already matches its routing
 // and its registered servers.
 func sameUpstreams(compiled *config.CompiledService, routed *config.RoutedService, upstreams []config.Upstream) bool {
-	if compiled.Probe.Path != routed.ProbePath || len(compiled.Upstreams) != len(upstreams) {
+	if compiled.Probe.Path != routed.ProbePath || compiled.ColdRate != routed.WarmUpRate || len(compiled.Upstreams) != len(upstreams) {
 		return false
 	}
 	for i := range upstreams {
--- a/core/request.go
+++ b/core/request.go
@@ -226,6 +226,7 @@
 		s.count(CounterTrials, r.service.config.Name)
 	}
 	u.running++
+	s.takeColdTurn(u)
 	u.reported.attemptStarted()
 	if r.group.long {
 		u.runningLong++
--- a/core/service.go
+++ b/core/service.go
@@ -10,6 +10,7 @@
 	"wisteriapond/health"
 	"wisteriapond/pick"
 	"wisteriapond/queue"
+	"wisteriapond/warmup"
 )
 
 // service is the mutable state of a service. The object is kept when the
@@ -98,6 +99,11 @@
 	// warmUpUntil is the end of the warm-up time that the server registered, during
 	// which it is slower.
 	warmUpUntil Instant
+	// warmUp is the warm-up that the server reports itself, where requests to cold
+	// servers are limited; otherwise nil. spacing takes its place, during a warm-up,
+	// where servers do not report it.
+	warmUp  *warmup.Server
+	spacing *warmup.Spacing
 	// notBefore is the end of the current backoff from the upstream. No request
 	// starts on it earlier.
 	notBefore Instant
@@ -245,6 +251,7 @@
 		members = append(members, &u.health)
 	}
 	svc.health.SetMembers(members)
+	s.updateWarmUp(svc)
 	svc.updateGroups()
 	s.scheduleDrain(svc)
 }
--- a/core/state.go
+++ b/core/state.go
@@ -26,6 +26,7 @@
 	out        *Effects
 	registry   registry
 	requestLog requestLogLimits
+	cold       coldServers
 	// early holds the requests that wait for the first configuration.
 	early []earlyRequest
 	coordination
--- a/core/store.go
+++ b/core/store.go
@@ -171,6 +171,7 @@
 	s.registry.fleet.startedAt = s.now
 	s.registry.leaving.markedAt = make(map[string]Instant)
 	s.startPropagation()
+	s.startColdServers()
 	s.tickRegistry()
 }
 
@@ -215,6 +216,7 @@
 func (s *State) tickRegistry() {
 	s.removeExpired()
 	s.pruneLeaving()
+	s.tickColdServers()
 	s.tickPropagation()
 	s.callStoreIfDue()
 }
--- a/document/service.go
+++ b/document/service.go
@@ -28,8 +28,10 @@
 	Timeout        Duration       `json:"timeout"`
 	Queue          int            `json:"queue"`
 	ColdStart      Duration       `json:"cold_start"`
-	NotRun         notRunFile     `json:"not_run"`
-	Probe          probeFile      `json:"probe"`
+	// ColdRate is in requests per second.
+	ColdRate float64    `json:"cold_rate"`
+	NotRun   notRunFile `json:"not_run"`
+	Probe    probeFile  `json:"probe"`
 }
 
 type matchFile struct {
@@ -115,6 +117,20 @@
 	}
 }
 
+// coldRate returns a rate in thousandths of a request per second. A rate out of
+// bounds, which config.CheckService refuses, is replaced before it is converted.
+func coldRate(perSecond float64) int {
+	const scale = 1000
+	switch {
+	case perSecond == 0:
+		return 0
+	case !(perSecond > 0 && perSecond <= config.MaxColdRate/scale):
+		return -1
+	}
+	// At least one, since 0 means no limit.
+	return max(1, int(perSecond*scale))
+}
+
 func (f *serviceFile) service() *config.Service {
 	s := &config.Service{
 		Name:           f.Service,
@@ -123,6 +139,7 @@
 		Timeout:        time.Duration(f.Timeout),
 		Queue:          f.Queue,
 		ColdStart:      time.Duration(f.ColdStart),
+		ColdRate:       coldRate(f.ColdRate),
 		NotRun:         config.NotRunForm(f.NotRun),
 		Probe: config.Probe{
 			Path:        f.Probe.Path,
--- a/entryhost/store.go
+++ b/entryhost/store.go
@@ -20,6 +20,8 @@
 const (
 	priceScale = 1000
 	ratioScale = 1000
+	// percentScale converts a ratio to percent.
+	percentScale = 100
 )
 
 // registrySettings returns the settings of the reducer for a host with a store,
@@ -33,6 +35,8 @@
 		// Rounded down, so that the limit of the platform is kept.
 		RetryPermille: int(s.RetryRatio * ratioScale),
 		RetrySlack:    s.RetrySlack,
+		WarmUpPercent: int(s.WarmUpRatio * percentScale),
+		WarmUpSlack:   int(s.WarmUpSlack),
 		Transfer: core.TransferPrices{
 			BetweenDomains: int(s.BetweenDomains * priceScale),
 			BetweenRegions: int(s.BetweenRegions * priceScale),
--- a/health/health.go
+++ b/health/health.go
@@ -115,6 +115,14 @@
 	return 1 + int(time.Duration(slots-1)*elapsed/warmUp)
 }
 
+// WarmUpLeft returns the remaining part of the given warm-up time.
+func (u *Upstream) WarmUpLeft(now, warmUp time.Duration) time.Duration {
+	if !u.warmingUp {
+		return 0
+	}
+	return max(0, u.warmUpStart+warmUp-now)
+}
+
 func (u *Upstream) failing() bool {
 	return u.ejected || u.consecutiveFailures >= maxConsecutiveFailures
 }
--- a/settings/store.go
+++ b/settings/store.go
@@ -25,10 +25,19 @@
 	DefaultBetweenDomains = 12.0
 	DefaultBetweenRegions = 25.0
 
+	// DefaultWarmUpRatio and DefaultWarmUpSlack limit the requests of a cold
+	// backend server in any second to half more than its rate and a few.
+	DefaultWarmUpRatio = 1.5
+	DefaultWarmUpSlack = 8
+
 	maxRetryRatio = 1
-	maxRetrySlack = 1e6 // retries
-	maxPrice      = 1e6 // requests per megabyte
-	maxDomains    = 256
+	// A cold server must bear its rate.
+	minWarmUpRatio = 1
+	maxWarmUpRatio = 100
+	maxWarmUpSlack = 1e6 // requests
+	maxRetrySlack  = 1e6 // retries
+	maxPrice       = 1e6 // requests per megabyte
+	maxDomains     = 256
 )
 
 // Store configures a read-only store in which routing and backend servers are
@@ -45,6 +54,12 @@
 	// RetrySlack is the number of retries beyond that share that all hosts together
 	// may make. Each host takes its part of it. Default DefaultRetrySlack.
 	RetrySlack int `json:"retry_slack"`
+	// WarmUpRatio and WarmUpSlack limit the requests that a cold backend server
+	// receives in any second from all hosts together: WarmUpRatio times the rate
+	// that its service states, and WarmUpSlack requests more. Defaults
+	// DefaultWarmUpRatio and DefaultWarmUpSlack.
+	WarmUpRatio float64 `json:"warm_up_ratio"`
+	WarmUpSlack float64 `json:"warm_up_slack"`
 	// BetweenDomains and BetweenRegions are the prices of bytes that leave a
 	// failure domain or a region, in requests per megabyte. BetweenRegions is
 	// charged in addition to BetweenDomains. Defaults DefaultBetweenDomains and
@@ -74,6 +89,7 @@
 func defaultStore() Store {
 	return Store{
 		RetryRatio: DefaultRetryRatio, RetrySlack: DefaultRetrySlack,
+		WarmUpRatio: DefaultWarmUpRatio, WarmUpSlack: DefaultWarmUpSlack,
 		BetweenDomains: DefaultBetweenDomains, BetweenRegions: DefaultBetweenRegions,
 	}
 }
@@ -111,6 +127,11 @@
 	}
 	checkNumber(source, "store.retry_ratio", store.RetryRatio, maxRetryRatio)
 	checkNumber(source, "store.retry_slack", float64(store.RetrySlack), maxRetrySlack)
+	checkNumber(source, "store.warm_up_ratio", store.WarmUpRatio, maxWarmUpRatio)
+	if store.WarmUpRatio < minWarmUpRatio {
+		source.Report("store.warm_up_ratio", fmt.Sprintf("must be at least %d, got %v", minWarmUpRatio, store.WarmUpRatio))
+	}
+	checkNumber(source, "store.warm_up_slack", store.WarmUpSlack, maxWarmUpSlack)
 	checkNumber(source, "store.between_domains", store.BetweenDomains, maxPrice)
 	checkNumber(source, "store.between_regions", store.BetweenRegions, maxPrice)
 }
