--- a/core/coldservers.go
+++ b/core/coldservers.go
@@ -21,7 +21,7 @@
 type coldServers struct {
 	// crew holds the hosts of the failure domain of this host; nil without a store.
 	crew *warmup.Crew
-	// contacted is set once another entry host has responded or polled.
+	// contacted is set once another entry host has responded, polled or was named.
 	contacted bool
 	log       logRateLimit
 }
--- a/core/neighbours.go
+++ b/core/neighbours.go
@@ -165,6 +165,7 @@
 			{Key: "known", Value: strconv.Itoa(len(p.neighbours))},
 		}})
 	}
+	s.cold.contacted = true
 	if described.FailureDomain == s.self.FailureDomain {
 		s.cold.crew.See(time.Duration(s.now), described.Host)
 	}
