caller, config: select the route by the path that is passed on

Cause: routes were matched against the path that fasthttp decodes and normalizes, while the target as received was passed on. An absolute target was passed on in normalized form.

The target that backend servers receive is determined first, and the path is taken from it (config.TargetPath), also by explain. The host is found without port and case in both kinds of configuration. A match whose prefix has a query is refused; published prefixes with escapes, ".." or "//" are compared byte by byte like any other.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -117,12 +117,13 @@
 }
 
 // serveExplain reports how a request would be routed. The query parameters are
-// method, host, path and up to maxExplainHeaders times "header=Name: value".
+// method, host, path and up to maxExplainHeaders times "header=Name: value". The
+// path has the escapes that it has in the request, besides those of the parameter.
 func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), queryTimeout)
 	defer cancel()
 	query := r.URL.Query()
-	request := config.Request{Method: query.Get("method"), Host: query.Get("host"), Path: query.Get("path")}
+	request := config.Request{Method: query.Get("method"), Host: query.Get("host"), Path: config.TargetPath(query.Get("path"))}
 	headers := query["header"]
 	if len(headers) > maxExplainHeaders {
 		http.Error(w, "too many headers", http.StatusBadRequest)
--- a/caller/request.go
+++ b/caller/request.go
@@ -35,9 +35,14 @@
 var requestPool = sync.Pool{New: func() any { return new(backend.Request) }}
 
 // newArrival validates the header of a request and extracts what routing needs.
-func newArrival(h *fasthttp.RequestHeader, path []byte, d *backend.Dialect, headerNames []string) (core.RequestArrived, error) {
+// The target is the one that backend servers receive.
+func newArrival(h *fasthttp.RequestHeader, target []byte, d *backend.Dialect, headerNames []string) (core.RequestArrived, error) {
 	arrival := core.RequestArrived{
-		Request:   config.Request{Method: string(h.Method()), Host: string(h.Host()), Path: string(path)},
+		Request: config.Request{
+			Method: string(h.Method()),
+			Host:   string(h.Host()),
+			Path:   config.TargetPath(string(target)),
+		},
 		BodyBytes: int64(max(-1, h.ContentLength())),
 	}
 	if err := checkFraming(h); err != nil {
@@ -108,14 +113,30 @@
 	return nil
 }
 
-// prepareRequest fills in the request that is sent to backend servers. A body
-// of more than limit bytes is refused; 0 means no limit.
-func prepareRequest(r *backend.Request, ctx *fasthttp.RequestCtx, c *conn, limit int64) error {
+// originForm returns the target of a request without scheme and host. The bytes of
+// path and query are kept, except that an empty path becomes a slash. The asterisk
+// form has no path and is returned as it is.
+func originForm(target []byte) []byte {
+	if target[0] == '/' || target[0] == '*' {
+		return target
+	}
+	_, rest, _ := bytes.Cut(target, []byte("://"))
+	start := bytes.IndexAny(rest, "/?#")
+	switch {
+	case start < 0:
+		return []byte{'/'}
+	case rest[start] != '/':
+		return append([]byte{'/'}, rest[start:]...)
+	}
+	return rest[start:]
+}
+
+// prepareRequest fills in the request that is sent to backend servers with the
+// given target. A body of more than limit bytes is refused; 0 means no limit.
+func prepareRequest(r *backend.Request, target []byte, ctx *fasthttp.RequestCtx, c *conn, limit int64) error {
 	h := &r.Header
 	backend.CopyRequestHeader(h, &ctx.Request.Header)
-	if target := h.RequestURI(); len(target) > 0 && target[0] != '/' && target[0] != '*' {
-		h.SetRequestURIBytes(ctx.URI().RequestURI())
-	}
+	h.SetRequestURIBytes(target)
 	appendForwardedFor(h, c.remoteIP)
 	return readBody(r, ctx, c, limit)
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -127,13 +127,14 @@
 		s.refuseTooLarge(ctx, status)
 		return
 	}
-	arrival, err := newArrival(&ctx.Request.Header, ctx.Path(), &s.pool.Dialect, view.HeaderNames)
+	target := originForm(ctx.Request.Header.RequestURI())
+	arrival, err := newArrival(&ctx.Request.Header, target, &s.pool.Dialect, view.HeaderNames)
 	if err != nil {
 		s.refuseMalformed(ctx, err)
 		return
 	}
 	x.request = requestPool.Get().(*backend.Request)
-	if err := prepareRequest(x.request, ctx, c, view.Limits.BodyBytes); err != nil {
+	if err := prepareRequest(x.request, target, ctx, c, view.Limits.BodyBytes); err != nil {
 		s.refuseMalformed(ctx, err)
 		return
 	}
--- a/cli/check_test.go
+++ b/cli/check_test.go
@@ -77,6 +77,22 @@
 	Expect(text).To(MatchRegexp(`orders-mtl-b-02 .* false +selector "!read_only", term "!read_only"`))
 })
 
+// Guards against an explanation of another route than the one that an entry host
+// selects for the same target.
+var _ = DescribeTable("explain takes the path as it is in a request",
+	func(target, service string) {
+		status, out, _ := run("explain", "--config", "../examples/boisclair", "--method", "POST", "--json", target)
+		Expect(status).To(Equal(0))
+		var e config.Explanation
+		Expect(json.Unmarshal([]byte(out), &e)).To(Succeed())
+		Expect(e.Service).To(Equal(service))
+	},
+	Entry("with an encoded slash", "/orders%2F7", ""),
+	Entry("with dots", "/orders/../catalogue/7", "orders"),
+	Entry("with a query", "/orders/?/catalogue/", "orders"),
+	Entry("with a slash in the query only", "/orders?/", ""),
+)
+
 // Guards against a check command that accepts a configuration that a process
 // refuses, or that reports other texts.
 var _ = Describe("check and a running process", func() {
@@ -93,6 +109,9 @@
 			"services/orders.json:5: upstreams[0].connections: must be between 1 and 65536, got 0",
 			"services/orders.json:6: upstreams[0].conections: unknown field",
 			"services/orders.json:6: upstreams[0].slots: must be between 1 and 4096, got 0"),
+		Entry("for a prefix that no path begins with, since it has a query",
+			map[string]string{"orders": fmt.Sprintf(validPart, "orders", "/orders/?x=")},
+			"services/orders.json:3: match[0].path_prefix: must not contain ?"),
 		Entry("for a match that two services claim",
 			map[string]string{"orders": fmt.Sprintf(validPart, "orders", "/"), "proofs": fmt.Sprintf(validPart, "proofs", "/")},
 			"services/proofs.json:3: match: the same match is claimed by service orders"),
--- a/cli/explain.go
+++ b/cli/explain.go
@@ -15,7 +15,7 @@
 )
 
 type explainCommand struct {
-	Path   string   `arg:"" help:"Path of the request."`
+	Path   string   `arg:"" help:"Path of the request, with escapes as in the request; a query is ignored."`
 	Method string   `default:"GET" help:"Method of the request."`
 	Host   string   `help:"Host of the request."`
 	Header []string `short:"H" sep:"none" placeholder:"NAME:VALUE" help:"Header of the request. May be repeated."`
@@ -53,7 +53,7 @@
 }
 
 func (c *explainCommand) request() (*config.Request, error) {
-	request := &config.Request{Method: strings.ToUpper(c.Method), Host: c.Host, Path: c.Path}
+	request := &config.Request{Method: strings.ToUpper(c.Method), Host: c.Host, Path: config.TargetPath(c.Path)}
 	for _, line := range c.Header {
 		name, value, ok := strings.Cut(line, ":")
 		if !ok {
--- a/config/routeindex.go
+++ b/config/routeindex.go
@@ -1,9 +1,6 @@
 package config
 
-import (
-	"slices"
-	"strings"
-)
+import "slices"
 
 // routeIndex finds the route of a request without scanning every service. The
 // cost of a lookup is proportional to the number of distinct path prefix
@@ -23,7 +20,7 @@
 func newRouteIndex(routes []route) routeIndex {
 	x := routeIndex{hosts: make(map[string]*prefixIndex)}
 	for _, r := range routes {
-		host := strings.ToLower(r.match.Host)
+		host := hostName(r.match.Host)
 		p := x.hosts[host]
 		if p == nil {
 			p = &prefixIndex{routes: make(map[string][]route)}
@@ -45,7 +42,7 @@
 // find returns the service of the most specific match, or nil if none matches. A
 // match for the host of the request takes precedence over one for any host.
 func (x *routeIndex) find(r *Request) *CompiledService {
-	if service := x.hosts[strings.ToLower(r.Host)].find(r); service != nil {
+	if service := x.hosts[hostName(r.Host)].find(r); service != nil {
 		return service
 	}
 	return x.hosts[""].find(r)
--- a/config/routing.go
+++ b/config/routing.go
@@ -203,7 +203,7 @@
 	h := &hostRoutes{hosts: make(map[string]*prefixRoutes)}
 	for i := range routes {
 		route := &routes[i]
-		host := strings.ToLower(route.Host)
+		host := hostName(route.Host)
 		p := h.hosts[host]
 		if p == nil {
 			p = &prefixRoutes{routes: make(map[string]*Route)}
@@ -215,11 +215,10 @@
 	return h
 }
 
-// find returns the route of a request, or nil if none matches. It ignores the
-// port and the case of the host.
+// find returns the route of a request, or nil if none matches. The path is that
+// of TargetPath.
 func (h *hostRoutes) find(host, path string) *Route {
-	name, _, _ := strings.Cut(host, ":")
-	p := h.hosts[strings.ToLower(name)]
+	p := h.hosts[hostName(host)]
 	if p == nil {
 		return nil
 	}
--- a/config/table.go
+++ b/config/table.go
@@ -211,7 +211,7 @@
 
 func (m Match) key() string {
 	methods := slices.Sorted(slices.Values(m.Methods))
-	return m.Host + "\x00" + m.PathPrefix + "\x00" + strings.Join(methods, ",")
+	return hostName(m.Host) + "\x00" + m.PathPrefix + "\x00" + strings.Join(methods, ",")
 }
 
 // Services returns the services, sorted by name.
@@ -230,7 +230,7 @@
 // Matches reports whether the request has the host, path prefix and method of
 // the match.
 func (m Match) Matches(r *Request) bool {
-	if m.Host != "" && !strings.EqualFold(m.Host, r.Host) {
+	if m.Host != "" && !strings.EqualFold(withoutPort(m.Host), withoutPort(r.Host)) {
 		return false
 	}
 	if !strings.HasPrefix(r.Path, m.PathPrefix) {
--- a/config/validate.go
+++ b/config/validate.go
@@ -121,6 +121,8 @@
 func (c *checker) match(field string, match Match) {
 	ok := match.PathPrefix == "" || strings.HasPrefix(match.PathPrefix, "/")
 	c.require(ok, field+".path_prefix", "must start with /")
+	// The path of a request ends before its query.
+	c.require(!strings.Contains(match.PathPrefix, "?"), field+".path_prefix", "must not contain ?")
 	for _, method := range match.Methods {
 		c.require(method != "" && method == strings.ToUpper(method), field+".methods", "must be in upper case, got %q", method)
 	}
