platform, core, storeage: a listing has the revision of its oldest page

Cause: a listing got the revision of its first page.

Change: the revision is that of the oldest page. Entries of newer pages are then later than the listing, so ServerChange carries the revision of its entry, also between hosts, and package storeage keeps the last known write of each entry: an older write changes nothing.

Ruled out: listing again while pages differ, which on a busy store they nearly always do.

--- a/core/polls.go
+++ b/core/polls.go
@@ -117,9 +117,9 @@
 		_, expired := reg.propagation.expired[id]
 		switch {
 		case registered && (complete || reg.propagation.changeRevisions[id] > after):
-			changes = append(changes, ServerChange{ID: id, Server: &server})
+			changes = append(changes, ServerChange{ID: id, Server: &server, Revision: reg.entries.Last(id).Revision})
 		case !registered && !complete && (reg.propagation.changeRevisions[id] > after || expired):
-			changes = append(changes, ServerChange{ID: id})
+			changes = append(changes, ServerChange{ID: id, Revision: reg.entries.Last(id).Revision})
 		}
 	}
 	return changes
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -341,7 +341,7 @@
 	if response.Whole {
 		for _, id := range sortedKeys(reg.servers) {
 			if !listed[id] {
-				s.changeServer(ServerChange{ID: id}, false)
+				s.changeServer(ServerChange{ID: id, Revision: response.Revision}, false)
 			}
 		}
 		s.discardChangeHistory()
--- a/core/registry.go
+++ b/core/registry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wisteriapond/config"
+	"wisteriapond/storeage"
 )
 
 // Server is a backend server as it registered itself in the store.
@@ -31,6 +32,9 @@
 	ID      string
 	Server  *Server
 	Problem string
+	// Revision is that of the write or removal of the entry, 0 if it is unknown. It
+	// belongs to the era of the message that holds the change.
+	Revision uint64
 }
 
 const (
@@ -49,7 +53,7 @@
 		server.ColdFor >= 0 && server.ColdFor <= maxColdFor {
 		return c
 	}
-	return ServerChange{ID: c.ID, Problem: "another entry host reports a server with values out of bounds"}
+	return ServerChange{ID: c.ID, Problem: "another entry host reports a server with values out of bounds", Revision: c.Revision}
 }
 
 // removeExpired removes servers whose entries were not registered again within
@@ -113,17 +117,26 @@
 func (s *State) changeServer(change ServerChange, expired bool) {
 	reg := &s.registry
 	known, registered := reg.servers[change.ID]
+	if registered && change.Server == nil && expired && change.Problem == "" && !known.Leaving {
+		if _, scheduled := reg.pendingRemoval[change.ID]; !scheduled {
+			reg.pendingRemoval[change.ID] = reg.recoveredAt.Add(expiryGrace)
+			s.scheduleTick(reg.pendingRemoval[change.ID])
+		}
+		return
+	}
+	if registered && change.Server != nil && change.Server.Born < known.Born {
+		// A late write of an earlier instance does not apply to the current one.
+		return
+	}
+	if !s.acceptWrite(&change) {
+		return
+	}
 	switch {
 	case change.Problem != "" && !registered:
 		s.reportUnusableEntry(change)
 	case change.Server == nil && !registered:
 		// Other hosts that poll this one may know the server.
 		s.recordChange(change.ID)
-	case change.Server == nil && expired && change.Problem == "" && !known.Leaving:
-		if _, scheduled := reg.pendingRemoval[change.ID]; !scheduled {
-			reg.pendingRemoval[change.ID] = reg.recoveredAt.Add(expiryGrace)
-			s.scheduleTick(reg.pendingRemoval[change.ID])
-		}
 	case change.Server == nil:
 		// Running requests on the server go on, also if its entry has become
 		// unusable: the entry says nothing about them.
@@ -132,8 +145,6 @@
 		}
 		delete(reg.pendingRemoval, change.ID)
 		s.removeServer(change.ID, cmp.Or(change.Problem, "entry removed from the store"))
-	case registered && change.Server.Born < known.Born:
-		// A late write of an earlier instance does not apply to the current one.
 	default:
 		delete(reg.pendingRemoval, change.ID)
 		reg.servers[change.ID] = *change.Server
@@ -144,6 +155,24 @@
 	}
 }
 
+// acceptWrite records a change as the last known write of its entry, and reports
+// whether it is applied: an older write than the known one is not. A response of the
+// store whose pages were read at different times, or another host, may report one.
+func (s *State) acceptWrite(change *ServerChange) bool {
+	if change.ID == "" {
+		return true
+	}
+	write := storeage.Write{At: storeage.Age{Revision: change.Revision}, Removed: change.Server == nil}
+	if change.Server != nil {
+		write.Instance, write.Leaving = change.Server.Born, change.Server.Leaving
+	}
+	if s.registry.entries.Record(change.ID, write) == storeage.Outdated {
+		s.count(CounterStoreUpdates, "outdated")
+		return false
+	}
+	return true
+}
+
 // unusableEntriesPerSecond bounds the log entries about unusable entries of the
 // store, which another writer may rewrite at any rate.
 const unusableEntriesPerSecond = 10
--- a/core/store.go
+++ b/core/store.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"wisteriapond/config"
+	"wisteriapond/storeage"
 )
 
 const (
@@ -137,9 +138,12 @@
 
 // registry is the state that this host holds of the store.
 type registry struct {
-	routing  *config.Routing
-	servers  map[string]Server
+	routing *config.Routing
+	servers map[string]Server
+	// revision is that up to which the known state is complete, and entries holds
+	// the last known write of each entry, which may be later.
 	revision uint64
+	entries  storeage.Entries
 	// listed is set once the complete store was read, until its history is discarded.
 	listed      bool
 	callPending bool
@@ -275,7 +279,7 @@
 	var missing []ServerChange
 	for _, id := range sortedKeys(s.registry.servers) {
 		if !listed[id] {
-			missing = append(missing, ServerChange{ID: id})
+			missing = append(missing, ServerChange{ID: id, Revision: e.Revision})
 		}
 	}
 	s.changeServers(missing)
@@ -366,3 +370,7 @@
 	}
 	return min(minStoreBackoff<<min(s.registry.failures-1, 8), maxStoreBackoff)
 }
+
+// age returns the position in the history of the store up to which the known state is
+// complete.
+func (r *registry) age() storeage.Age { return storeage.Age{Revision: r.revision} }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -49,7 +49,8 @@
 	// fault.
 	recoveryLimit = 15 * time.Second
 	callTimeout   = 3 * time.Second
-	// staleAge is the age of stale reads of the store.
+	// staleAge is the age of stale reads of the store. The first page of a listing has a
+	// quarter of it.
 	staleAge = 2 * time.Second
 	// stopDelay is the time for which a host is under load before it is stopped, and
 	// stopLimit the time within which it has to end.
@@ -104,7 +105,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), store: platformtest.NewStore(), recorder: newRecorder(), stop: make(chan struct{}),
 	}
 	t.Cleanup(e.close)
-	e.store.SetStaleAge(staleAge)
+	e.store.SetStaleAge(staleAge/4, staleAge)
 	e.publish("/x/")
 	for range backendCount {
 		e.addBackend()
