core: a request starts where a recent report tells of a free slot

Cause: a request was sent to the upstream with the best load report of up to 0.4 s, also when the upstreams that had been queried for it reported that they were full. Each of 155 hosts sees a hundredth of the requests, so that such a slot was mostly taken. The servers queued, rejected or reset what was too much, and requests of which half the time was gone were started late.

--- a/core/loadreport.go
+++ b/core/loadreport.go
@@ -10,6 +10,10 @@
 	// reportLifetime is the age at which a load report becomes stale: servers
 	// share their machines, and their speed changes many times a second.
 	reportLifetime = 400 * time.Millisecond
+	// recentReportAge is the age up to which a load report tells of a free slot. It
+	// covers the age up to which a load is not queried again, freshReportAge, and
+	// the wait of a request for its load queries, nearQueryWait.
+	recentReportAge = freshReportAge + nearQueryWait
 	// normalSlowdown is the slowdown, in percent, of a server at its usual
 	// speed.
 	normalSlowdown = 100
@@ -40,7 +44,12 @@
 
 // fresh reports whether there is a load report younger than reportLifetime.
 func (l *reportedLoad) fresh(now Instant) bool {
-	return l.report.Known && now.Sub(l.at) < reportLifetime
+	return l.youngerThan(reportLifetime, now)
+}
+
+// youngerThan reports whether there is a load report below the given age.
+func (l *reportedLoad) youngerThan(age time.Duration, now Instant) bool {
+	return l.report.Known && now.Sub(l.at) < age
 }
 
 // occupied estimates the number of requests that run or wait at the upstream. Only
--- a/core/placement.go
+++ b/core/placement.go
@@ -94,10 +94,10 @@
 func (s *State) bestUpstream(r *request, exclude exclusions, minPrice int) *upstream {
 	var best *upstream
 	r.expected, r.bestWorth = 0, 0
-	requireReport := s.hasFreshReport(r)
+	maxReportAge := s.maxReportAge(r)
 	onTime, remaining := s.canMeetGoal(r), r.goalAt().Sub(s.now)
 	for _, u := range r.group.eligible {
-		if s.excluded(r, u, exclude) || !s.mayStart(u) || s.atCapacity(r, u) || requireReport && !u.reported.fresh(s.now) {
+		if s.excluded(r, u, exclude) || !s.mayStart(u) || s.atCapacity(r, u) || maxReportAge > 0 && !u.reported.youngerThan(maxReportAge, s.now) {
 			continue
 		}
 		latency, price := s.expectedLatency(r, u), s.priceOf(r, u)
@@ -128,19 +128,29 @@
 	return s.now.Sub(r.arrivedAt) < slowdownWait && later < latency && later < remaining
 }
 
-// hasFreshReport reports whether any untried upstream has a fresh load report.
-// Upstreams without one then get no requests: they might never respond to a
-// request that they cannot queue.
-func (s *State) hasFreshReport(r *request) bool {
+// maxReportAge returns the age up to which the load report of an upstream allows
+// to start a request there, or 0 if no report is needed. While some untried upstream
+// has a recent report, only such upstreams are used: with many hosts, a slot that
+// was free some milliseconds ago is most likely taken. Otherwise upstreams without
+// any fresh report get no requests, as long as there are others: they might never
+// respond to a request that they cannot queue.
+func (s *State) maxReportAge(r *request) time.Duration {
 	if r.service.config.Probe.Path == "" {
-		return false
+		return 0
 	}
-	for _, u := range r.group.eligible {
-		if u.reported.fresh(s.now) && !r.hasTried(u) {
-			return true
+	recent := recentReportAge
+	if r.queriedBelow > pick.OtherRegion {
+		// Reports from the own region arrived before those from others.
+		recent += farQueryWait
+	}
+	for _, age := range []time.Duration{recent, reportLifetime} {
+		for _, u := range r.group.eligible {
+			if u.reported.youngerThan(age, s.now) && !r.hasTried(u) {
+				return age
+			}
 		}
 	}
-	return false
+	return 0
 }
 
 // atCapacity reports whether this host starts no further request like r on an
