evacuation, core: nothing new is sent to an emptied failure domain

Operators empty a failure domain in the store, and the product ignored the key.

Change: package evacuation orders marks of failure domains by era and revision. Marks come from watches and listings, and pass between hosts with every poll and its response, also with those that hold no newer state. A complete listing takes back a domain whose mark is older; a stale one does not. A mark of another host that the own state should have held causes a complete listing before it is believed for good. Upstreams of an emptied domain are not eligible and accept nothing; running work ends; waiting requests move, or are refused at once as not run. When the domain is back, what was known of the loads of its upstreams is forgotten. Own interface: emptied_domains of the manifest.

Tried with the mechanism taken out, and failing: marks in responses, in polls, the relaying of a learnt mark to held polls and to the reader, the verifying listing (a host that was cut off misleads restarted ones), the rule for stale listings, take-back by listings, the order of marks, the forgotten reports, updateEmptied for a changed manifest, the filter in eligible, in accepts, and in leasableSlots.

Result: go test of evacuation, config, core, cli, document, platform (its Store specs), metrics, eventlog, relay, proof, entryhost and admin passes.

--- a/cli/explain.go
+++ b/cli/explain.go
@@ -29,7 +29,8 @@
 	return `Shows the service, the labels of the request, and for each upstream whether it
 is eligible, or the host selector that excludes it and the term that does not
 match. An upstream outside the regions that the route or the service allows is
-excluded with "region not allowed". A running host also reports which upstreams are leaving or ejected.
+excluded with "region not allowed". A running host also reports which upstreams are leaving or ejected, or stand in an emptied
+failure domain.
 
 Examples:
   wisteriapond explain --config examples/boisclair --method POST /orders/
--- a/cli/status.go
+++ b/cli/status.go
@@ -150,6 +150,9 @@
 	if leaving := leavingHosts(s); len(leaving) > 0 {
 		fmt.Fprintf(w, "leaving:     %s\n", strings.Join(leaving, ", "))
 	}
+	if len(s.EmptiedDomains) > 0 {
+		fmt.Fprintf(w, "emptied:     %s\n", strings.Join(s.EmptiedDomains, ", "))
+	}
 	if s.Measuring.PerMinute > 0 {
 		fmt.Fprintf(w, "measuring:   %d probes per minute, %d bytes so far\n", s.Measuring.PerMinute, s.Measuring.Bytes)
 	}
@@ -208,6 +211,8 @@
 	switch {
 	case u.Leaving:
 		return "leaving"
+	case u.Emptied:
+		return "failure domain emptied"
 	case u.Ejected:
 		return "ejected"
 	}
--- a/config/config.go
+++ b/config/config.go
@@ -37,6 +37,8 @@
 	EntryHosts int
 	Measuring  Measuring
 	Links      Links
+	// EmptiedDomains are the failure domains to whose upstreams nothing is sent.
+	EmptiedDomains []string
 }
 
 // ServiceRef identifies the part of one service.
--- a/config/regions.go
+++ b/config/regions.go
@@ -55,6 +55,28 @@
 	return problems
 }
 
+// unknownDomains returns a problem for each emptied failure domain in which no
+// upstream stands: most likely its name is misspelt.
+func (t *Table) unknownDomains() []Problem {
+	known := make(map[string]bool)
+	for _, service := range t.services {
+		for _, u := range service.Upstreams {
+			known[u.FailureDomain] = true
+		}
+	}
+	var problems []Problem
+	for i, domain := range t.Manifest.EmptiedDomains {
+		if !known[domain] {
+			problems = append(problems, Problem{
+				Document: manifestFile,
+				Field:    fmt.Sprintf("emptied_domains[%d]", i),
+				Reason:   fmt.Sprintf("no upstream of any service is in the failure domain %q", domain),
+			})
+		}
+	}
+	return problems
+}
+
 // RouteAt returns the route with exactly the given host and path prefix, or nil if
 // there is none.
 func (t *Table) RouteAt(host, pathPrefix string) *Route {
--- a/config/table.go
+++ b/config/table.go
@@ -141,7 +141,7 @@
 	slices.SortStableFunc(t.routes, compareRoutes)
 	t.index = newRouteIndex(t.routes)
 	slices.Sort(t.headers)
-	return t, slices.Concat(t.missingParts(), t.matchConflicts(), t.unknownRegions())
+	return t, slices.Concat(t.missingParts(), t.matchConflicts(), t.unknownRegions(), t.unknownDomains())
 }
 
 func compareName(s *CompiledService, name string) int {
--- a/config/validate.go
+++ b/config/validate.go
@@ -38,6 +38,7 @@
 	c.between("links.long_percent", m.Links.LongPercent, 1, maxPercent)
 	c.require(m.Links.BytesPerSecond >= 0, "links.bytes_per_second", "must not be negative")
 	c.measuring(m)
+	c.require(len(m.EmptiedDomains) <= maxRegions, "emptied_domains", "must have at most %d failure domains", maxRegions)
 	for _, ref := range m.Services {
 		c.name("services."+ref.Name, ref.Name)
 		c.require(ref.Hash.valid(), "services."+ref.Name, "must be a SHA-256 in lower-case hexadecimal")
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -233,7 +233,12 @@
 
 // adopt puts a table in force and announces its version to peers.
 func (s *State) adopt(table *config.Table) {
+	var emptied []string
+	if s.table != nil {
+		emptied = s.table.Manifest.EmptiedDomains
+	}
 	s.table = table
+	s.reportConfiguredDomains(emptied)
 	s.updateServices()
 	if table.Routed() {
 		s.applyRouteRegions()
--- a/core/counter.go
+++ b/core/counter.go
@@ -43,6 +43,9 @@
 	// CounterLeavingMarks counts changes of leaving marks (source), and marks that
 	// were dropped because the host table was full (table_full).
 	CounterLeavingMarks Counter = "leaving_marks_total"
+	// CounterDomainChanges counts failure domains that the operators emptied or took
+	// back (emptied, taken_back).
+	CounterDomainChanges Counter = "failure_domain_changes_total"
 	// CounterMarkExchanges counts full exchanges of leaving marks with a peer
 	// whose marks differed.
 	CounterMarkExchanges Counter = "mark_exchanges_total"
--- a/core/explain.go
+++ b/core/explain.go
@@ -19,10 +19,11 @@
 func (ReportExplanation) effect() {}
 
 // States that exclude an upstream whatever the selectors allow: its host is leaving
-// and gets no new work, or the upstream is ejected and gets trial requests only.
+// or its failure domain is emptied and gets no new work, or the upstream is ejected and gets trial requests only.
 const (
 	stateLeaving = "leaving"
 	stateEjected = "ejected"
+	stateEmptied = "failure domain emptied"
 )
 
 func (s *State) explain(e ExplainRequested) {
@@ -46,6 +47,9 @@
 	if s.leaving(u.Host) {
 		return stateLeaving
 	}
+	if s.domainEmptied(u.FailureDomain) {
+		return stateEmptied
+	}
 	if svc == nil {
 		return ""
 	}
--- a/core/group.go
+++ b/core/group.go
@@ -87,10 +87,14 @@
 }
 
 // eligible returns the upstreams that the selectors of the service allow for the
-// labels, in regions that both the route and the service allow.
+// labels, in regions that both the route and the service allow and in failure
+// domains that are not emptied.
 func (svc *service) eligible(labels label.Set, regions []string) []*upstream {
 	var found []*upstream
 	for _, u := range svc.upstreams {
+		if u.emptied {
+			continue
+		}
 		if !config.RegionAllowed(regions, u.config.Region) || !config.RegionAllowed(svc.config.AllowedRegions, u.config.Region) {
 			continue
 		}
--- a/core/hints.go
+++ b/core/hints.go
@@ -55,10 +55,10 @@
 }
 
 // accepts reports whether this host may send anything to the upstream now: it is
-// not leaving, and no backoff or requested wait is in force. Requests, retries,
+// not leaving, its failure domain is not emptied, and no backoff or requested wait is in force. Requests, retries,
 // trials, load queries and probes all pass this check.
 func (u *upstream) accepts(now Instant) bool {
-	return !u.leaving && !now.Before(u.notBefore)
+	return !u.leaving && !u.emptied && !now.Before(u.notBefore)
 }
 
 // untilAccepted returns the time until the first upstream that the request could
--- a/core/leases.go
+++ b/core/leases.go
@@ -105,11 +105,11 @@
 }
 
 // leasableSlots returns the number of slots of an upstream that may be leased:
-// none on a leaving host or in a region that the service does not allow, and for long requests those that are not reserved for
+// none on a leaving host, in an emptied failure domain or in a region that the service does not allow, and for long requests those that are not reserved for
 // short ones.
 func (l *leases) leasableSlots(unit lease.Unit, u *upstream) int {
 	switch {
-	case u.leaving, !config.RegionAllowed(u.service.config.AllowedRegions, u.config.Region):
+	case u.leaving, u.emptied, !config.RegionAllowed(u.service.config.AllowedRegions, u.config.Region):
 		return 0
 	case unit.Long:
 		return u.maxLongSlots()
--- a/core/polls.go
+++ b/core/polls.go
@@ -10,6 +10,10 @@
 	p := &s.registry.propagation
 	s.upsertNeighbour(e.Ask.From, true)
 	s.leavingReceived(e.Ask.Leaving)
+	if s.domainsReceived(e.Ask.Domains) {
+		s.respondToPendingPolls()
+		s.notifyReader()
+	}
 	s.recordClient(&e.Ask)
 	s.reversePoll(&e.Ask)
 	s.recordReaderPoll(&e.Ask)
@@ -84,7 +88,7 @@
 // state, or if changes since its revision were discarded.
 func (s *State) respondToPoll(id uint64, poll *NewsAsk) {
 	reg := &s.registry
-	response := NewsAnswer{Neighbours: s.neighboursFor(poll.From), Leaving: s.recentLeaving(), Hosts: max(s.registry.fleet.largest, s.subtreeSize())}
+	response := NewsAnswer{Neighbours: s.neighboursFor(poll.From), Leaving: s.recentLeaving(), Hosts: max(s.registry.fleet.largest, s.subtreeSize()), Domains: s.domainMarks()}
 	if !poll.NamesOnly && s.mayPropagate() {
 		response.Known = true
 		response.Revision = reg.revision
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -244,7 +244,7 @@
 // updateRequest returns a poll for the updates after the known revision, which the
 // receiver may hold for the given time.
 func (s *State) updateRequest(wait time.Duration) NewsAsk {
-	poll := NewsAsk{From: s.selfNeighbour(), After: s.registry.revision, Wait: wait, Age: s.storeStaleness(), Leaving: s.recentLeaving(), Hosts: s.subtreeSize()}
+	poll := NewsAsk{From: s.selfNeighbour(), After: s.registry.revision, Wait: wait, Age: s.storeStaleness(), Leaving: s.recentLeaving(), Hosts: s.subtreeSize(), Domains: s.domainMarks()}
 	if s.registry.routing != nil {
 		poll.Routing = s.registry.routing.Version
 	}
@@ -303,6 +303,7 @@
 	}
 	s.neighbourResponded(e.Address)
 	s.leavingReceived(e.Answer.Leaving)
+	domainsChanged := s.domainsReceived(e.Answer.Domains)
 	s.recordFleet(min(e.Answer.Hosts, maxNeighbours))
 	switch {
 	case e.Answer.Known && e.Answer.Revision >= s.registry.revision:
@@ -320,6 +321,13 @@
 		p.nextPoll = s.now.Add(minSeedInterval)
 		s.scheduleTick(p.nextPoll)
 	}
+	if domainsChanged {
+		s.respondToPendingPolls()
+	}
+	if domainsChanged && e.Aside {
+		// The reader was not the source.
+		s.notifyReader()
+	}
 	s.pollReader()
 	s.callStoreIfDue()
 }
--- a/core/service.go
+++ b/core/service.go
@@ -87,6 +87,8 @@
 
 	leaving bool
 	removed bool
+	// emptied is set while the operators have emptied the failure domain.
+	emptied bool
 	// load is the number of running requests last reported, at loadAt; -1 before
 	// the first report.
 	load   int
@@ -200,6 +202,7 @@
 	for _, compiled := range s.table.Services() {
 		s.updateService(services[compiled.Name], compiled, first)
 	}
+	s.updateEmptied()
 }
 
 // removeServices removes the services that are not kept, and refuses their waiting
--- a/core/status.go
+++ b/core/status.go
@@ -27,6 +27,8 @@
 	Leaving   []HostEntry
 	Leases    LeaseStatus
 	Measuring MeasuringStatus
+	// EmptiedDomains are the failure domains that the operators have emptied.
+	EmptiedDomains []string
 }
 
 // MemberStatus is the status of one entry host.
@@ -88,6 +90,8 @@
 	Ejected bool
 	// Latency is the usual response time; 0 when it is unknown.
 	Latency time.Duration
+	// Emptied reports whether the failure domain of the upstream is emptied.
+	Emptied bool
 }
 
 func (s *State) status() Status {
@@ -101,6 +105,7 @@
 		Leaving:  s.leavingHosts(),
 		Leases:   s.leaseStatus(),
 	}
+	status.EmptiedDomains = s.emptiedDomainNames()
 	status.Measuring = s.measuringStatus()
 	if s.pending != nil {
 		status.Pending = s.pending.version
@@ -144,6 +149,7 @@
 			Held:    u.held,
 			Ejected: u.health.Ejected(),
 			Latency: u.health.Latency(0),
+			Emptied: u.emptied,
 		})
 	}
 	return status
--- a/core/store.go
+++ b/core/store.go
@@ -162,6 +162,7 @@
 	propagation     propagation
 	leaving         leavingServers
 	fleet           fleetSize
+	domains         emptiedDomains
 	unusableLog     logRateLimit
 	// unknownRegionLog limits the log entries about routes kept to unknown regions.
 	unknownRegionLog logRateLimit
@@ -203,7 +204,7 @@
 		return
 	}
 	reg.callPending = true
-	if reg.listed {
+	if reg.listed && !reg.domains.verify {
 		s.out.add(WatchStore{After: reg.revision, Wait: s.nextWatchWait()})
 		return
 	}
@@ -257,6 +258,7 @@
 // entries have most likely expired.
 func (s *State) storeListed(e StoreListed) {
 	reg := &s.registry
+	s.domainsListed(&e)
 	outdated := s.discardOutdated(e.Revision)
 	s.storeCallSucceeded(e.Revision, e.Stale || outdated)
 	// Updates that have overtaken the listing left the known state complete.
@@ -290,6 +292,7 @@
 // storeChanged applies the changes that a watch reported, and relays them. A
 // response that updates of another entry host have overtaken reports nothing new.
 func (s *State) storeChanged(e StoreChanged) {
+	s.domainsChanged(e.Domains)
 	outdated := s.discardOutdated(e.Revision)
 	s.storeCallSucceeded(e.Revision, outdated)
 	if outdated {
--- a/core/store_fleet_test.go
+++ b/core/store_fleet_test.go
@@ -101,12 +101,13 @@
 	poll AskNews
 }
 
-// fleetChange is a change of the store. checked is set once its propagation has been
-// checked, or did not need to be.
+// fleetChange is a change of the store: of a server, or of a failure domain if domain is
+// set. checked is set once its propagation has been checked, or did not need to be.
 type fleetChange struct {
 	revision uint64
 	at       Instant
 	change   ServerChange
+	domain   *DomainMark
 	checked  bool
 }
 
@@ -219,15 +220,25 @@
 	}
 	listed := StoreListed{Revision: f.revision, Stale: e.Stale, Routing: routing(1)}
 	servers := make(map[string]Server)
+	domains := make(map[string]DomainMark)
 	for _, c := range f.changes {
 		if e.Stale && f.now.Sub(c.at) < age && c.at > 0 {
 			listed.Revision = min(listed.Revision, c.revision-1)
 			continue
 		}
+		if c.domain != nil {
+			domains[c.domain.Domain] = *c.domain
+			continue
+		}
 		if delete(servers, c.change.ID); c.change.Server != nil {
 			servers[c.change.ID] = *c.change.Server
 		}
 	}
+	for _, name := range sortedKeys(domains) {
+		if domains[name].Emptied {
+			listed.Domains = append(listed.Domains, domains[name])
+		}
+	}
 	for _, id := range sortedKeys(servers) {
 		listed.Servers = append(listed.Servers, ServerChange{ID: id, Server: new(servers[id])})
 	}
@@ -242,8 +253,13 @@
 	}
 	var event Event
 	var changed []ServerChange
+	var domains []DomainMark
 	for _, c := range f.changes {
-		if c.revision > h.watch.After {
+		switch {
+		case c.revision <= h.watch.After:
+		case c.domain != nil:
+			domains = append(domains, *c.domain)
+		default:
 			changed = append(changed, c.change)
 		}
 	}
@@ -252,8 +268,8 @@
 		event = StoreFailed{Reason: "refused"}
 	case h.watch.After < f.historyStart:
 		event = StoreFailed{HistoryGone: true}
-	case len(changed) > 0 || !f.now.Before(h.watchUntil):
-		event = StoreChanged{Revision: f.revision, Servers: changed}
+	case len(changed)+len(domains) > 0 || !f.now.Before(h.watchUntil):
+		event = StoreChanged{Revision: f.revision, Servers: changed, Domains: domains}
 	default:
 		return
 	}
--- a/document/manifest.go
+++ b/document/manifest.go
@@ -20,6 +20,8 @@
 	EntryHosts int                    `json:"entry_hosts"`
 	Measuring  measuringFile          `json:"measuring"`
 	Links      linksFile              `json:"links"`
+	// EmptiedDomains are failure domains by name.
+	EmptiedDomains []string `json:"emptied_domains"`
 }
 
 type measuringFile struct {
@@ -68,6 +70,7 @@
 			BytesPerSecond: int64(f.Links.BytesPerSecond),
 			LongPercent:    f.Links.LongPercent,
 		},
+		EmptiedDomains: f.EmptiedDomains,
 	}
 	for name, hash := range f.Services {
 		m.Services = append(m.Services, config.ServiceRef{Name: name, Hash: hash})
--- a/document/part_test.go
+++ b/document/part_test.go
@@ -18,3 +18,10 @@
 	Entry("whose name is a path", `{"service": "../orders/x y"}`, "part "),
 	Entry("that cannot be parsed", `{`, "part "),
 )
+
+// Guards against fields of a manifest that are read and then dropped.
+var _ = It("ParseManifest reads the emptied failure domains", func() {
+	_, manifest, err := document.ParseManifest("manifest.json", []byte(`{"generation": 3, "emptied_domains": ["mtl-a", "qc-b"]}`))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(manifest.EmptiedDomains).To(Equal([]string{"mtl-a", "qc-b"}))
+})
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -124,6 +124,12 @@
 		"messages",
 		"Messages to other entry hosts that could not be sent.",
 	},
+	{
+		string(core.CounterDomainChanges), KindCounter,
+		[]string{"change"},
+		"failure domains",
+		"Failure domains that the operators `emptied`, and those that were `taken_back`, as this host learned of it.",
+	},
 	{
 		string(core.CounterLeavingMarks), KindCounter,
 		[]string{"source"},
