--- a/core/doc.go
+++ b/core/doc.go
@@ -14,7 +14,8 @@
 //	message.go                       messages between entry hosts
 //	request.go, completion.go        request life cycle, at most one run
 //	retry.go                         retry decisions, budgets and results
-//	queueing.go, group.go            waiting for a slot, early refusals
+//	queueing.go, group.go            waiting for a slot, eligible upstreams
+//	emptieddomains.go                failure domains without new work
 //	service.go, traffic.go           services, upstreams, timers
 //	counter.go, time.go, random.go   metrics, instants, random numbers
 //	requestlog.go                    log entries of requests
@@ -28,7 +29,7 @@
 //	registry.go                      registered servers, routing in force
 //	propagation.go, neighbours.go    updates from other entry hosts, the reader
 //	polls.go, reversepoll.go         polls of other hosts, relaying to the reader
-//	routing.go                       routes and splits
+//	routing.go, routeregions.go      routes, splits, regions of routes
 //	loadquery.go, loadreport.go      load queries and reports of upstreams
 //	placement.go                     latency against transfer costs
 //
