--- a/cli/status.go
+++ b/cli/status.go
@@ -154,6 +154,9 @@
 		fmt.Fprintf(w, "measuring:   %d probes per minute, %d bytes so far\n", s.Measuring.PerMinute, s.Measuring.Bytes)
 	}
 	fmt.Fprintf(w, "leases:      %d slots held, %d granted to %d hosts\n", s.Leases.Held, s.Leases.Granted, s.Leases.Holders)
+	if s.Cold.Upstreams > 0 {
+		fmt.Fprintf(w, "cold:        %d upstreams, turns among %d hosts, used by this host: %v\n", s.Cold.Upstreams, s.Cold.Hosts, s.Cold.Joined)
+	}
 	if err := printMembers(w, s.Members); err != nil {
 		return err
 	}
@@ -210,6 +213,8 @@
 		return "leaving"
 	case u.Ejected:
 		return "ejected"
+	case u.ColdFor > 0:
+		return "cold for " + u.ColdFor.Round(latencyPrecision).String()
 	}
 	return ""
 }
--- a/core/coldservers.go
+++ b/core/coldservers.go
@@ -203,10 +203,10 @@
 		return
 	}
 	now := time.Duration(s.now)
-	wasCold := u.warmUp.Cold(now)
+	known := u.warmUp.Reported(now)
 	u.warmUp.Report(now, left, stated)
 	u.warmUpUntil = s.now.Add(u.warmUp.Left(now))
-	if !wasCold && u.warmUp.Cold(now) {
+	if !known && u.warmUp.Reported(now) {
 		s.count(CounterColdReports, u.service.config.Name)
 		if s.cold.log.allow(s.now, coldLogsPerSecond) {
 			s.out.add(Log{Message: "backend server is cold", Fields: []LogField{
@@ -225,3 +225,31 @@
 		s.startLoadQuery(u)
 	}
 }
+
+// coldFor returns the remaining warm-up time of an upstream to which requests are
+// limited, 0 if it is warm.
+func (s *State) coldFor(u *upstream) time.Duration {
+	now := time.Duration(s.now)
+	switch {
+	case !u.service.limitsCold():
+		return 0
+	case u.warmUp != nil:
+		return u.warmUp.Left(now)
+	}
+	return u.health.WarmUpLeft(now, u.service.config.ColdStart)
+}
+
+func (s *State) coldStatus() ColdStatus {
+	var status ColdStatus
+	if crew := s.cold.crew; crew != nil {
+		status.Hosts, status.Joined = crew.Size(), crew.Joined()
+	}
+	for _, name := range sortedKeys(s.services) {
+		for _, u := range s.services[name].upstreams {
+			if s.coldFor(u) > 0 {
+				status.Upstreams++
+			}
+		}
+	}
+	return status
+}
--- a/core/coldservers_test.go
+++ b/core/coldservers_test.go
@@ -226,6 +226,26 @@
 		Expect(c.arrivals["a"]).NotTo(BeEmpty())
 	})
 
+	// Guards against an operator who cannot see why servers get few requests.
+	ginkgo.It("are shown in the status", func() {
+		c := newColdSite(1, servers[:2]...)
+		c.run(fleetLearnTime+time.Second, 50, "/lookup/x")
+		Expect(c.state.status().Cold).To(Equal(ColdStatus{Hosts: 1, Joined: true}))
+		c.coldUntil["a"] = c.now.Add(warmUp)
+		c.run(warmUp/3, 100, "/lookup/x")
+		Expect(c.state.status().Cold.Upstreams).To(Equal(1))
+		for _, service := range c.state.status().Services {
+			for _, u := range service.Upstreams {
+				want := time.Duration(0)
+				if u.Name == "a" {
+					want = c.coldUntil["a"].Sub(c.now)
+				}
+				Expect(u.ColdFor).To(BeNumerically("~", want, 10*time.Millisecond), u.Name)
+				Expect(u.NextTurn).To(BeNumerically("<=", u.ColdFor))
+			}
+		}
+	})
+
 	// Guards against a cold server of another failure domain that the hosts of all
 	// domains use at once, and against one that none may use: where a service has no
 	// server in a domain, its hosts share the turns of the others.
@@ -244,3 +264,59 @@
 		Expect(c.arrivals["c"]).To(BeEmpty())
 	})
 })
+
+var _ = ginkgo.Describe("cold upstreams without a store", func() {
+	const (
+		hosts     = 10
+		coldStart = 5 * time.Second
+	)
+	// starts returns the instants at which one of the hosts of a fleet sends requests to an
+	// upstream that was added, while it gets 100 requests a second.
+	starts := func(seed uint64, rate int) (at []Instant) {
+		change := func(s *config.Service) {
+			s.ColdStart, s.ColdRate, s.Queue = coldStart, rate, 0
+			s.Upstreams = []config.Upstream{upstreamNamed("old", 100)}
+		}
+		r := &testReducer{state: New()}
+		r.step(Start{Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a", Seed: seed})
+		r.configure(1, change)
+		r.now = r.now.Add(time.Minute)
+		r.configure(2, func(s *config.Service) {
+			change(s)
+			s.Upstreams = append(s.Upstreams, upstreamNamed("new", 100))
+		})
+		for end := r.now.Add(coldStart); r.now < end; {
+			if start := firstEffect[StartAttempt](r.get()); start.Upstream != "" {
+				if start.Upstream == "new" {
+					at = append(at, r.now)
+				}
+				r.finishAttempt(start, success)
+			}
+			r.advance(10 * time.Millisecond)
+		}
+		return at
+	}
+
+	// Guards against hosts that each send a new upstream what it bears from all of them
+	// together, and against hosts that begin at the same time.
+	ginkgo.It("get the share of each host, at instants that differ between hosts", func() {
+		const rate = 20_000
+		var all []Instant
+		for seed := range uint64(hosts) {
+			own := starts(seed, rate)
+			Expect(len(own)).To(BeNumerically("<=", int(coldStart.Seconds())*rate/1000/hosts+1))
+			Expect(len(own)).To(BeNumerically(">=", int(coldStart.Seconds())*rate/1000/hosts-1))
+			all = append(all, own...)
+		}
+		slices.Sort(all)
+		const tenth = 100 * time.Millisecond
+		for i := range all {
+			n, _ := slices.BinarySearch(all[i:], all[i].Add(tenth))
+			Expect(n).To(BeNumerically("<=", hosts/2), "requests of all hosts within a tenth of a second, of which each host may send in five")
+		}
+	})
+
+	ginkgo.It("get requests as before if no rate is set", func() {
+		Expect(len(starts(1, 0))).To(BeNumerically(">", 100))
+	})
+})
--- a/core/status.go
+++ b/core/status.go
@@ -27,6 +27,19 @@
 	Leaving   []HostEntry
 	Leases    LeaseStatus
 	Measuring MeasuringStatus
+	Cold      ColdStatus
+}
+
+// ColdStatus is the status of the limit of requests to cold backend servers.
+type ColdStatus struct {
+	// Hosts is the number of entry hosts among which the turns of cold servers are
+	// distributed as far as this host knows, itself included; 0 without a store.
+	Hosts int
+	// Joined reports whether this host uses its turns. It does not for a while after
+	// its start.
+	Joined bool
+	// Upstreams is the number of cold upstreams.
+	Upstreams int
 }
 
 // MemberStatus is the status of one entry host.
@@ -88,6 +101,11 @@
 	Ejected bool
 	// Latency is the usual response time; 0 when it is unknown.
 	Latency time.Duration
+	// ColdFor is the remaining warm-up time during which requests are limited, and
+	// NextTurn the time until this host may send the upstream a request; both 0 for
+	// a warm upstream.
+	ColdFor  time.Duration
+	NextTurn time.Duration
 }
 
 func (s *State) status() Status {
@@ -102,6 +120,7 @@
 		Leases:   s.leaseStatus(),
 	}
 	status.Measuring = s.measuringStatus()
+	status.Cold = s.coldStatus()
 	if s.pending != nil {
 		status.Pending = s.pending.version
 		status.MissingParts = s.pending.fetcher.MissingCount()
@@ -144,7 +163,11 @@
 			Held:    u.held,
 			Ejected: u.health.Ejected(),
 			Latency: u.health.Latency(0),
+			ColdFor: s.coldFor(u),
 		})
+		if last := &status.Upstreams[len(status.Upstreams)-1]; last.ColdFor > 0 {
+			last.NextTurn = s.coldWait(u)
+		}
 	}
 	return status
 }
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -79,6 +79,27 @@
 	Expect(service.Match[0].Line).To(Equal(4))
 })
 
+// Guards against a rate of cold servers that is rounded to 0, which would mean no limit,
+// and against one out of bounds that is converted to an integer.
+var _ = DescribeTable("ParseService reads the rate of cold servers",
+	func(rate string, want int, problem string) {
+		raw := strings.Replace(validPart, `"timeout"`, `"cold_rate": `+rate+`, "timeout"`, 1)
+		Expect(raw).NotTo(Equal(validPart))
+		service, err := document.ParseService("part", []byte(raw))
+		if problem != "" {
+			Expect(err).To(MatchError(ContainSubstring(problem)))
+			return
+		}
+		Expect(err).NotTo(HaveOccurred())
+		Expect(service.ColdRate).To(Equal(want))
+	},
+	Entry("in requests per second", "4.5", 4500, ""),
+	Entry("that is small", "0.0001", 1, ""),
+	Entry("that means no limit", "0", 0, ""),
+	Entry("unless it is negative", "-1", 0, "cold_rate: must be between 0 and 1000000 requests per second"),
+	Entry("unless it is huge", "1e300", 0, "cold_rate: must be between 0 and 1000000 requests per second"),
+)
+
 // Guards against documents that exhaust the stack or the memory of a host.
 var _ = DescribeTable("ParseService refuses to decode",
 	func(raw, want string) {
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -76,6 +76,18 @@
 		"attempts",
 		"Attempts that a backend server refused as not run.",
 	},
+	{
+		string(core.CounterColdStarts), KindCounter,
+		[]string{"service"},
+		"attempts",
+		"Attempts on cold backend servers of services that state what such a server bears; see [design/cold-servers.md](design/cold-servers.md).",
+	},
+	{
+		string(core.CounterColdReports), KindCounter,
+		[]string{"service"},
+		"upstreams",
+		"Warm-ups that backend servers reported when this host asked for their load.",
+	},
 	{
 		string(core.CounterRequestedWaits), KindCounter,
 		[]string{"service"},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -43,6 +43,10 @@
 	Entry("a duration without a unit and one out of range", `"platform"`, `"accept_for": 10, "stop_timeout": "-1s", "platform"`,
 		`s.json:6: accept_for: a duration needs quotes and a unit, such as "250ms", got 10`,
 		`s.json:6: stop_timeout: must be between 0s and 168h0m0s, got -1s`),
+	Entry("a warm-up ratio below the rate itself and a negative slack", `"platform": "http://127.0.0.1:8500"`,
+		`"store": {"address": "127.0.0.1:8500", "warm_up_ratio": 0.5, "warm_up_slack": -1}`,
+		`s.json:6: store.warm_up_ratio: must be at least 1, got 0.5`,
+		`s.json:6: store.warm_up_slack: must be between 0 and 1e+06, got -1`),
 )
 
 // Guards against documentation that differs from the code.
--- a/warmup/server.go
+++ b/warmup/server.go
@@ -108,6 +108,9 @@
 // Cold reports whether the server is cold by all that is known.
 func (s *Server) Cold(now time.Duration) bool { return s.Left(now) > 0 }
 
+// Reported reports whether the server has reported the warm-up that it is in.
+func (s *Server) Reported(now time.Duration) bool { return s.cold && now < s.end }
+
 // Left returns the remaining warm-up time by all that is known.
 func (s *Server) Left(now time.Duration) time.Duration {
 	end := s.registeredEnd
