--- a/cli/status.go
+++ b/cli/status.go
@@ -155,7 +155,7 @@
 	}
 	fmt.Fprintf(w, "leases:      %d slots held, %d granted to %d hosts\n", s.Leases.Held, s.Leases.Granted, s.Leases.Holders)
 	if s.Cold.Upstreams > 0 {
-		fmt.Fprintf(w, "cold:        %d upstreams, turns among %d hosts, used by this host: %v\n", s.Cold.Upstreams, s.Cold.Hosts, s.Cold.Joined)
+		fmt.Fprintf(w, "cold:        %d upstreams, turns among %d hosts, used by this host: %v\n", s.Cold.Upstreams, s.Cold.Hosts, s.Cold.Active)
 	}
 	if err := printMembers(w, s.Members); err != nil {
 		return err
--- a/core/coldservers.go
+++ b/core/coldservers.go
@@ -19,8 +19,8 @@
 
 // coldServers is the state that cold upstreams share.
 type coldServers struct {
-	// crew holds the hosts of the failure domain of this host; nil without a store.
-	crew *warmup.Crew
+	// hosts holds the hosts of the failure domain of this host; nil without a store.
+	hosts *warmup.HostSet
 	// contacted is set once another entry host has responded, polled or was named.
 	contacted bool
 	log       logRateLimit
@@ -30,17 +30,17 @@
 const coldLogsPerSecond = 5
 
 func (s *State) startColdServers() {
-	s.cold.crew = warmup.NewCrew(s.self.Host, s.self.FailureDomain)
+	s.cold.hosts = warmup.NewHostSet(s.self.Host, s.self.FailureDomain)
 }
 
 // tickColdServers lets this host use its turns once it had time to learn of the
 // other hosts. A host that has reason to expect others, but has heard of none, may
 // be cut off from hosts that use all turns.
 func (s *State) tickColdServers() {
-	crew := s.cold.crew
-	crew.Expire(time.Duration(s.now))
-	if !crew.Joined() && s.now.Sub(s.registry.fleet.startedAt) >= fleetLearnTime && (s.cold.contacted || !s.expectsOthers()) {
-		crew.Join(time.Duration(s.now))
+	hosts := s.cold.hosts
+	hosts.Expire(time.Duration(s.now))
+	if !hosts.Active() && s.now.Sub(s.registry.fleet.startedAt) >= fleetLearnTime && (s.cold.contacted || !s.expectsOthers()) {
+		hosts.Activate(time.Duration(s.now))
 	}
 }
 
@@ -81,7 +81,7 @@
 		return !u.warmUp.Cold(time.Duration(s.now))
 	}
 	limit := s.coldLimit(u.service)
-	return u.warmUp.Permits(time.Duration(s.now), s.warmReportAge(u, limit), limit, s.cold.crew)
+	return u.warmUp.Permits(time.Duration(s.now), s.warmReportAge(u, limit), limit, s.cold.hosts)
 }
 
 // warmReportAge returns the age up to which a report of the upstream permits a
@@ -95,7 +95,7 @@
 	if !u.service.limitsCold() || u.warmUp == nil {
 		return true
 	}
-	return u.warmUp.MayAsk(time.Duration(s.now), s.coldLimit(u.service), s.cold.crew)
+	return u.warmUp.MayAsk(time.Duration(s.now), s.coldLimit(u.service), s.cold.hosts)
 }
 
 // mayStart reports whether a request of this host may start on the upstream now.
@@ -109,7 +109,7 @@
 	now := time.Duration(s.now)
 	switch {
 	case u.warmUp != nil && u.warmUp.Cold(now):
-		u.warmUp.Take(now, s.coldLimit(u.service), s.cold.crew)
+		u.warmUp.Take(now, s.coldLimit(u.service), s.cold.hosts)
 		s.count(CounterColdStarts, u.service.config.Name)
 	case u.warmUp == nil && s.spacingOf(u) != nil:
 		u.spacing.Take(now, u.service.config.ColdRate, s.table.Manifest.EntryHosts)
@@ -125,7 +125,7 @@
 	case !u.service.limitsCold():
 		return 0
 	case u.warmUp != nil:
-		return u.warmUp.Wait(now, s.coldLimit(u.service), s.cold.crew)
+		return u.warmUp.Wait(now, s.coldLimit(u.service), s.cold.hosts)
 	case s.spacingOf(u) != nil:
 		return min(u.spacing.Wait(now), u.health.WarmUpLeft(now, u.service.config.ColdStart))
 	}
@@ -241,8 +241,8 @@
 
 func (s *State) coldStatus() ColdStatus {
 	var status ColdStatus
-	if crew := s.cold.crew; crew != nil {
-		status.Hosts, status.Joined = crew.Size(), crew.Joined()
+	if hosts := s.cold.hosts; hosts != nil {
+		status.Hosts, status.Active = hosts.Size(), hosts.Active()
 	}
 	for _, name := range sortedKeys(s.services) {
 		for _, u := range s.services[name].upstreams {
--- a/core/coldservers_test.go
+++ b/core/coldservers_test.go
@@ -230,7 +230,7 @@
 	ginkgo.It("are shown in the status", func() {
 		c := newColdSite(1, servers[:2]...)
 		c.run(fleetLearnTime+time.Second, 50, "/lookup/x")
-		Expect(c.state.status().Cold).To(Equal(ColdStatus{Hosts: 1, Joined: true}))
+		Expect(c.state.status().Cold).To(Equal(ColdStatus{Hosts: 1, Active: true}))
 		c.coldUntil["a"] = c.now.Add(warmUp)
 		c.run(warmUp/3, 100, "/lookup/x")
 		Expect(c.state.status().Cold.Upstreams).To(Equal(1))
--- a/core/neighbours.go
+++ b/core/neighbours.go
@@ -167,7 +167,7 @@
 	}
 	s.cold.contacted = true
 	if described.FailureDomain == s.self.FailureDomain {
-		s.cold.crew.See(time.Duration(s.now), described.Host)
+		s.cold.hosts.Add(time.Duration(s.now), described.Host)
 	}
 	known.Neighbour = described
 	known.lastNamed = s.now
--- a/core/status.go
+++ b/core/status.go
@@ -35,9 +35,9 @@
 	// Hosts is the number of entry hosts among which the turns of cold servers are
 	// distributed as far as this host knows, itself included; 0 without a store.
 	Hosts int
-	// Joined reports whether this host uses its turns. It does not for a while after
+	// Active reports whether this host uses its turns. It does not for a while after
 	// its start.
-	Joined bool
+	Active bool
 	// Upstreams is the number of cold upstreams.
 	Upstreams int
 }
--- a/warmup/fleet_test.go
+++ b/warmup/fleet_test.go
@@ -17,7 +17,7 @@
 type fleetHost struct {
 	name    string
 	domain  int
-	crew    *warmup.Crew
+	hosts   *warmup.HostSet
 	servers []*warmup.Server
 	// perSecond is the rate of the requests that it receives.
 	perSecond float64
@@ -75,7 +75,7 @@
 	}
 	for _, h := range f.hosts {
 		f.start(h, func(*fleetHost) bool { return true })
-		h.crew.Join(0)
+		h.hosts.Activate(0)
 	}
 	return f
 }
@@ -84,10 +84,10 @@
 
 // start gives a host the state of a new process, which knows the given hosts.
 func (f *fleet) start(h *fleetHost, knows func(*fleetHost) bool) {
-	h.crew = warmup.NewCrew(h.name, domainName(h.domain))
+	h.hosts = warmup.NewHostSet(h.name, domainName(h.domain))
 	for _, other := range f.hosts {
 		if other != h && other.domain == h.domain && knows(other) {
-			h.crew.See(f.now, other.name)
+			h.hosts.Add(f.now, other.name)
 		}
 	}
 	h.servers = nil
@@ -143,9 +143,9 @@
 	for i := range f.servers {
 		n := (first + i) % len(f.servers)
 		server, state := f.servers[n], h.servers[n]
-		reused := f.reuseReports && state.Permits(f.now, f.reportAge, f.limit, h.crew)
+		reused := f.reuseReports && state.Permits(f.now, f.reportAge, f.limit, h.hosts)
 		if !reused {
-			if !state.MayAsk(f.now, f.limit, h.crew) {
+			if !state.MayAsk(f.now, f.limit, h.hosts) {
 				continue
 			}
 			askedAt := f.now - f.delay()
@@ -154,8 +154,8 @@
 			}
 			state.Report(f.now, server.left(askedAt), true)
 		}
-		if state.Permits(f.now, f.reportAge, f.limit, h.crew) {
-			state.Take(f.now, f.limit, h.crew)
+		if state.Permits(f.now, f.reportAge, f.limit, h.hosts) {
+			state.Take(f.now, f.limit, h.hosts)
 			server.arrivals = append(server.arrivals, f.now+f.delay())
 			return
 		}
@@ -262,9 +262,9 @@
 			for _, h := range f.hosts {
 				f.start(h, func(*fleetHost) bool { return f.random.Intn(10) > 0 })
 				for i := range 2 {
-					h.crew.See(f.now, fmt.Sprintf("gone-%d", (i+f.random.Intn(9))%10))
+					h.hosts.Add(f.now, fmt.Sprintf("gone-%d", (i+f.random.Intn(9))%10))
 				}
-				h.crew.Join(0)
+				h.hosts.Activate(0)
 			}
 			f.distribute(10_000)
 			f.turnCold(warmTime)
@@ -286,7 +286,7 @@
 				f.start(h, func(other *fleetHost) bool {
 					return i/fleetDomains%2 == slices.Index(f.hosts, other)/fleetDomains%2
 				})
-				h.crew.Join(0)
+				h.hosts.Activate(0)
 			}
 			f.distribute(10_000)
 			f.turnCold(warmTime)
--- a/warmup/crew.go
+++ b/warmup/hostset.go
@@ -19,16 +19,16 @@
 	maxRemembered = 4096
 )
 
-// Crew is the set of hosts of one failure domain that share the turns of cold
+// HostSet is the set of hosts of one failure domain that share the turns of cold
 // servers. As long as each host that uses turns knows all others that do, no turn is
 // used twice; hosts that are only remembered cost the turns that fall to them.
-type Crew struct {
+type HostSet struct {
 	self   string
 	domain uint64
 	seen   map[string]time.Duration
-	// rivals holds the hashes of the other hosts among which turns are
+	// others holds the hashes of the other hosts among which turns are
 	// distributed. It is valid if sorted is set.
-	rivals []uint64
+	others []uint64
 	sorted bool
 	member bool
 	own    uint64
@@ -36,107 +36,107 @@
 	version int
 	// oldest is the least of the instants in seen, or an earlier one.
 	oldest time.Duration
-	// since is the instant from which this host uses turns, if takes is set.
-	since time.Duration
-	takes bool
+	// since is the instant from which this host uses turns, if active is set.
+	since  time.Duration
+	active bool
 }
 
-// NewCrew returns a crew of this host alone, which uses no turns until Join.
-func NewCrew(self, domain string) *Crew {
-	return &Crew{self: self, domain: xxhash.Sum64String(domain), own: xxhash.Sum64String(self), seen: make(map[string]time.Duration)}
+// NewHostSet returns a set of this host alone, which uses no turns until Activate.
+func NewHostSet(self, domain string) *HostSet {
+	return &HostSet{self: self, domain: xxhash.Sum64String(domain), own: xxhash.Sum64String(self), seen: make(map[string]time.Duration)}
 }
 
-// Join lets this host use the turns that begin from now on. It must know the other
+// Activate lets this host use the turns that begin from now on. It must know the other
 // hosts by then. Turns that begin earlier are left out: before a restart, this host
 // may have used them.
-func (c *Crew) Join(now time.Duration) {
-	if !c.takes {
-		c.takes, c.since = true, now
-		c.version++
+func (h *HostSet) Activate(now time.Duration) {
+	if !h.active {
+		h.active, h.since = true, now
+		h.version++
 	}
 }
 
-// Joined reports whether this host uses turns.
-func (c *Crew) Joined() bool { return c.takes }
+// Active reports whether this host uses turns.
+func (h *HostSet) Active() bool { return h.active }
 
 // Size returns the number of known hosts, this one included.
-func (c *Crew) Size() int { return len(c.seen) + 1 }
+func (h *HostSet) Size() int { return len(h.seen) + 1 }
 
-// See records that a host of the failure domain is known at the given instant.
-func (c *Crew) See(now time.Duration, name string) {
-	if name == c.self {
+// Add records that a host of the failure domain is known at the given instant.
+func (h *HostSet) Add(now time.Duration, name string) {
+	if name == h.self {
 		return
 	}
-	_, known := c.seen[name]
-	if !known && len(c.seen) >= maxRemembered {
+	_, known := h.seen[name]
+	if !known && len(h.seen) >= maxRemembered {
 		return
 	}
-	if len(c.seen) == 0 {
-		c.oldest = now
+	if len(h.seen) == 0 {
+		h.oldest = now
 	}
-	c.seen[name] = now
+	h.seen[name] = now
 	if !known {
-		c.changed()
+		h.changed()
 	}
 }
 
 // Expire forgets the hosts that were not seen for hostMemory.
-func (c *Crew) Expire(now time.Duration) {
-	if len(c.seen) == 0 || now-c.oldest < hostMemory {
+func (h *HostSet) Expire(now time.Duration) {
+	if len(h.seen) == 0 || now-h.oldest < hostMemory {
 		return
 	}
-	c.oldest = now
-	for name, at := range c.seen {
+	h.oldest = now
+	for name, at := range h.seen {
 		if now-at >= hostMemory {
-			delete(c.seen, name)
-			c.changed()
+			delete(h.seen, name)
+			h.changed()
 			continue
 		}
-		c.oldest = min(c.oldest, at)
+		h.oldest = min(h.oldest, at)
 	}
 }
 
-func (c *Crew) changed() {
-	c.sorted = false
-	c.version++
+func (h *HostSet) changed() {
+	h.sorted = false
+	h.version++
 }
 
-// selectRivals selects the other hosts among which turns are distributed, and
+// selectOthers selects the other hosts among which turns are distributed, and
 // whether this host is one of them.
-func (c *Crew) selectRivals() {
-	if c.sorted {
+func (h *HostSet) selectOthers() {
+	if h.sorted {
 		return
 	}
-	names := make([]string, 0, len(c.seen))
-	for name := range c.seen {
+	names := make([]string, 0, len(h.seen))
+	for name := range h.seen {
 		names = append(names, name)
 	}
 	slices.SortFunc(names, strings.Compare)
-	position, _ := slices.BinarySearch(names, c.self)
-	c.member = position < maxHosts
+	position, _ := slices.BinarySearch(names, h.self)
+	h.member = position < maxHosts
 	names = names[:min(len(names), maxHosts-1)]
-	c.rivals = c.rivals[:0]
+	h.others = h.others[:0]
 	for _, name := range names {
-		c.rivals = append(c.rivals, xxhash.Sum64String(name))
+		h.others = append(h.others, xxhash.Sum64String(name))
 	}
-	c.sorted = true
+	h.sorted = true
 }
 
 // owns reports whether a turn falls to this host: to its failure domain among those
 // that share the turns of the server, and to it among the hosts of the domain.
-func (c *Crew) owns(server uint64, turn int64, domains []uint64) bool {
-	if !c.shares(domains) {
+func (h *HostSet) owns(server uint64, turn int64, domains []uint64) bool {
+	if !h.shares(domains) {
 		return false
 	}
 	key := mix(server + uint64(turn))
-	return first(key, c.domain, domains) && first(key, c.own, c.rivals)
+	return first(key, h.domain, domains) && first(key, h.own, h.others)
 }
 
 // shares reports whether this host uses turns of servers whose turns are shared by
 // the hosts of the given failure domains.
-func (c *Crew) shares(domains []uint64) bool {
-	c.selectRivals()
-	return c.takes && c.member && slices.Contains(domains, c.domain)
+func (h *HostSet) shares(domains []uint64) bool {
+	h.selectOthers()
+	return h.active && h.member && slices.Contains(domains, h.domain)
 }
 
 // first reports whether candidate ranks before all others for a key.
--- a/warmup/property_test.go
+++ b/warmup/property_test.go
@@ -18,7 +18,7 @@
 	names []string
 	// gone are names that some hosts remember.
 	gone     []string
-	crews    []*warmup.Crew
+	sets     []*warmup.HostSet
 	servers  []*warmup.Server
 	now      time.Duration
 	warmAt   time.Duration
@@ -41,11 +41,11 @@
 	for i := range 5 {
 		s.gone = append(s.gone, fmt.Sprintf("gone-%d", i))
 	}
-	s.crews = make([]*warmup.Crew, len(s.names))
+	s.sets = make([]*warmup.HostSet, len(s.names))
 	s.servers = make([]*warmup.Server, len(s.names))
 	for i := range s.names {
 		s.start(t, i)
-		s.crews[i].Join(0)
+		s.sets[i].Activate(0)
 	}
 	return s
 }
@@ -53,13 +53,13 @@
 // start gives a host the state of a new process that knows all hosts and remembers
 // some that are gone.
 func (s *sharing) start(t *rapid.T, i int) {
-	s.crews[i] = warmup.NewCrew(s.names[i], "domain")
+	s.sets[i] = warmup.NewHostSet(s.names[i], "domain")
 	for _, name := range s.names {
-		s.crews[i].See(s.now, name)
+		s.sets[i].Add(s.now, name)
 	}
 	for _, name := range s.gone {
 		if rapid.Bool().Draw(t, "remembers") {
-			s.crews[i].See(s.now, name)
+			s.sets[i].Add(s.now, name)
 		}
 	}
 	s.servers[i] = warmup.NewServer("server/1", []uint64{warmup.Domain("domain")})
@@ -69,10 +69,10 @@
 func (s *sharing) send(t *rapid.T, i int) {
 	s.servers[i].Report(s.now, s.warmAt-s.now, true)
 	for range rapid.IntRange(1, 20).Draw(t, "requests") {
-		if !s.servers[i].Permits(s.now, time.Millisecond, s.limit, s.crews[i]) {
+		if !s.servers[i].Permits(s.now, time.Millisecond, s.limit, s.sets[i]) {
 			return
 		}
-		s.servers[i].Take(s.now, s.limit, s.crews[i])
+		s.servers[i].Take(s.now, s.limit, s.sets[i])
 		s.arrivals = append(s.arrivals, s.now)
 	}
 }
@@ -87,7 +87,7 @@
 				i := rapid.IntRange(0, len(s.names)-1).Draw(t, "host")
 				if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
 					s.start(t, i)
-					s.crews[i].Join(s.now)
+					s.sets[i].Activate(s.now)
 				}
 				s.send(t, i)
 				s.now += time.Duration(rapid.IntRange(0, 50).Draw(t, "pause ms")) * time.Millisecond
--- a/warmup/server.go
+++ b/warmup/server.go
@@ -40,9 +40,9 @@
 	// held are the turns of this host that have begun and are unused.
 	held []int64
 	// nextAt is the beginning of the next turn of this host, as of the given
-	// version of the crew; 0 if it is not known.
-	nextAt      time.Duration
-	crewVersion int
+	// version of the hosts; 0 if it is not known.
+	nextAt       time.Duration
+	hostsVersion int
 }
 
 // Domain returns the hash of a failure domain for NewServer.
@@ -122,34 +122,34 @@
 
 // Permits reports whether a request may be sent to the server now: it reported at
 // most reportAge ago, and it is warm or a turn of this host is open.
-func (s *Server) Permits(now, reportAge time.Duration, limit Limit, crew *Crew) bool {
+func (s *Server) Permits(now, reportAge time.Duration, limit Limit, hosts *HostSet) bool {
 	if !s.answered || now-s.answeredAt > reportAge {
 		return false
 	}
-	return s.MayAsk(now, limit, crew)
+	return s.MayAsk(now, limit, hosts)
 }
 
 // MayAsk reports whether a report of the server could permit a request. Servers for
 // which this host has no turn are not asked, so that a cold server isn't asked by
 // all hosts.
-func (s *Server) MayAsk(now time.Duration, limit Limit, crew *Crew) bool {
+func (s *Server) MayAsk(now time.Duration, limit Limit, hosts *HostSet) bool {
 	switch {
 	case s.cold && now < s.end:
-		s.advance(now, limit, crew)
+		s.advance(now, limit, hosts)
 		return len(s.held) > 0
 	case now < s.registeredEnd:
-		return !s.answered && crew.shares(s.domains)
+		return !s.answered && hosts.shares(s.domains)
 	}
 	return true
 }
 
 // Take uses the earliest open turn for a request that is sent now, if the server is
 // cold.
-func (s *Server) Take(now time.Duration, limit Limit, crew *Crew) {
+func (s *Server) Take(now time.Duration, limit Limit, hosts *HostSet) {
 	if !s.cold || now >= s.end {
 		return
 	}
-	s.advance(now, limit, crew)
+	s.advance(now, limit, hosts)
 	if len(s.held) > 0 {
 		s.held = append(s.held[:0], s.held[1:]...)
 	}
@@ -157,22 +157,22 @@
 
 // Wait returns the time until this host may send a request to the server: until its
 // next turn, or the end of the warm-up.
-func (s *Server) Wait(now time.Duration, limit Limit, crew *Crew) time.Duration {
-	if s.MayAsk(now, limit, crew) {
+func (s *Server) Wait(now time.Duration, limit Limit, hosts *HostSet) time.Duration {
+	if s.MayAsk(now, limit, hosts) {
 		return 0
 	}
 	if !s.cold || now >= s.end {
 		return s.Left(now)
 	}
-	if s.nextAt <= now || s.crewVersion != crew.version {
-		s.nextAt, s.crewVersion = s.nextTurn(now, limit, crew), crew.version
+	if s.nextAt <= now || s.hostsVersion != hosts.version {
+		s.nextAt, s.hostsVersion = s.nextTurn(now, limit, hosts), hosts.version
 	}
 	return s.nextAt - now
 }
 
 // advance adds the turns of this host that have begun, and drops those that are no
 // longer valid.
-func (s *Server) advance(now time.Duration, limit Limit, crew *Crew) {
+func (s *Server) advance(now time.Duration, limit Limit, hosts *HostSet) {
 	interval, validity := limit.interval(), limit.validity()
 	current := int64((s.end - now + interval - 1) / interval)
 	oldest := min(int64((s.end-now+validity)/interval), current+maxExamined)
@@ -180,9 +180,9 @@
 	if s.examined >= 0 {
 		last = min(last, s.examined-1)
 	}
-	since := max(s.since, crew.since)
+	since := max(s.since, hosts.since)
 	for turn := last; turn >= current; turn-- {
-		if s.end-time.Duration(turn)*interval >= since && crew.owns(s.key, turn, s.domains) {
+		if s.end-time.Duration(turn)*interval >= since && hosts.owns(s.key, turn, s.domains) {
 			s.held = append(s.held, turn)
 		}
 	}
@@ -196,14 +196,14 @@
 
 // nextTurn returns the beginning of the next turn of this host, or the end of the
 // warm-up or of the turns that are examined.
-func (s *Server) nextTurn(now time.Duration, limit Limit, crew *Crew) time.Duration {
+func (s *Server) nextTurn(now time.Duration, limit Limit, hosts *HostSet) time.Duration {
 	interval := limit.interval()
 	turn := int64((s.end - now - 1) / interval)
 	for range maxExamined {
 		if turn < 1 {
 			return s.end
 		}
-		if crew.owns(s.key, turn, s.domains) {
+		if hosts.owns(s.key, turn, s.domains) {
 			break
 		}
 		turn--
