core: explain names cold upstreams

Cause: explain said that a cold upstream could take a request while this host may send it none.

Change: state cold until the next turn or the next request. The test fails without it.

--- a/core/coldservers_test.go
+++ b/core/coldservers_test.go
@@ -316,6 +316,19 @@
 		}
 	})
 
+	// Guards against an operator who cannot see why a new upstream gets no request.
+	ginkgo.It("are named as cold in the explanation until the next request", func() {
+		r := newTestReducer(withUpstreams("a"))
+		r.configure(2, func(s *config.Service) {
+			s.ColdRate = 1
+			s.Upstreams = append(s.Upstreams[:1], upstreamNamed("new", 2))
+		})
+		explanation := firstEffect[ReportExplanation](r.step(ExplainRequested{Request: config.Request{Method: "GET", Path: "/x"}})).Explanation
+		Expect(explanation.Upstreams).To(ConsistOf(
+			And(HaveField("Name", "a"), HaveField("State", ""), HaveField("Eligible", true)),
+			And(HaveField("Name", "new"), HaveField("State", stateCold), HaveField("Eligible", false))))
+	})
+
 	ginkgo.It("get requests as before if no rate is set", func() {
 		Expect(len(starts(1, 0))).To(BeNumerically(">", 100))
 	})
--- a/core/explain.go
+++ b/core/explain.go
@@ -19,10 +19,12 @@
 func (ReportExplanation) effect() {}
 
 // States that exclude an upstream whatever the selectors allow: its host is leaving
-// and gets no new work, or the upstream is ejected and gets trial requests only.
+// and gets no new work, the upstream is ejected and gets trial requests only, or it is
+// cold and this host may send it none at the moment.
 const (
 	stateLeaving = "leaving"
 	stateEjected = "ejected"
+	stateCold    = "cold"
 )
 
 func (s *State) explain(e ExplainRequested) {
@@ -49,8 +51,14 @@
 		return ""
 	}
 	for _, state := range svc.upstreams {
-		if state.config.Name == u.Name && state.health.Ejected() {
+		if state.config.Name != u.Name {
+			continue
+		}
+		switch {
+		case state.health.Ejected():
 			return stateEjected
+		case s.coldFor(state) > 0 && s.coldWait(state) > 0:
+			return stateCold
 		}
 	}
 	return ""
