--- a/backend/dialect_test.go
+++ b/backend/dialect_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -190,3 +191,23 @@
 		Entry("from another instance", "i-8", outcome.CauseReset),
 	)
 })
+
+var _ = Describe("the warm-up that a server reports", func() {
+	// Guards against a cold server that counts as warm since its report is not read.
+	DescribeTable("is read from the response to a load query", func(header string, want outcome.WarmUpReport) {
+		s := serve(standin.RespondOnce("HTTP/1.1 200 OK\r\n" + header + "Content-Length: 0\r\n\r\n"))
+		f := newDialectFixture()
+		f.pool.Dialect.WarmUp = "X-Cold"
+		f.pool.Dialect.ParseWarmUp = func(value []byte) outcome.WarmUpReport {
+			return outcome.WarmUpReport{Known: true, Left: time.Duration(len(value))}
+		}
+		facts, _ := f.pool.Probe(GinkgoT().Context(), f.clock, core.StartProbe{
+			Address: s.Address(), StartBefore: f.clock.Now() + core.Instant(time.Minute),
+			Probe: config.Probe{Path: "/health", AnswerLimit: 1 << 10}, Connections: 1, Instance: "i-1", Reuse: true,
+		})
+		Expect(facts.WarmUp).To(Equal(want))
+	},
+		Entry("if there is one", "X-By: i-1\r\nX-Cold: 12\r\n", outcome.WarmUpReport{Known: true, Left: 2}),
+		Entry("unless there is none", "X-By: i-1\r\n", outcome.WarmUpReport{}),
+	)
+})
