--- a/cli/status.go
+++ b/cli/status.go
@@ -157,6 +157,9 @@
 		fmt.Fprintf(w, "measuring:   %d probes per minute, %d bytes so far\n", s.Measuring.PerMinute, s.Measuring.Bytes)
 	}
 	fmt.Fprintf(w, "leases:      %d slots held, %d granted to %d hosts\n", s.Leases.Held, s.Leases.Granted, s.Leases.Holders)
+	if s.Cold.Upstreams > 0 {
+		fmt.Fprintf(w, "cold:        %d upstreams, turns among %d hosts, used by this host: %v\n", s.Cold.Upstreams, s.Cold.Hosts, s.Cold.Active)
+	}
 	if err := printMembers(w, s.Members); err != nil {
 		return err
 	}
@@ -215,6 +218,8 @@
 		return "failure domain emptied"
 	case u.Ejected:
 		return "ejected"
+	case u.ColdFor > 0:
+		return "cold for " + u.ColdFor.Round(latencyPrecision).String()
 	}
 	return ""
 }
--- a/core/status.go
+++ b/core/status.go
@@ -29,6 +29,19 @@
 	Measuring MeasuringStatus
 	// EmptiedDomains are the failure domains that the operators have emptied.
 	EmptiedDomains []string
+	Cold      ColdStatus
+}
+
+// ColdStatus is the status of the limit of requests to cold backend servers.
+type ColdStatus struct {
+	// Hosts is the number of entry hosts among which the turns of cold servers are
+	// distributed as far as this host knows, itself included; 0 without a store.
+	Hosts int
+	// Active reports whether this host uses its turns. It does not for a while after
+	// its start.
+	Active bool
+	// Upstreams is the number of cold upstreams.
+	Upstreams int
 }
 
 // MemberStatus is the status of one entry host.
@@ -92,6 +105,11 @@
 	Latency time.Duration
 	// Emptied reports whether the failure domain of the upstream is emptied.
 	Emptied bool
+	// ColdFor is the remaining warm-up time during which requests are limited, and
+	// NextTurn the time until this host may send the upstream a request; both 0 for
+	// a warm upstream.
+	ColdFor  time.Duration
+	NextTurn time.Duration
 }
 
 func (s *State) status() Status {
@@ -107,6 +125,7 @@
 	}
 	status.EmptiedDomains = s.emptiedDomainNames()
 	status.Measuring = s.measuringStatus()
+	status.Cold = s.coldStatus()
 	if s.pending != nil {
 		status.Pending = s.pending.version
 		status.MissingParts = s.pending.fetcher.MissingCount()
@@ -150,7 +169,11 @@
 			Ejected: u.health.Ejected(),
 			Latency: u.health.Latency(0),
 			Emptied: u.emptied,
+			ColdFor: s.coldFor(u),
 		})
+		if last := &status.Upstreams[len(status.Upstreams)-1]; last.ColdFor > 0 {
+			last.NextTurn = s.coldWait(u)
+		}
 	}
 	return status
 }
