--- a/core/status.go
+++ b/core/status.go
@@ -29,7 +29,7 @@
 	Measuring MeasuringStatus
 	// EmptiedDomains are the failure domains that the operators have emptied.
 	EmptiedDomains []string
-	Cold      ColdStatus
+	Cold           ColdStatus
 }
 
 // ColdStatus is the status of the limit of requests to cold backend servers.
