intake: bound what callers hold of memory and descriptors

Cause: nothing bounded what all callers together hold. Each connection took a head of 32 KiB whatever the configured limit, answers of up to hold_answers were buffered for every caller at once, sockets of callers and backend servers kept up to several megabytes for callers that do not read, and the number of connections had no bound: accept failed with EMFILE, which fasthttp takes for a permanent error, and the process ended. Change: the new setting "limits" (memory, descriptors) is rendered by the platform. Package intake derives the bounds from it, and decides over a census of the connections whose are closed: idle ones first, then slow heads, stalled answers and slow bodies. The census is an event of the reducer, the closures are an effect. Package caller admits connections up to the bound, reads no more of a head than the limit in force, and closes what the reducer names, unless it has moved on. Package backend bounds all connections and buffered answers; an answer beyond that is streamed. Package listen accepts through a shortage at each listener. Socket buffers and the heap have sizes that follow from the memory. Without "limits" only the number of connections is bounded, at 40,835.

--- a/backend/body.go
+++ b/backend/body.go
@@ -49,7 +49,7 @@
 	x.extendReadDeadline(stallTimeout)
 	n, err := b.stream.Read(p)
 	b.count(n)
-	if limit := x.command.UnsizedBytes; x.Facts.Unsized && limit > 0 && b.bytesRead > limit && err == nil {
+	if limit := x.command.UnsizedBytes; x.unsized && limit > 0 && b.bytesRead > limit && err == nil {
 		err = &MalformedError{Err: errUnsizedTooLong}
 	}
 	if err != nil {
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -36,7 +36,11 @@
 	// prefix holds the first bytes of a streamed response of unknown length, or
 	// the complete body of a buffered response.
 	prefix []byte
-	upload *upload
+	// unsized is set for a response of unknown length. held is the part of the bound for
+	// buffered answers that the exchange has taken.
+	unsized bool
+	held    int64
+	upload  *upload
 	// reused is set if the connection has carried an earlier request, and reusable
 	// if it can carry another one.
 	reused   bool
@@ -202,6 +206,15 @@
 	}
 }
 
+// TakeHeld returns the size of the part of the bound for buffered answers that the
+// exchange has taken. The caller has to return it with Pool.ReleaseHeld, once. Further
+// calls return 0.
+func (x *Exchange) TakeHeld() int64 {
+	held := x.held
+	x.held = 0
+	return held
+}
+
 // Attempt returns the ID of the attempt.
 func (x *Exchange) Attempt() core.AttemptID { return x.command.Attempt }
 
--- a/backend/export_test.go
+++ b/backend/export_test.go
@@ -23,3 +23,6 @@
 func (p *Pool) SetIdleTimes(timeout, sweepInterval time.Duration) {
 	p.idleTimeout, p.sweepInterval = timeout, sweepInterval
 }
+
+// TotalOpen returns the number of connections to all addresses.
+func (p *Pool) TotalOpen() int { return int(p.usage.open.Load()) }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -21,7 +21,10 @@
 // Pool opens connections to backend servers and keeps idle ones by address.
 type Pool struct {
 	// Dialect must not be changed once the pool is in use.
-	Dialect       Dialect
+	Dialect Dialect
+	// Bounds must not be changed once the pool is in use.
+	Bounds        Bounds
+	usage         usage
 	dialer        net.Dialer
 	idleTimeout   time.Duration
 	sweepInterval time.Duration
@@ -103,11 +106,17 @@
 	if a == nil {
 		return nil, &ConnectionLimitError{Address: address, Limit: limit}
 	}
+	if !p.takeConnection() {
+		a.release()
+		return nil, &ConnectionLimitError{Address: address, Limit: p.Bounds.Connections}
+	}
 	c, err := dial(ctx, &p.dialer, a, generation)
 	if err != nil {
 		a.release()
+		p.countClosed(1)
 		return nil, err
 	}
+	p.setBuffer(c.Conn)
 	return c, nil
 }
 
@@ -143,6 +152,7 @@
 	})
 	if evicted != nil {
 		evicted.close()
+		p.countClosed(1)
 	}
 	return reserved, generation
 }
@@ -157,6 +167,7 @@
 func (p *Pool) discard(c *connection) {
 	c.close()
 	c.addressPool.release()
+	p.countClosed(1)
 }
 
 // put returns a connection to the pool after an exchange that ended cleanly, or
@@ -194,4 +205,5 @@
 	for _, c := range idle {
 		c.close()
 	}
+	p.countClosed(len(idle))
 }
--- a/backend/response.go
+++ b/backend/response.go
@@ -133,15 +133,17 @@
 func (x *Exchange) receiveBody(stream io.Reader) error {
 	limit := x.command.HoldBytes
 	length := int64(x.response.Header.ContentLength())
-	if length > limit {
-		x.Streaming = true
-		return nil
-	}
-	if length < 0 {
+	x.unsized = length < 0
+	if x.unsized {
 		// Whether a body of unknown length fits into the buffer is only known
 		// at its end.
 		length = limit + 1
 	}
+	if !x.unsized && length > limit || !x.pool.takeHeld(length) {
+		x.Streaming = true
+		return nil
+	}
+	x.held = length
 	body, err := readUpTo(stream, length)
 	if err != nil {
 		return bodyError(err)
--- a/backend/sweep.go
+++ b/backend/sweep.go
@@ -40,6 +40,7 @@
 	for _, c := range removed {
 		c.close()
 	}
+	p.countClosed(len(removed))
 }
 
 // removeIdle removes and returns the connections that became idle before the
--- a/caller/call.go
+++ b/caller/call.go
@@ -110,6 +110,9 @@
 		x.ticket.Attach(number, e)
 	})
 	x.pendingAttempt = nil
+	if held := x.exchange.TakeHeld(); held > 0 {
+		x.conn.usage.hold(held, func() { x.server.pool.ReleaseHeld(held) })
+	}
 	if x.exchange.Streaming {
 		x.server.loop.Send(core.AnswerBegun{Attempt: command.Attempt, Facts: x.exchange.Facts})
 		return
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"wisteriapond/intake"
 )
 
 const (
@@ -19,13 +21,6 @@
 	writeStallTimeout = 10 * time.Minute
 )
 
-// listener wraps the connections that it accepts in conn.
-type listener struct {
-	net.Listener
-	// timeouts returns the timeouts of the configuration in force.
-	timeouts func() readTimeouts
-}
-
 // readTimeouts bounds the waits for bytes from a caller.
 type readTimeouts struct {
 	// idle is how long a connection may stay idle. header bounds the time from
@@ -33,16 +28,6 @@
 	idle, header time.Duration
 }
 
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	wrapped := newConn(c)
-	wrapped.timeouts = l.timeouts
-	return wrapped, nil
-}
-
 // conn detects that the caller disconnects while its request is in progress.
 // For this purpose one read stays pending, and its bytes are buffered for the
 // following reads. There is never more than one reader of the socket.
@@ -69,10 +54,35 @@
 	timeouts func() readTimeouts
 	// receivedFirst is set once the first byte of the first request was read.
 	receivedFirst bool
+
+	// gate counts the connection, nil for one that is not counted; id is its number
+	// there.
+	gate  *gate
+	id    uint64
+	usage usage
+	// headBytes returns the bytes that a request may have before its body, nil for no
+	// bound. head is guarded by mu.
+	headBytes func() int
+	head      headState
+}
+
+// headState counts the bytes of the head that is being read, and of the empty lines
+// before it.
+type headState struct {
+	// awaited is set while the next byte begins a head, and reading while further bytes
+	// belong to one, of which left more may come.
+	awaited, reading bool
+	left             int
 }
 
+// headTooLargeError reports a request whose head, with the empty lines before it, is
+// larger than the limit in force.
+type headTooLargeError struct{}
+
+func (*headTooLargeError) Error() string { return "the head of the request is too large" }
+
 func newConn(c net.Conn) *conn {
-	wrapped := &conn{Conn: c}
+	wrapped := &conn{Conn: c, head: headState{awaited: true}}
 	wrapped.readAheadDone.L = &wrapped.mu
 	if host, _, err := net.SplitHostPort(c.RemoteAddr().String()); err == nil {
 		wrapped.remoteIP = host
@@ -88,9 +98,15 @@
 		c.readAheadDone.Wait()
 	}
 	c.waitingReads--
+	p, headErr := c.boundHead(p)
+	if headErr != nil {
+		c.mu.Unlock()
+		return 0, headErr
+	}
 	if len(c.unread) > 0 {
 		n := copy(p, c.unread)
 		c.unread = c.unread[n:]
+		c.noteHead(n)
 		c.mu.Unlock()
 		return n, nil
 	}
@@ -101,7 +117,13 @@
 	}
 	c.mu.Unlock()
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.receivedFirst {
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	c.noteHead(n)
+	c.mu.Unlock()
+	if !c.receivedFirst {
 		c.receivedFirst = true
 		if c.timeouts != nil {
 			c.Conn.SetReadDeadline(time.Now().Add(c.timeouts().header))
@@ -119,8 +141,11 @@
 	}
 	timeouts, wait := c.timeouts(), time.Until(t)
 	switch {
-	case !c.receivedFirst || wait > bodyTimeout:
+	case !c.receivedFirst:
+		wait = min(wait, timeouts.idle)
+	case wait > bodyTimeout:
 		wait = min(wait, timeouts.idle)
+		c.becomeIdle()
 	case wait <= headerTimeout:
 		wait = min(wait, timeouts.header)
 	}
@@ -133,9 +158,84 @@
 	if err := c.SetWriteDeadline(time.Now().Add(writeStallTimeout)); err != nil {
 		return 0, err
 	}
+	if c.gate == nil {
+		return c.Conn.Write(p)
+	}
+	c.usage.beginWrite(c.gate.loop.Now())
+	defer c.usage.endWrite()
 	return c.Conn.Write(p)
 }
 
+// setBuffers bounds the bytes that the sockets hold for the connection. A socket that
+// keeps its own size still works, so errors are ignored.
+func (c *conn) setBuffers(b *intake.Bounds) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || b.ReceiveBuffer == 0 {
+		return
+	}
+	tcp.SetReadBuffer(b.ReceiveBuffer)
+	tcp.SetWriteBuffer(b.AnswerBuffer)
+}
+
+// becomeIdle ends the current request. The next byte begins a head.
+func (c *conn) becomeIdle() {
+	c.mu.Lock()
+	c.head = headState{awaited: true}
+	c.mu.Unlock()
+	if c.gate != nil {
+		c.usage.enterIdle(c.gate.loop.Now())
+	}
+}
+
+// boundHead shortens a read so that a head stays within its limit, and fails when the
+// head has reached it. c.mu must be held.
+func (c *conn) boundHead(p []byte) ([]byte, error) {
+	if c.headBytes == nil || !c.head.awaited && !c.head.reading {
+		return p, nil
+	}
+	if c.head.awaited {
+		c.head.left = c.headBytes()
+	}
+	if c.head.left <= 0 {
+		return nil, &headTooLargeError{}
+	}
+	return p[:min(len(p), c.head.left)], nil
+}
+
+// noteHead counts bytes that were read as those of a head, unless a request is in
+// progress. c.mu must be held.
+func (c *conn) noteHead(n int) {
+	if c.head.awaited && c.gate != nil {
+		c.usage.enter(intake.PhaseHead, c.gate.loop.Now())
+	}
+	if c.head.awaited || c.head.reading {
+		c.head = headState{reading: true, left: c.head.left - n}
+	}
+}
+
+// endHead ends the count of a head.
+func (c *conn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head = headState{}
+}
+
+// beginRequest ends the head of a request. It reports false if the connection was cut,
+// and the request must not run.
+func (c *conn) beginRequest() bool {
+	c.endHead()
+	return c.gate == nil || c.usage.enter(intake.PhaseRequest, c.gate.loop.Now())
+}
+
+// closeNow closes the socket without waiting for anything. The goroutine that serves
+// the connection notices.
+func (c *conn) closeNow(reset bool) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok && reset {
+		tcp.SetLinger(0)
+	}
+	c.Conn.Close()
+}
+
 // watchDisconnect calls onDisconnect when the caller disconnects. It ends with
 // stopWatching, or earlier if bytes of the next request fill the buffer.
 func (c *conn) watchDisconnect(onDisconnect func()) {
@@ -209,6 +309,9 @@
 		c.onDisconnect = nil
 		return onDisconnect, false
 	}
+	if filled == len(c.buffer) {
+		c.usage.setSendsAhead()
+	}
 	c.readingAhead = c.onDisconnect != nil && c.waitingReads == 0 && filled < len(c.buffer)
 	return nil, c.readingAhead
 }
@@ -243,6 +346,11 @@
 	linger, reset := c.linger, c.reset
 	c.linger = false
 	c.mu.Unlock()
+	c.endHead()
+	if c.gate != nil {
+		c.usage.endRequest()
+		defer c.gate.remove(c)
+	}
 	tcp, ok := c.Conn.(*net.TCPConn)
 	switch {
 	case ok && reset:
--- a/caller/errorresponse.go
+++ b/caller/errorresponse.go
@@ -85,9 +85,10 @@
 		return
 	}
 	var large *fasthttp.ErrSmallBuffer
+	var beyond *headTooLargeError
 	status, reason := fasthttp.StatusBadRequest, outcome.RefusedMalformed
 	switch {
-	case errors.As(err, &large):
+	case errors.As(err, &large), errors.As(err, &beyond):
 		status, reason = fasthttp.StatusRequestHeaderFieldsTooLarge, outcome.RefusedTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		status, reason = fasthttp.StatusRequestEntityTooLarge, outcome.RefusedTooLarge
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -53,6 +53,7 @@
 		loop.Send(core.AnswerDelivered{Attempt: attempt, Whole: complete, Facts: facts})
 	})
 	x.streaming = true
+	c.usage.setStreaming()
 	length := max(-1, x.exchange.ContentLength())
 	if length < 0 && !x.ctx.Request.Header.IsHTTP11() {
 		x.forwardUntilClose(body)
--- a/caller/release_test.go
+++ b/caller/release_test.go
@@ -15,6 +15,7 @@
 	"wisteriapond/backend"
 	"wisteriapond/config"
 	"wisteriapond/core"
+	"wisteriapond/intake"
 	"wisteriapond/runtime"
 	"wisteriapond/standin"
 )
@@ -89,7 +90,7 @@
 			t.Fatal("loop is not ready after 20 s")
 		}
 	}
-	return NewServer(loop, backend.NewPool(), &log.Logger{Handler: discard.New()})
+	return NewServer(loop, backend.NewPool(), intake.BoundsOf(intake.Limits{}), &log.Logger{Handler: discard.New()})
 }
 
 // serveLongResponse starts a backend server whose responses are too long to be
--- a/caller/request.go
+++ b/caller/request.go
@@ -149,6 +149,7 @@
 	if err != nil {
 		return &RequestError{Reason: "the request body broke off", Err: err}
 	}
+	c.usage.hold(int64(len(buffered)), nil)
 	if len(buffered) > maxBufferedBodyBytes {
 		return streamBody(r, c, io.MultiReader(bytes.NewReader(buffered), stream), -1)
 	}
@@ -165,12 +166,32 @@
 		_, err := io.ReadFull(stream, buffered)
 		return buffered, err
 	}
-	var buffered bytes.Buffer
-	_, err := buffered.ReadFrom(io.LimitReader(stream, maxBufferedBodyBytes+1))
-	return buffered.Bytes(), err
+	return readAtMost(stream, maxBufferedBodyBytes+1)
+}
+
+// readAtMost reads until the end or until it has read limit bytes. Its buffer never
+// exceeds limit: that of bytes.Buffer may be twice as large, for each caller that sends
+// a body.
+func readAtMost(stream io.Reader, limit int) ([]byte, error) {
+	buffered := make([]byte, 0, min(limit, firstBodyBufferBytes))
+	for len(buffered) < limit {
+		if len(buffered) == cap(buffered) {
+			buffered = append(make([]byte, 0, min(limit, 2*cap(buffered))), buffered...)
+		}
+		n, err := stream.Read(buffered[len(buffered):cap(buffered)])
+		buffered = buffered[:len(buffered)+n]
+		if err == io.EOF {
+			return buffered, nil
+		}
+		if err != nil {
+			return buffered, err
+		}
+	}
+	return buffered, nil
 }
 
 func streamBody(r *backend.Request, c *conn, stream io.Reader, length int64) error {
+	c.usage.setUploading(true)
 	r.Header.SetContentLength(int(length))
 	r.Stream = &bodyStream{Reader: stream, conn: c}
 	r.Length = length
@@ -192,6 +213,7 @@
 	n, err := b.Reader.Read(p)
 	if err == io.EOF && !b.ended {
 		b.ended = true
+		b.conn.usage.setUploading(false)
 		b.conn.resumeWatching()
 	}
 	return n, err
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriapond/backend"
+	"wisteriapond/intake"
 	"wisteriapond/outcome"
 	"wisteriapond/runtime"
 )
@@ -20,9 +21,14 @@
 	// maxBufferedBodyBytes is the size up to which a request body is buffered
 	// for a further attempt.
 	maxBufferedBodyBytes = 64 << 10
+	// firstBodyBufferBytes is the first size of the buffer for a body of unknown length.
+	firstBodyBufferBytes = 4 << 10
 	// maxHeaderBytes bounds the header section of a request. The configuration may
 	// set a lower limit.
 	maxHeaderBytes = 32 << 10
+	// requestLineBytes is the room for a request line, which the configured limit on the
+	// header section does not count.
+	requestLineBytes = 8 << 10
 	// writeBufferBytes bounds the buffered part of a response.
 	writeBufferBytes = 16 << 10
 	// idleTimeout bounds the time that a connection stays idle unless the
@@ -43,6 +49,7 @@
 	pool *backend.Pool
 	log  log.Interface
 	http *fasthttp.Server
+	gate *gate
 	// ObserveLatency, if set, is called with the latency of each request.
 	ObserveLatency func(service, outcome string, took time.Duration)
 	// ObserveRefusal, if set, is called for each refusal that did not pass
@@ -50,9 +57,10 @@
 	ObserveRefusal func(reason outcome.Refusal)
 }
 
-// NewServer returns a server that submits requests to the loop.
-func NewServer(loop *runtime.Loop, pool *backend.Pool, logger log.Interface) *Server {
-	s := &Server{loop: loop, pool: pool, log: logger}
+// NewServer returns a server that submits requests to the loop, and whose callers hold
+// no more than the bounds allow.
+func NewServer(loop *runtime.Loop, pool *backend.Pool, bounds intake.Bounds, logger log.Interface) *Server {
+	s := &Server{loop: loop, pool: pool, log: logger, gate: newGate(loop, bounds)}
 	s.http = &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.refuseUnreadable,
@@ -75,7 +83,24 @@
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	return s.http.Serve(listener{l, s.readTimeouts})
+	go s.gate.watch()
+	return s.http.Serve(listener{Listener: l, gate: s.gate, timeouts: s.readTimeouts, headBytes: s.headBytes})
+}
+
+// CloseConnections closes connections as the reducer decided. It does not block.
+func (s *Server) CloseConnections(closures []intake.Closure) { s.gate.carryOut(closures) }
+
+// ReportServersFull reports that a connection to a backend server could not be opened
+// for lack of room. Answers that nobody reads may be what takes it.
+func (s *Server) ReportServersFull() { s.gate.reportServersFull() }
+
+// headBytes returns the bytes that a request may have before its body: the limit on its
+// header section in force, and room for the request line and a few empty lines.
+func (s *Server) headBytes() int {
+	if limit := s.loop.View().Limits.HeaderBytes; limit > 0 {
+		return min(limit+requestLineBytes, maxHeaderBytes)
+	}
+	return maxHeaderBytes
 }
 
 // bodyReadConfig gives a request more time for its body than for its header.
@@ -119,6 +144,10 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	c := ctx.Conn().(*conn)
+	if !c.beginRequest() {
+		ctx.SetConnectionClose()
+		return
+	}
 	x := &call{server: s, ctx: ctx, conn: c, startedAt: s.loop.Now()}
 	defer x.finish()
 	defer x.recoverPanic()
--- a/caller/suite_test.go
+++ b/caller/suite_test.go
@@ -20,6 +20,7 @@
 	"wisteriapond/caller"
 	"wisteriapond/config"
 	"wisteriapond/core"
+	"wisteriapond/intake"
 	"wisteriapond/outcome"
 	"wisteriapond/runtime"
 	"wisteriapond/standin"
@@ -89,7 +90,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	sys := &system{address: l.Addr().String(), pool: backend.NewPool(), ended: make(chan struct{}), refused: make(chan outcome.Refusal, 16)}
 	sys.loop = runtime.NewLoop(&stopHandler{stopAccepting: func() { l.Close() }})
-	server := caller.NewServer(sys.loop, sys.pool, &log.Logger{Handler: discard.New()})
+	server := caller.NewServer(sys.loop, sys.pool, intake.BoundsOf(intake.Limits{}), &log.Logger{Handler: discard.New()})
 	server.ObserveRefusal = func(reason outcome.Refusal) { sys.refused <- reason }
 	sys.loop.Send(core.Start{Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a", Seed: 1})
 	hash := config.Hash(strings.Repeat("a", 64))
--- /dev/null
+++ b/caller/usage_test.go
@@ -0,0 +1,139 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/core"
+	"wisteriapond/intake"
+	"wisteriapond/runtime"
+)
+
+// nothing carries out no effects.
+type nothing struct{}
+
+func (nothing) Handle(core.Effect) {}
+
+var _ = Describe("A counted connection", func() {
+	var loop *runtime.Loop
+	var g *gate
+	var l listener
+	var caller net.Conn
+	var c *conn
+
+	BeforeEach(func() {
+		loop = runtime.NewLoop(nothing{})
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go loop.Run(ctx)
+		bounds := intake.BoundsOf(intake.Limits{Memory: 64 << 20, Descriptors: 512})
+		bounds.Connections = 1
+		g = newGate(loop, bounds)
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		l = listener{Listener: inner, gate: g, headBytes: func() int { return 100 }}
+		DeferCleanup(func() { l.Close() })
+		caller, err = net.Dial("tcp", inner.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { caller.Close() })
+		accepted, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		c = accepted.(*conn)
+		DeferCleanup(func() { c.Close() })
+	})
+
+	closure := func(phase intake.Phase, reason intake.Reason) []intake.Closure {
+		return []intake.Closure{{ID: c.id, Phase: phase, Reason: reason}}
+	}
+
+	// Guards against a head that is read further than its limit.
+	It("reads no more of a head than the limit", func() {
+		caller.Write(make([]byte, 1000))
+		buffer := make([]byte, 400)
+		total := 0
+		var err error
+		for err == nil {
+			var n int
+			n, err = c.Read(buffer)
+			total += n
+		}
+		Expect(err).To(BeAssignableToTypeOf(&headTooLargeError{}))
+		Expect(total).To(Equal(100))
+		Expect(c.beginRequest()).To(BeTrue())
+		Expect(c.Read(buffer)).To(Equal(400))
+	})
+
+	// Guards against a request that runs although its connection was closed as idle: the
+	// caller takes it for one that was not read, and sends it again.
+	It("carries no request after it was cut", func() {
+		g.carryOut(closure(intake.PhaseFresh, intake.ReasonIdle))
+		Expect(c.beginRequest()).To(BeFalse())
+		caller.SetReadDeadline(time.Now().Add(30 * time.Second))
+		Expect(io.ReadAll(caller)).To(BeEmpty())
+	})
+
+	// Guards against a request in progress that is cut because its connection was idle
+	// when the census was taken.
+	It("is not cut once it has moved on", func() {
+		Expect(c.beginRequest()).To(BeTrue())
+		g.carryOut(closure(intake.PhaseFresh, intake.ReasonIdle))
+		g.carryOut(closure(intake.PhaseRequest, intake.ReasonStalled))
+		g.carryOut(closure(intake.PhaseRequest, intake.ReasonBody))
+		c.becomeIdle()
+		Expect(c.beginRequest()).To(BeTrue())
+	})
+
+	// Guards against an answer that looks complete though it was cut.
+	It("is reset when a stalled answer is cut", func() {
+		Expect(c.beginRequest()).To(BeTrue())
+		written := make(chan error, 1)
+		go func() {
+			_, err := c.Write(make([]byte, 64<<20))
+			written <- err
+		}()
+		Eventually(func() bool { return c.describe(loop.Now(), &g.bounds).Stalled > 0 }).Should(BeTrue())
+		g.carryOut(closure(intake.PhaseRequest, intake.ReasonStalled))
+		Eventually(written).WithTimeout(30 * time.Second).Should(Receive(HaveOccurred()))
+		caller.SetReadDeadline(time.Now().Add(30 * time.Second))
+		_, err := io.Copy(io.Discard, caller)
+		Expect(err).To(HaveOccurred())
+	})
+
+	// Guards against more connections than the bound, and against a bound that keeps
+	// callers out after a connection has ended.
+	It("makes the next one wait until there is room", func() {
+		second, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer second.Close()
+		accepted := make(chan net.Conn, 1)
+		go func() {
+			if next, err := l.Accept(); err == nil {
+				accepted <- next
+			}
+		}()
+		Eventually(func() bool { census, _ := g.census(); return census.Waiting }).WithTimeout(30 * time.Second).Should(BeTrue())
+		Expect(accepted).NotTo(Receive())
+		c.Close()
+		var next net.Conn
+		Eventually(accepted).WithTimeout(30 * time.Second).Should(Receive(&next))
+		next.Close()
+	})
+
+	// Guards against bytes of an answer that count after it was written, so that later
+	// answers are no longer buffered.
+	It("holds nothing once its request has ended", func() {
+		released := 0
+		Expect(c.beginRequest()).To(BeTrue())
+		c.usage.hold(1000, func() { released += 1000 })
+		c.usage.hold(500, nil)
+		Expect(c.describe(loop.Now(), &g.bounds).Bytes).To(BeEquivalentTo(intake.ConnectionBytes + 1500))
+		c.becomeIdle()
+		Expect(c.describe(loop.Now(), &g.bounds).Bytes).To(BeEquivalentTo(intake.ConnectionBytes))
+		Expect(released).To(Equal(1000))
+	})
+})
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -5,9 +5,11 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"wisteriapond/entryhost"
+	"wisteriapond/intake"
 	"wisteriapond/settings"
 )
 
@@ -34,6 +36,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(s)
 	logs := newLogQueue(stdout)
 	defer logs.Close()
 	host, err := entryhost.New(s, newLogger(logs))
@@ -49,6 +52,16 @@
 	return host.Run(context.WithoutCancel(ctx))
 }
 
+// limitHeap makes the collector run more often as the heap approaches its part of the
+// memory. Otherwise the garbage of a crowd of callers may exceed the limit while little
+// of the heap is in use. A limit in the environment applies instead.
+func limitHeap(s *settings.Settings) {
+	heap := intake.BoundsOf(s.Limits.Intake()).Heap
+	if _, set := os.LookupEnv("GOMEMLIMIT"); heap > 0 && !set {
+		debug.SetMemoryLimit(heap)
+	}
+}
+
 // onSIGHUP calls reload on each SIGHUP until the returned function is called.
 func onSIGHUP(reload func()) (stop func()) {
 	signals := make(chan os.Signal, 1)
--- a/core/counter.go
+++ b/core/counter.go
@@ -73,6 +73,11 @@
 	CounterLogEntriesOmitted Counter = "request_lines_left_out_total"
 	// CounterPanics counts panics of the reducer from which the process recovered.
 	CounterPanics Counter = "panics_total"
+	// CounterShortages counts decisions while something was short (kind).
+	CounterShortages Counter = "shortages_total"
+	// CounterCallersClosed counts connections from callers closed for a shortage
+	// (reason).
+	CounterCallersClosed Counter = "callers_closed_total"
 	// CounterPauses counts pauses of the process.
 	CounterPauses Counter = "pauses_total"
 )
--- a/core/event.go
+++ b/core/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriapond/config"
+	"wisteriapond/intake"
 	"wisteriapond/outcome"
 )
 
@@ -50,6 +51,8 @@
 	// Registry is set when routing and backend servers are read from a store,
 	// nil when they come from a configuration service and a host list.
 	Registry *RegistrySettings
+	// Limits are the limits of the process.
+	Limits intake.Limits
 }
 
 // Tick reports that time has passed. It is sent at the instants requested by
--- a/core/state.go
+++ b/core/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriapond/config"
+	"wisteriapond/intake"
 )
 
 // TickInterval is the maximum time between two Tick events.
@@ -30,6 +31,7 @@
 	early []earlyRequest
 	coordination
 	traffic
+	callers callers
 }
 
 // New returns an empty State. The first event passed to Step must be Start.
@@ -99,6 +101,10 @@
 		s.probeFinished(e)
 	case StatusRequested:
 		s.out.add(ReportStatus{ID: e.ID, Status: s.status()})
+	case CallersCounted:
+		s.callersCounted(e)
+	case DescriptorsShort:
+		s.descriptorsShort(e)
 	case ExplainRequested:
 		s.explain(e)
 	}
@@ -112,6 +118,7 @@
 func (s *State) start(e Start) {
 	s.self = e
 	s.random.state = e.Seed
+	s.callers.bounds = intake.BoundsOf(e.Limits)
 	s.startCoordination(e)
 }
 
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -18,6 +18,10 @@
 		h.metrics.Add(e.Counter, e.Label, e.Add)
 	case core.Log:
 		h.writeLog(e)
+	case core.CloseCallers:
+		h.caller.CloseConnections(e.Closures)
+	case core.CloseAllIdle:
+		h.pool.CloseAllIdle()
 	case core.CloseIdle:
 		h.pool.CloseIdle(e.Address)
 	case core.SendPeer:
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -22,7 +22,9 @@
 	"wisteriapond/configservice"
 	"wisteriapond/core"
 	"wisteriapond/eventlog"
+	"wisteriapond/intake"
 	"wisteriapond/keys"
+	"wisteriapond/listen"
 	"wisteriapond/metrics"
 	"wisteriapond/outcome"
 	"wisteriapond/peer"
@@ -114,7 +116,12 @@
 	}
 	h.loopEnded, h.endLoop = context.WithCancel(context.Background())
 	h.loop = runtime.NewLoop(h)
-	h.caller = caller.NewServer(h.loop, h.pool, h.log)
+	bounds := intake.BoundsOf(s.Limits.Intake())
+	h.caller = caller.NewServer(h.loop, h.pool, bounds, h.log)
+	h.pool.Bounds = backend.Bounds{
+		Connections: bounds.ServerConnections, HeldAnswers: bounds.HeldAnswers,
+		ReadBuffer: bounds.AnswerBuffer, OnFull: h.caller.ReportServersFull,
+	}
 	h.caller.ObserveLatency = h.metrics.ObserveRequest
 	h.caller.ObserveRefusal = func(reason outcome.Refusal) {
 		h.metrics.Add(core.CounterRefusals, string(reason), 1)
@@ -129,10 +136,10 @@
 
 func (h *Host) open() error {
 	var err error
-	if h.callerListener, err = net.Listen("tcp", h.settings.Listen); err != nil {
+	if h.callerListener, err = h.listen("callers", h.settings.Listen, intake.BoundsOf(h.settings.Limits.Intake()).ReceiveBuffer); err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	if h.adminListener, err = net.Listen("tcp", h.settings.Admin); err != nil {
+	if h.adminListener, err = h.listen("operators", h.settings.Admin, 0); err != nil {
 		return fmt.Errorf("listen for operators: %w", err)
 	}
 	if err := h.openPeers(); err != nil {
@@ -144,6 +151,15 @@
 	return h.openRecording()
 }
 
+// listen opens a listener that outlasts a shortage of descriptors.
+func (h *Host) listen(name, address string, receiveBuffer int) (net.Listener, error) {
+	l, err := listen.Open(address, receiveBuffer)
+	if err != nil {
+		return nil, err
+	}
+	return listen.Through(l, func(error) { h.loop.Send(core.DescriptorsShort{Listener: name}) }), nil
+}
+
 // close closes everything that open has opened.
 func (h *Host) close() {
 	if h.callerListener != nil {
@@ -224,6 +240,7 @@
 		HoldBytes:     int64(h.settings.ResponseBuffer),
 		UnsizedBytes:  int64(h.settings.UnsizedLimit),
 		Registry:      h.registrySettings(&h.settings.Store),
+		Limits:        h.settings.Limits.Intake(),
 	}
 	if h.peers != nil {
 		start.Address = h.PeerAddress()
--- a/entryhost/relay.go
+++ b/entryhost/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 
 	"wisteriapond/core"
 	"wisteriapond/relay"
@@ -16,7 +15,7 @@
 		return nil
 	}
 	var err error
-	if h.relayListener, err = net.Listen("tcp", h.settings.Store.Listen); err != nil {
+	if h.relayListener, err = h.listen("hosts", h.settings.Store.Listen, 0); err != nil {
 		return fmt.Errorf("listen for entry hosts: %w", err)
 	}
 	h.relayClient = relay.NewClient()
--- a/eventlog/registry.go
+++ b/eventlog/registry.go
@@ -41,6 +41,8 @@
 	{22, core.NewsAsked{}},
 	{23, core.NewsAnswered{}},
 	{24, core.SettingsChanged{}},
+	{25, core.CallersCounted{}},
+	{26, core.DescriptorsShort{}},
 }
 
 // eventType holds the tag and the codec of an event type.
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -196,6 +196,18 @@
 		"events",
 		"Events that were dropped after an internal fault. Any is a bug: report it with the log line.",
 	},
+	{
+		string(core.CounterShortages), KindCounter,
+		[]string{"kind"},
+		"decisions",
+		"Decisions while callers held too much: `caller_connections`, `server_connections` or `memory`, at most five a second; `descriptors` counts connections that could not be accepted for lack of them.",
+	},
+	{
+		string(core.CounterCallersClosed), KindCounter,
+		[]string{"reason"},
+		"connections",
+		"Connections from callers that were closed in a shortage: `idle`, `slow_head`, `stalled_answer` or `slow_body`.",
+	},
 	{
 		string(core.CounterPauses), KindCounter,
 		nil,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 
 	"wisteriapond/config"
 	"wisteriapond/document"
+	"wisteriapond/intake"
 	"wisteriapond/label"
 )
 
@@ -77,6 +78,8 @@
 	Keys Keys `json:"keys"`
 	// Record configures the recording of events.
 	Record Recording `json:"record"`
+	// Limits are the limits of the process.
+	Limits Limits `json:"limits"`
 }
 
 // Defaults returns the default settings.
@@ -89,6 +92,7 @@
 		ResponseBuffer: DefaultResponseBufferBytes,
 		UnsizedLimit:   DefaultUnsizedBytes,
 		Store:          defaultStore(),
+		Limits:         Limits{Descriptors: intake.DefaultDescriptors},
 	}
 }
 
@@ -148,6 +152,7 @@
 	}
 	s.checkPeers(source)
 	s.checkRecording(source)
+	s.checkLimits(source)
 }
 
 func checkName(source *document.Source, field, name string) {
