--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -71,8 +71,9 @@
 	}
 	raw := fmt.Appendf(nil, `{
 		"host": %q, "region": "mtl", "failure_domain": "mtl-a", "listen": %q, "admin": %q, "accept_for": "300ms", "stop_timeout": "4500ms",
+		"limits": {"descriptors": %d},
 		"store": {"address": %q, "domains": [{"name": "mtl-a", "region": "mtl"}], "listen": %q, "seeds": [%s]},
-	}`, name, h.address, h.admin, store.address(), relay, seeds)
+	}`, name, h.address, h.admin, hostDescriptors, store.address(), relay, seeds)
 	if err := os.WriteFile(h.settings, raw, 0o600); err != nil {
 		return nil, err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -85,6 +85,7 @@
 // its callers.
 type environment struct {
 	t        *testing.T
+	seed     uint64
 	random   *rand.Rand
 	store    *platformtest.Store
 	recorder *recorder
@@ -101,7 +102,7 @@
 
 func newEnvironment(t *testing.T, seed uint64) *environment {
 	e := &environment{
-		t: t, random: rand.New(rand.NewPCG(seed, seed)), store: platformtest.NewStore(), recorder: newRecorder(), stop: make(chan struct{}),
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, seed)), store: platformtest.NewStore(), recorder: newRecorder(), stop: make(chan struct{}),
 	}
 	t.Cleanup(e.close)
 	e.store.SetStaleAge(staleAge)
@@ -177,10 +178,12 @@
 	for i := range callers {
 		e.group.Go(func() { e.sendRequests(i) })
 	}
+	stopCrowds := e.startCrowds(e.seed)
 	for end := time.Now().Add(*faultDuration); time.Now().Before(end); {
 		e.injectFault()
 		time.Sleep(time.Duration(100+e.random.IntN(400)) * time.Millisecond)
 	}
+	stopCrowds()
 	e.clearFaults()
 	e.waitReady()
 	time.Sleep(settleTime)
