--- a/caller/paths_test.go
+++ b/caller/paths_test.go
@@ -20,6 +20,7 @@
 	"wisteriapond/caller"
 	"wisteriapond/config"
 	"wisteriapond/core"
+	"wisteriapond/intake"
 	"wisteriapond/runtime"
 	"wisteriapond/standin"
 )
@@ -50,7 +51,7 @@
 // the target that they received, separated by a space.
 func startRoutedSystem(t testing.TB) string {
 	loop := runtime.NewLoop(&stopHandler{stopAccepting: func() {}})
-	server := caller.NewServer(loop, backend.NewPool(), &log.Logger{Handler: discard.New()})
+	server := caller.NewServer(loop, backend.NewPool(), intake.BoundsOf(intake.Limits{}), &log.Logger{Handler: discard.New()})
 	loop.Send(core.Start{Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a", Seed: 1, Registry: &core.RegistrySettings{
 		Domains: []core.FailureDomain{{Name: "mtl-a", Region: "mtl"}},
 		NotRun:  config.NotRunForm{Header: "X-Not-Run", Value: "1"},
