core, httpserver, cli: end a process that gets signals while it starts

Cause: StopRequested was handled before Start, with a time to accept of 0, and the control loop ended at once. SIGHUP ended the process until the settings were read and the listeners open.

Before Start the reducer only remembers a stop; ticks and other events have no effect, and an arrival is refused. httpserver.Server, used for callers and other entry hosts, can be shut down at any moment. relay.Server.Close ends the polls that it holds, and waits at most 250 ms for one that arrived only in part. Signals are handled from the first statement of the command line to the exit; commands without settings stop on SIGHUP. Before main begins, signals keep their default action.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -63,3 +64,15 @@
 	Entry("serves no profiles by default", source{}, admin.Options{}, "/debug/pprof/", 404, ""),
 	Entry("serves profiles if enabled", source{}, admin.Options{Profiling: true}, "/debug/pprof/", 200, "goroutine"),
 )
+
+// Guards against a host that is stopped while it starts, and whose admin listener then
+// stays open.
+var _ = It("an admin server that is closed before it serves closes its listener", func() {
+	server := admin.NewServer(source{}, metrics.New(), admin.Options{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	Expect(server.Close()).To(Succeed())
+	Expect(server.Serve(l)).To(Succeed())
+	_, err = net.Dial("tcp", l.Addr().String())
+	Expect(err).To(HaveOccurred())
+})
--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriapond/backend"
+	"wisteriapond/httpserver"
 	"wisteriapond/outcome"
 	"wisteriapond/runtime"
 )
@@ -42,7 +43,7 @@
 	loop *runtime.Loop
 	pool *backend.Pool
 	log  log.Interface
-	http *fasthttp.Server
+	http *httpserver.Server
 	// ObserveLatency, if set, is called with the latency of each request.
 	ObserveLatency func(service, outcome string, took time.Duration)
 	// ObserveRefusal, if set, is called for each refusal that did not pass
@@ -53,7 +54,7 @@
 // NewServer returns a server that submits requests to the loop.
 func NewServer(loop *runtime.Loop, pool *backend.Pool, logger log.Interface) *Server {
 	s := &Server{loop: loop, pool: pool, log: logger}
-	s.http = &fasthttp.Server{
+	s.http = httpserver.New(&fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.refuseUnreadable,
 		Logger:                       libraryLog{logger},
@@ -69,11 +70,12 @@
 		CloseOnShutdown:              true,
 		SecureErrorLogMessage:        true,
 		LazyRequestTime:              true,
-	}
+	})
 	return s
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until Shutdown, which may come first, or until the
+// listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	return s.http.Serve(listener{l, s.readTimeouts})
 }
@@ -99,7 +101,7 @@
 // Shutdown closes the listener and idle connections. It waits until every
 // response in progress is written or ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.ShutdownWithContext(ctx)
+	return s.http.Shutdown(ctx)
 }
 
 // libraryLog forwards log messages of fasthttp.
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -7,8 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"github.com/alecthomas/kong"
 	"github.com/willabides/kongplete"
@@ -24,6 +22,9 @@
 	exitRefused = 2
 )
 
+// serveName is the name of serveCommand, the only command that reloads settings.
+const serveName = "serve"
+
 type commands struct {
 	Serve   serveCommand   `cmd:"" help:"Run an entry host."`
 	Check   checkCommand   `cmd:"" help:"Check settings and published configurations."`
@@ -39,8 +40,21 @@
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Install completions for the user's shell."`
 }
 
-// Run parses the command line, runs the command and returns the exit status.
+// Main is Run for the main function. It handles signals until the process exits, so
+// that a further signal does not change the status of a stop that is complete.
+func Main(args []string, stdout, stderr io.Writer) int {
+	return run(handleSignals(), args, stdout, stderr)
+}
+
+// Run parses the command line, runs the command and returns the exit status. It
+// handles signals until it returns.
 func Run(args []string, stdout, stderr io.Writer) int {
+	s := handleSignals()
+	defer s.release()
+	return run(s, args, stdout, stderr)
+}
+
+func run(s *signals, args []string, stdout, stderr io.Writer) int {
 	parser, err := newParser(stdout, stderr)
 	if err != nil {
 		fmt.Fprintln(stderr, err)
@@ -48,14 +62,17 @@
 	}
 	// Complete exits the process if the shell requests completions.
 	kongplete.Complete(parser)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
 	parsed, err := parser.Parse(args)
 	if err != nil {
 		parser.Errorf("%s", err)
 		return exitRefused
 	}
+	ctx := s.stop
+	if parsed.Command() != serveName {
+		ctx = s.stopOnHangup()
+	}
 	parsed.BindTo(ctx, (*context.Context)(nil))
+	parsed.Bind(s.hangups)
 	if err := parsed.Run(); err != nil {
 		fmt.Fprintln(stderr, err)
 		return exitStatus(err)
--- a/cli/demo_internal_test.go
+++ b/cli/demo_internal_test.go
@@ -173,3 +173,19 @@
 		}).WithTimeout(demoWaitTimeout).Should(HaveOccurred())
 	})
 })
+
+// Guards against a demo that never ends when it is interrupted while it starts.
+var _ = It("a demo that is interrupted while it starts ends", func() {
+	for range 10 {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			if d, err := startDemo(ctx, 0, io.Discard); err == nil {
+				d.wait()
+			}
+		}()
+		Eventually(ended).WithTimeout(demoWaitTimeout).Should(BeClosed())
+	}
+})
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"wisteriapond/entryhost"
 	"wisteriapond/settings"
@@ -29,7 +26,7 @@
 }
 
 // Run serves requests until SIGTERM or an interrupt, which starts a planned stop.
-func (c *serveCommand) Run(ctx context.Context, stdout io.Writer) error {
+func (c *serveCommand) Run(ctx context.Context, hangups hangups, stdout io.Writer) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -42,30 +39,9 @@
 	}
 	context.AfterFunc(ctx, host.Stop)
 	host.WatchSettings(c.Settings)
-	defer onSIGHUP(func() {
+	defer hangups.reload(func() {
 		host.ReloadKeys()
 		host.ReloadSettings()
 	})()
 	return host.Run(context.WithoutCancel(ctx))
 }
-
-// onSIGHUP calls reload on each SIGHUP until the returned function is called.
-func onSIGHUP(reload func()) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	done := make(chan struct{})
-	signal.Notify(signals, syscall.SIGHUP)
-	go func() {
-		for {
-			select {
-			case <-signals:
-				reload()
-			case <-done:
-				return
-			}
-		}
-	}()
-	return func() {
-		signal.Stop(signals)
-		close(done)
-	}
-}
--- a/cmd/wisteriapond/main.go
+++ b/cmd/wisteriapond/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cli.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/core/state.go
+++ b/core/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriapond/config"
+	"wisteriapond/outcome"
 )
 
 // TickInterval is the maximum time between two Tick events.
@@ -28,11 +29,14 @@
 	requestLog requestLogLimits
 	// early holds the requests that wait for the first configuration.
 	early []earlyRequest
+	// started is set by the event Start.
+	started bool
 	coordination
 	traffic
 }
 
-// New returns an empty State. The first event passed to Step must be Start.
+// New returns an empty State. Start gives it its settings; before Start, the only
+// event that has a lasting effect is StopRequested.
 func New() *State {
 	s := &State{
 		services: make(map[string]*service),
@@ -51,10 +55,13 @@
 func (s *State) Step(at Instant, event Event, out *Effects) {
 	s.now = max(s.now, at)
 	s.out = out
+	if !s.started {
+		s.stepBeforeStart(event)
+		s.out = nil
+		return
+	}
 	s.detectPause()
 	switch e := event.(type) {
-	case Start:
-		s.start(e)
 	case SettingsChanged:
 		s.settingsChanged(e)
 	case StoreListed:
@@ -109,10 +116,29 @@
 	s.out = nil
 }
 
+// stepBeforeStart applies an event before the settings are known. A signal may come
+// while the process starts, and a tick may be due when it takes long.
+func (s *State) stepBeforeStart(event Event) {
+	switch e := event.(type) {
+	case Start:
+		s.start(e)
+	case StopRequested:
+		s.stop.requested = true
+	case RequestArrived:
+		s.sendRefusal(Refuse{Request: e.ID, Reason: outcome.RefusedNotReady})
+	}
+}
+
 func (s *State) start(e Start) {
+	s.started = true
 	s.self = e
 	s.random.state = e.Seed
+	s.detectPause()
 	s.startCoordination(e)
+	if s.stop.requested {
+		s.beginStop()
+	}
+	s.finishStep(e)
 }
 
 func (s *State) tick() {
--- a/core/stop.go
+++ b/core/stop.go
@@ -26,6 +26,12 @@
 		return
 	}
 	s.stop.requested = true
+	s.beginStop()
+}
+
+// beginStop begins the planned stop that was requested, which may have been before
+// Start.
+func (s *State) beginStop() {
 	s.stop.acceptUntil = s.now.Add(s.self.AcceptFor)
 	s.updateReady()
 	s.publishView()
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"wisteriapond/config"
 	"wisteriapond/outcome"
@@ -18,10 +19,7 @@
 // newStopTestReducer returns a reducer with one server for orders.
 func newStopTestReducer() *storeTestReducer {
 	r := &storeTestReducer{testReducer: &testReducer{state: New()}}
-	r.step(Start{
-		Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a", Seed: 1, Registry: registrySettings(),
-		AcceptFor: testAcceptFor, StopTimeout: testStopTimeout,
-	})
+	r.step(stopStart())
 	routes := routing(1)
 	for i := range routes.Routes {
 		routes.Routes[i].Timeout = time.Minute
@@ -30,6 +28,14 @@
 	return r
 }
 
+// stopStart returns the Start event of these specs.
+func stopStart() Start {
+	return Start{
+		Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a", Seed: 1, Registry: registrySettings(),
+		AcceptFor: testAcceptFor, StopTimeout: testStopTimeout,
+	}
+}
+
 // arriveWithin delivers an order whose caller waits for the given time, and starts it
 // without a load report if it is admitted.
 func (r *storeTestReducer) arriveWithin(budget time.Duration) []Effect {
@@ -56,6 +62,92 @@
 		Expect(firstEffect[Refuse](effects).RetryAfter).To(And(BeNumerically(">", 0), BeNumerically("<=", maxStopRetryAfter+time.Millisecond)))
 	})
 
+	// Guards against a signal that comes while the process starts, and ends the control
+	// loop before the servers that it has to close have begun to serve: the stop was
+	// handled with a time to accept of 0.
+	ginkgo.It("that is requested before Start lasts as long as any other", func() {
+		r := &storeTestReducer{testReducer: &testReducer{state: New()}}
+		Expect(r.step(StopRequested{})).To(BeEmpty())
+		Expect(r.advance(TickInterval)).To(BeEmpty())
+		started := r.step(stopStart())
+		Expect(count[Exit](started)).To(BeZero())
+		Expect(count[ListStore](started)).To(Equal(1))
+		Expect(count[Log](started)).To(Equal(1))
+		effects := r.list(routing(1), storeServer("w", "write", "mtl-a"))
+		Expect(count[SetReady](effects)).To(BeZero())
+		effects = r.advance(testAcceptFor - 1)
+		Expect(count[StopAccepting](effects) + count[Exit](effects)).To(BeZero())
+		effects = r.advance(1)
+		Expect(count[StopAccepting](effects)).To(Equal(1))
+		Expect(count[Exit](effects)).To(Equal(1))
+	})
+
+	// Guards against orders of the first events in which a stop is lost, comes too early,
+	// or has effects before the settings are known.
+	ginkgo.It("ends once, whatever the order of the first events", func() {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			r := &storeTestReducer{testReducer: &testReducer{state: New()}}
+			var effects []Effect
+			started, stopped, exitFrom := false, false, Instant(0)
+			step := func(event Event) {
+				added := r.step(event)
+				if !started && count[Refuse](added)+count[Count](added) != len(added) {
+					t.Fatalf("%T before Start has the effects %+v", event, added)
+				}
+				effects = append(effects, added...)
+			}
+			stop := func() {
+				step(StopRequested{})
+				if !stopped && started {
+					exitFrom = r.now.Add(testAcceptFor)
+				}
+				stopped = true
+			}
+			start := func() {
+				started = true
+				step(stopStart())
+				exitFrom = r.now.Add(testAcceptFor)
+			}
+			// Each round ends one acceptance time after Start at the latest.
+			for range rapid.IntRange(0, 12).Draw(t, "events") {
+				r.now = r.now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "ms")) * time.Millisecond)
+				switch rapid.SampledFrom([]string{"start", "stop", "tick", "settings", "arrival", "listing"}).Draw(t, "event") {
+				case "start":
+					if !started {
+						start()
+					}
+				case "stop":
+					stop()
+				case "tick":
+					step(Tick{})
+				case "settings":
+					step(SettingsChanged{Registry: registrySettings()})
+				case "arrival":
+					r.lastID++
+					step(RequestArrived{ID: r.lastID, Timeout: time.Second, Request: config.Request{Method: "POST", Host: "h", Path: "/order/x"}})
+				case "listing":
+					if started {
+						effects = append(effects, r.list(routing(1))...)
+					}
+				}
+			}
+			if !started {
+				start()
+			}
+			if !stopped {
+				stop()
+			}
+			if count[Exit](effects) > 0 {
+				t.Fatalf("the process ends before the time to accept is over")
+			}
+			r.now = exitFrom
+			step(Tick{})
+			if n := count[Exit](effects); n != 1 {
+				t.Fatalf("%d ends of the process, want 1", n)
+			}
+		})
+	})
+
 	// Guards against orders that arrive late in the stop, on connections that were open
 	// before, and are cut off by the end of the process.
 	ginkgo.DescribeTable("admits a late order only if it ends before the process does",
--- a/entryhost/effects.go
+++ b/entryhost/effects.go
@@ -1,8 +1,6 @@
 package entryhost
 
 import (
-	"errors"
-	"net"
 	"time"
 
 	"github.com/apex/log"
@@ -73,9 +71,3 @@
 		entry.Info(e.Message)
 	}
 }
-
-// closedNormally reports whether err is nil or the result of closing a listener
-// or connection.
-func closedNormally(err error) bool {
-	return err == nil || errors.Is(err, net.ErrClosed)
-}
--- a/entryhost/entryhost.go
+++ b/entryhost/entryhost.go
@@ -183,7 +183,7 @@
 	recording, endRecording := context.WithCancel(context.WithoutCancel(ctx))
 	h.runRecording(recording)
 	h.group.Go(func() error { return h.admin.Serve(h.adminListener) })
-	h.group.Go(func() error { return h.serveCallers() })
+	h.group.Go(func() error { return h.caller.Serve(h.callerListener) })
 	h.runRelay()
 	h.group.Go(func() error {
 		defer cancel()
@@ -251,16 +251,7 @@
 		ctx, cancel = context.WithTimeout(ctx, limit+finalWriteTime)
 		defer cancel()
 	}
-	if err := h.caller.Shutdown(ctx); err != nil && !closedNormally(err) {
+	if err := h.caller.Shutdown(ctx); err != nil {
 		h.log.WithError(err).Warn("shutdown did not close all caller connections")
 	}
-	h.callerListener.Close()
-}
-
-func (h *Host) serveCallers() error {
-	err := h.caller.Serve(h.callerListener)
-	if closedNormally(err) {
-		return nil
-	}
-	return err
 }
--- a/entryhost/relay.go
+++ b/entryhost/relay.go
@@ -34,10 +34,7 @@
 		return
 	}
 	h.group.Go(func() error {
-		if err := h.relay.Serve(h.relayListener); !closedNormally(err) {
-			return err
-		}
-		return nil
+		return h.relay.Serve(h.relayListener)
 	})
 }
 
@@ -45,7 +42,7 @@
 	if h.relay == nil {
 		return
 	}
-	if err := h.relay.Close(); !closedNormally(err) {
+	if err := h.relay.Close(); err != nil {
 		h.log.WithError(err).Warn("failed to close the relay server for other entry hosts")
 	}
 }
--- a/entryhost/stop_test.go
+++ b/entryhost/stop_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"wisteriapond/document"
 	"wisteriapond/standin"
 )
 
@@ -39,6 +40,25 @@
 		Eventually(ended).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
 	})
 
+	// Guards against a host that is stopped before it runs and never ends, and against one
+	// that does not keep its port open for the time to accept.
+	It("may be requested before the host runs", func() {
+		s := newDeployment(3).standaloneSettings("entry-1")
+		for _, acceptFor := range []time.Duration{0, 200 * time.Millisecond} {
+			s.AcceptFor = document.Duration(acceptFor)
+			host := newHost(s)
+			host.Stop()
+			host.Stop()
+			started := time.Now()
+			ended := make(chan error, 1)
+			go func() { ended <- host.Run(context.Background()) }()
+			Eventually(ended).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
+			Expect(time.Since(started)).To(BeNumerically(">=", acceptFor))
+			_, err := net.Dial("tcp", host.Address())
+			Expect(err).To(HaveOccurred())
+		}
+	})
+
 	// Guards against a request that is accepted on an idle connection late in the
 	// stop, and is then aborted by the end of the process.
 	It("closes idle connections while a download is still running", func() {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"wisteriapond/codec"
 	"wisteriapond/core"
+	"wisteriapond/httpserver"
 	"wisteriapond/recovery"
 )
 
@@ -28,6 +29,7 @@
 	// servers takes 5 MB.
 	maxMessageBytes = 8 << 20
 	idleTimeout     = 10 * time.Second
+	closeTimeout    = 250 * time.Millisecond
 	// maxConns allows one connection from each entry host of a large deployment.
 	maxConns = 4096
 )
@@ -93,30 +95,41 @@
 
 // Server responds to polls of other entry hosts.
 type Server struct {
-	http    *fasthttp.Server
+	http    *httpserver.Server
 	respond func(ctx context.Context, poll core.NewsAsk) (core.NewsAnswer, error)
+	// closed is done once Close was called.
+	closed context.Context
+	cancel context.CancelFunc
 }
 
 // NewServer returns a server that responds to each poll with the result of respond.
-// respond may block until its context is done.
+// respond may block until its context is done, which is at Close at the latest.
 func NewServer(respond func(ctx context.Context, poll core.NewsAsk) (core.NewsAnswer, error)) *Server {
 	s := &Server{respond: respond}
-	s.http = &fasthttp.Server{
+	s.closed, s.cancel = context.WithCancel(context.Background())
+	s.http = httpserver.New(&fasthttp.Server{
 		Handler:               s.handle,
 		MaxRequestBodySize:    maxMessageBytes,
 		IdleTimeout:           2 * idleTimeout,
 		Concurrency:           maxConns,
 		NoDefaultServerHeader: true,
-	}
+	})
 	return s
 }
 
-// Serve accepts connections until Close is called.
+// Serve accepts connections until Close, after which it returns nil. Close may come
+// first.
 func (s *Server) Serve(listener net.Listener) error { return s.http.Serve(listener) }
 
-// Close closes the listener and idle connections, and waits for the polls being
-// served.
-func (s *Server) Close() error { return s.http.Shutdown() }
+// Close closes the listener and idle connections, and ends the polls being served. It
+// waits for their responses at most for closeTimeout: a poll may never arrive
+// completely.
+func (s *Server) Close() error {
+	s.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	return s.http.Shutdown(ctx)
+}
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	if string(ctx.Path()) != path {
@@ -128,7 +141,7 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	requestCtx, cancel := context.WithTimeout(context.Background(), max(0, poll.Wait)+responseMargin)
+	requestCtx, cancel := context.WithTimeout(s.closed, max(0, poll.Wait)+responseMargin)
 	defer cancel()
 	response, err := s.respond(requestCtx, poll)
 	if err != nil {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -59,6 +59,34 @@
 		Expect(got).To(Receive(Equal(poll)))
 	})
 
+	// Guards against a process that never ends, since it is stopped while it starts or
+	// while a poll has arrived only in part.
+	It("does not keep its server from being closed", func() {
+		respond := func(context.Context, core.NewsAsk) (core.NewsAnswer, error) { return core.NewsAnswer{}, nil }
+		for _, served := range []bool{false, true} {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			server := relay.NewServer(respond)
+			ended := make(chan error, 1)
+			serve := func() { ended <- server.Serve(listener) }
+			if served {
+				go serve()
+				c, err := net.Dial("tcp", listener.Addr().String())
+				Expect(err).NotTo(HaveOccurred())
+				defer c.Close()
+				io.WriteString(c, "POST /news HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nab")
+				time.Sleep(50 * time.Millisecond)
+			}
+			closed := make(chan struct{})
+			go func() { server.Close(); close(closed) }()
+			Eventually(closed).WithTimeout(20 * time.Second).Should(BeClosed())
+			if !served {
+				go serve()
+			}
+			Eventually(ended).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
+		}
+	})
+
 	// Guards against a host that waits forever for a response, and against polls
 	// that the HTTP library retries.
 	It("times out without a retry", func() {
