core: apply only events of requests after Exit

Cause: the reducer checked for Exit only where a request arrives or is retried.

After Exit, events of requests and queries of operators are applied, and nothing else has an effect: ready responses are passed on, arrivals are refused, slots are returned.

An arrival after Exit was refused before this already. On the former code the new property fails at its first case: a tick emits Exit again; with that allowed, PublishView and AnswerNews follow.

--- a/core/request.go
+++ b/core/request.go
@@ -102,10 +102,6 @@
 
 // requestArrived admits a request, or lets it wait until there is a configuration.
 func (s *State) requestArrived(e RequestArrived) {
-	if s.stop.exiting {
-		s.refuseForStop(e.ID, "")
-		return
-	}
 	if s.table == nil {
 		s.keepEarly(e)
 		return
--- a/core/state.go
+++ b/core/state.go
@@ -60,6 +60,11 @@
 		s.out = nil
 		return
 	}
+	if s.stop.exiting {
+		s.stepAfterExit(event)
+		s.out = nil
+		return
+	}
 	s.detectPause()
 	switch e := event.(type) {
 	case SettingsChanged:
--- a/core/stop.go
+++ b/core/stop.go
@@ -70,6 +70,29 @@
 	s.out.add(Exit{})
 }
 
+// stepAfterExit applies an event that was queued when the process was to end. Responses
+// that are ready are passed on and arrivals are refused; nothing else is started, such as
+// an attempt, a probe or a call, since the process would end before its result.
+func (s *State) stepAfterExit(event Event) {
+	switch e := event.(type) {
+	case RequestArrived:
+		s.refuseForStop(e.ID, "")
+	case AnswerBegun:
+		s.responseStarted(e)
+	case AttemptFinished:
+		s.attemptFinished(e)
+	case AnswerDelivered:
+		s.responseDelivered(e)
+	case CallerGone:
+		s.callerDisconnected(e)
+	case StatusRequested:
+		s.out.add(ReportStatus{ID: e.ID, Status: s.status()})
+	case ExplainRequested:
+		s.explain(e)
+	}
+	s.flushLeases()
+}
+
 // stopEnd returns the instant at which a planned stop ends the requests that are
 // still in flight, and false if there is no such limit.
 func (s *State) stopEnd() (end Instant, limited bool) {
--- a/core/stop_test.go
+++ b/core/stop_test.go
@@ -148,6 +148,84 @@
 		})
 	})
 
+	// Guards against work that an event starts which is handled in the same batch as the
+	// end of the process, and which the process does not live to finish.
+	ginkgo.It("starts nothing after Exit, whatever event follows", func() {
+		rapid.Check(ginkgo.GinkgoT(), func(t *rapid.T) {
+			r := newStopTestReducer()
+			var running []StartAttempt
+			for range rapid.IntRange(0, 6).Draw(t, "requests") {
+				if effects := r.arriveWithin(time.Minute); count[StartAttempt](effects) == 1 {
+					running = append(running, firstEffect[StartAttempt](effects))
+				}
+			}
+			r.step(StopRequested{})
+			r.advance(testAcceptFor)
+			if len(running) > 0 {
+				r.now = r.now.Add(testStopTimeout)
+				Expect(count[Exit](r.step(Tick{}))).To(Equal(1))
+			}
+			ended := make(map[RequestID]int)
+			for range rapid.IntRange(1, 20).Draw(t, "events") {
+				r.now = r.now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+				var effects []Effect
+				switch rapid.SampledFrom([]string{
+					"tick", "arrival", "finished", "shed", "gone", "listing", "change", "failure", "asked", "answered", "probe", "settings", "stop",
+				}).Draw(t, "event") {
+				case "tick":
+					effects = r.step(Tick{})
+				case "arrival":
+					r.lastID++
+					effects = r.step(RequestArrived{ID: r.lastID, BodyKept: true, Timeout: time.Second, Request: config.Request{Method: "POST", Host: "h", Path: "/order/x"}})
+					if count[Refuse](effects) != 1 {
+						t.Fatalf("an arrival is not refused: %+v", effects)
+					}
+				case "finished", "shed":
+					if len(running) == 0 {
+						continue
+					}
+					attempt := running[0]
+					running = running[1:]
+					facts := rapid.SampledFrom([]outcome.Facts{success, shed}).Draw(t, "facts")
+					effects = r.finishAttempt(attempt, facts)
+					ended[attempt.Attempt.Request] += count[PassAnswer](effects) + count[Refuse](effects)
+					if ended[attempt.Attempt.Request] != 1 {
+						t.Fatalf("a request gets %d answers: %+v", ended[attempt.Attempt.Request], effects)
+					}
+				case "gone":
+					if len(running) == 0 {
+						continue
+					}
+					effects = r.step(CallerGone{ID: running[0].Attempt.Request})
+					running = running[1:]
+				case "listing":
+					effects = r.list(routing(2), storeServer("w", "write", "mtl-a"), storeServer("v", "write", "mtl-b"))
+				case "change":
+					effects = r.change(removed("w"))
+				case "failure":
+					effects = r.step(StoreFailed{Reason: "refused"})
+				case "asked":
+					effects = r.step(NewsAsked{ID: 1, Ask: NewsAsk{From: Neighbour{Host: "entry-2", Address: "127.0.0.1:2", FailureDomain: "mtl-a"}}})
+				case "answered":
+					effects = r.step(NewsAnswered{Address: "127.0.0.1:2"})
+				case "probe":
+					effects = r.step(ProbeFinished{Service: "write", Upstream: "w"})
+				case "settings":
+					effects = r.step(SettingsChanged{Registry: registrySettings()})
+				case "stop":
+					effects = r.step(StopRequested{})
+				}
+				for _, effect := range effects {
+					switch effect.(type) {
+					case Refuse, Fail, PassAnswer, CancelAttempt, Count, Log, CloseIdle:
+					default:
+						t.Fatalf("after Exit: %T %+v", effect, effect)
+					}
+				}
+			}
+		})
+	})
+
 	// Guards against orders that arrive late in the stop, on connections that were open
 	// before, and are cut off by the end of the process.
 	ginkgo.DescribeTable("admits a late order only if it ends before the process does",
