backend: keep the Retry-After of a refused probe without an instance

A refusal without an ID counts as that of the probed server. A response that names another instance, a success without an ID, and a 421 are discarded as before.

On the former code the two specs without an instance fail.

--- a/backend/dialect_test.go
+++ b/backend/dialect_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -172,6 +173,29 @@
 		Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.NotRun))
 	})
 
+	// Guards against a wait that a server requests when it refuses a load query, and that
+	// is lost since the refusal does not name its instance.
+	DescribeTable("that refuse a probe keep the requested wait",
+		func(status, by string, wait time.Duration) {
+			s := serve(standin.RespondToEach("HTTP/1.1 " + status + "\r\nRetry-After: 4\r\n" + by + "Content-Length: 0\r\n\r\n"))
+			f := newDialectFixture()
+			facts, _ := f.pool.Probe(GinkgoT().Context(), f.clock, core.StartProbe{
+				Address: s.Address(), Instance: "i-7", Reuse: true, StartBefore: f.command("").StartBefore,
+			})
+			Expect(facts.Cause == outcome.CauseNone).To(Equal(wait > 0))
+			if wait > 0 {
+				Expect(facts.RetryAfter).To(Equal(wait))
+			}
+			Expect(s.Accepted()).To(BeEquivalentTo(1))
+		},
+		Entry("without an instance", "503 Busy", "", 4*time.Second),
+		Entry("without an instance, with status 429", "429 Busy", "", 4*time.Second),
+		Entry("from the named instance", "503 Busy", "X-By: i-7\r\n", 4*time.Second),
+		Entry("but not that of another instance", "503 Busy", "X-By: i-8\r\n", time.Duration(0)),
+		Entry("but not that of a server for other instances", "421 Misdirected Request", "", time.Duration(0)),
+		Entry("but not that of a success without an instance", "200 OK", "", time.Duration(0)),
+	)
+
 	// Guards against adopting the load report of another instance.
 	DescribeTable("to a probe must come from the named instance", func(instance string, cause outcome.Cause) {
 		s := serve(standin.RespondToEach("HTTP/1.1 200 OK\r\nX-By: " + instance + "\r\nContent-Length: 0\r\n\r\n"))
--- a/backend/probe.go
+++ b/backend/probe.go
@@ -116,13 +116,27 @@
 	}
 	conn.applyKeepAlive(&response.Header)
 	readFacts(&response.Header, d, &core.StartAttempt{}, facts)
-	if instance := response.Header.Peek(d.RespondingInstance); d.RespondingInstance != "" && command.Instance != "" && string(instance) != command.Instance {
+	if !mayBeFrom(command.Instance, &response.Header, d) {
 		return false, errOtherInstance
 	}
 	// As with requests, a copy of a refusal may follow late.
 	return !response.ConnectionClose() && response.StatusCode() == fasthttp.StatusOK, nil
 }
 
+// mayBeFrom reports whether a response to a probe counts as that of the given instance.
+// A server that refuses a probe, as it refuses requests, need not name itself. What it
+// asks for then, such as a wait, applies to the server that was probed.
+func mayBeFrom(instance string, h *fasthttp.ResponseHeader, d *Dialect) bool {
+	if d.RespondingInstance == "" || instance == "" {
+		return true
+	}
+	named := h.Peek(d.RespondingInstance)
+	if len(named) == 0 {
+		return h.StatusCode() >= fasthttp.StatusBadRequest && h.StatusCode() != fasthttp.StatusMisdirectedRequest
+	}
+	return string(named) == instance
+}
+
 func probeHeader(command *core.StartProbe) []byte {
 	var header fasthttp.RequestHeader
 	header.SetMethod(fasthttp.MethodGet)
