--- a/caller/server.go
+++ b/caller/server.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriapond/backend"
+	"wisteriapond/httpserver"
 	"wisteriapond/intake"
 	"wisteriapond/outcome"
 	"wisteriapond/runtime"
@@ -48,7 +49,7 @@
 	loop *runtime.Loop
 	pool *backend.Pool
 	log  log.Interface
-	http *fasthttp.Server
+	http *httpserver.Server
 	gate *gate
 	// ObserveLatency, if set, is called with the latency of each request.
 	ObserveLatency func(service, outcome string, took time.Duration)
@@ -61,7 +62,7 @@
 // no more than the bounds allow.
 func NewServer(loop *runtime.Loop, pool *backend.Pool, bounds intake.Bounds, logger log.Interface) *Server {
 	s := &Server{loop: loop, pool: pool, log: logger, gate: newGate(loop, bounds)}
-	s.http = &fasthttp.Server{
+	s.http = httpserver.New(&fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.refuseUnreadable,
 		Logger:                       libraryLog{logger},
@@ -80,11 +81,12 @@
 		// Without it, a response is held back while further requests of its
 		// connection are buffered, until the last of them has been answered.
 		ReduceMemoryUsage: true,
-	}
+	})
 	return s
 }
 
-// Serve accepts connections until the listener is closed.
+// Serve accepts connections until Shutdown, which may come first, or until the
+// listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	go s.gate.watch()
 	return s.http.Serve(listener{Listener: l, gate: s.gate, timeouts: s.readTimeouts, headBytes: s.headBytes})
@@ -127,7 +129,7 @@
 // Shutdown closes the listener and idle connections. It waits until every
 // response in progress is written or ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.ShutdownWithContext(ctx)
+	return s.http.Shutdown(ctx)
 }
 
 // libraryLog forwards log messages of fasthttp.
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -4,9 +4,7 @@
 	"context"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"wisteriapond/entryhost"
 	"wisteriapond/intake"
@@ -31,7 +29,7 @@
 }
 
 // Run serves requests until SIGTERM or an interrupt, which starts a planned stop.
-func (c *serveCommand) Run(ctx context.Context, stdout io.Writer) error {
+func (c *serveCommand) Run(ctx context.Context, hangups hangups, stdout io.Writer) error {
 	s, err := settings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -45,7 +43,7 @@
 	}
 	context.AfterFunc(ctx, host.Stop)
 	host.WatchSettings(c.Settings)
-	defer onSIGHUP(func() {
+	defer hangups.reload(func() {
 		host.ReloadKeys()
 		host.ReloadSettings()
 	})()
@@ -61,24 +59,3 @@
 		debug.SetMemoryLimit(heap)
 	}
 }
-
-// onSIGHUP calls reload on each SIGHUP until the returned function is called.
-func onSIGHUP(reload func()) (stop func()) {
-	signals := make(chan os.Signal, 1)
-	done := make(chan struct{})
-	signal.Notify(signals, syscall.SIGHUP)
-	go func() {
-		for {
-			select {
-			case <-signals:
-				reload()
-			case <-done:
-				return
-			}
-		}
-	}()
-	return func() {
-		signal.Stop(signals)
-		close(done)
-	}
-}
