core: verifying listings start after the mark; regions follow the settings

A complete listing that was under way when a mark of another host arrived ended the verification, though it may be older than the mark: the domain then stayed emptied. And an upstream kept the region that the settings gave its failure domain when it registered, so that a domain that the settings name later stayed out of the reach of routes with regions. The spec of the verifying listing compared with the zero value and held without a listing; it now needs the effect.

Change: only a listing that starts after the mark ends the verification. A reload of the settings compiles services with other regions anew.

Tried with the mechanism taken out: any listing ends the verification: "is checked with a listing that starts later" fails; without the comparison of regions, or the reload, "follows changed settings"; without the verification, three specs.

--- a/core/emptieddomains.go
+++ b/core/emptieddomains.go
@@ -23,8 +23,10 @@
 type emptiedDomains struct {
 	table evacuation.Table
 	// verify is set if another host knows a mark that the state of this host should
-	// have held. Only a complete listing tells whether the domain is back.
-	verify bool
+	// have held. Only a complete listing that starts later tells whether the domain is
+	// back. verifying is set once it has started.
+	verify    bool
+	verifying bool
 }
 
 // domainEmptied reports whether the operators have emptied a failure domain.
@@ -51,7 +53,9 @@
 		s.domainsChanged(e.Domains)
 		return
 	}
-	s.registry.domains.verify = false
+	if d := &s.registry.domains; d.verifying {
+		d.verify, d.verifying = false, false
+	}
 	marks := make([]evacuation.Mark, 0, len(e.Domains))
 	for _, m := range e.Domains {
 		marks = append(marks, evacuation.Mark(m))
@@ -72,7 +76,9 @@
 		unexpected := m.Emptied && m.Revision <= s.registry.revision && !s.registry.domains.table.Known(m.Domain)
 		if s.learnDomain(m, domainSourceNeighbour) {
 			changed = true
-			s.registry.domains.verify = s.registry.domains.verify || unexpected
+			if unexpected {
+				s.registry.domains.verify, s.registry.domains.verifying = true, false
+			}
 		}
 	}
 	if changed {
--- a/core/emptieddomains_test.go
+++ b/core/emptieddomains_test.go
@@ -147,18 +147,39 @@
 	ginkgo.It("is checked with a listing if another host knows an older mark", func() {
 		r := newPropagationTestReducer("entry-1", 5)
 		r.list(routing(1), storeServer("a", "read", "mtl-a"))
+		Expect(count[WatchStore](r.advance(watchBatchDelay))).To(Equal(1))
 		r.revision += 10
-		r.step(StoreChanged{Revision: r.revision})
+		r.step(NewsAnswered{Address: "entry-2:1", Answer: NewsAnswer{Known: true, Revision: r.revision}})
 		r.step(NewsAsked{ID: 1, Ask: NewsAsk{From: neighbourNamed("entry-2", 5), NamesOnly: true, Domains: []DomainMark{{Domain: "mtl-a", Emptied: true, Revision: 3}}}})
 		Expect(r.state.domainEmptied("mtl-a")).To(BeTrue(), "the mark holds until the store has been read")
-		list := firstEffect[ListStore](r.step(StoreChanged{Revision: r.revision}))
-		Expect(list).To(Equal(ListStore{}))
+		effects := r.step(StoreChanged{Revision: r.revision})
+		Expect(effects).To(ContainElement(Equal(ListStore{})))
+		Expect(count[WatchStore](effects)).To(BeZero())
 		a := storeServer("a", "read", "mtl-a")
 		r.step(StoreListed{Revision: r.revision, Routing: routing(1), Servers: []ServerChange{{ID: "a", Server: &a}}})
 		Expect(r.state.domainEmptied("mtl-a")).To(BeFalse())
 		Expect(count[WatchStore](r.advance(watchBatchDelay))).To(Equal(1))
 	})
 
+	// Guards against a listing that started before the older mark arrived, and that is
+	// older than the mark: it can't tell whether the domain is back.
+	ginkgo.It("is checked with a listing that starts later", func() {
+		r := newPropagationTestReducer("entry-1", 5)
+		r.list(routing(1), storeServer("a", "read", "mtl-a"))
+		r.step(StoreFailed{HistoryGone: true})
+		r.now = r.now.Add(watchBatchDelay)
+		r.step(Tick{})
+		r.step(NewsAnswered{Address: "entry-2:1", Answer: NewsAnswer{Known: true, Revision: 20}})
+		r.step(NewsAsked{ID: 1, Ask: NewsAsk{From: neighbourNamed("entry-2", 4), NamesOnly: true, Domains: []DomainMark{{Domain: "mtl-a", Emptied: true, Revision: 10}}}})
+		a := storeServer("a", "read", "mtl-a")
+		servers := []ServerChange{{ID: "a", Server: &a}}
+		r.step(StoreListed{Revision: 9, Routing: routing(1), Servers: servers})
+		Expect(r.state.domainEmptied("mtl-a")).To(BeTrue())
+		Expect(count[ListStore](r.advance(watchBatchDelay))).To(Equal(1))
+		r.step(StoreListed{Revision: 21, Routing: routing(1), Servers: servers})
+		Expect(r.state.domainEmptied("mtl-a")).To(BeFalse())
+	})
+
 	// Guards against operators who cannot see why servers get no requests.
 	ginkgo.It("is shown in status and explain", func() {
 		r := newConfiguredStoreTestReducer(storeServer("a", "read", "mtl-a"))
--- a/core/registry.go
+++ b/core/registry.go
@@ -345,7 +345,7 @@
 	for i := range upstreams {
 		have, want := &compiled.Upstreams[i].Upstream, &upstreams[i]
 		if have.Host != want.Host || have.Address != want.Address || have.Slots != want.Slots ||
-			have.FailureDomain != want.FailureDomain || routed.Connections > 0 && have.Connections != routed.Connections {
+			have.FailureDomain != want.FailureDomain || have.Region != want.Region || routed.Connections > 0 && have.Connections != routed.Connections {
 			return false
 		}
 	}
--- a/core/routeregions_test.go
+++ b/core/routeregions_test.go
@@ -230,6 +230,19 @@
 		Expect(firstEffect[StartAttempt](r.advance(10 * time.Millisecond)).Upstream).To(Equal("far"))
 	})
 
+	// Guards against servers that keep the region which their failure domain had when
+	// they registered: the settings may name a new failure domain later.
+	ginkgo.It("follows changed settings", func() {
+		r := newConfiguredStoreTestReducer(storeServer("a", "read", "sag-a"))
+		r.revision++
+		r.step(StoreChanged{Revision: r.revision, Routing: withRegions(2, "sag")})
+		Expect(refusal(r.arrive("/lookup/x"))).To(Equal(outcome.RefusedNoHost))
+		settings := registrySettings()
+		settings.Domains = append(settings.Domains, FailureDomain{Name: "sag-a", Region: "sag"})
+		r.step(SettingsChanged{Registry: settings})
+		Expect(firstEffect[StartAttempt](r.arrive("/lookup/x")).Upstream).To(Equal("a"))
+	})
+
 	// Guards against operators who cannot see why a route does not use a server.
 	ginkgo.It("is named by explain", func() {
 		r := newConfiguredStoreTestReducer(storeServer("near", "read", "mtl-a"), storeServer("far", "read", "qc-a"))
--- a/core/store.go
+++ b/core/store.go
@@ -187,6 +187,8 @@
 	next.Address = s.self.Registry.Address
 	s.self.Registry = &next
 	s.registry.propagation.nextSeedQuery = s.now
+	// The regions of failure domains may have changed.
+	s.adoptRegistry()
 	s.out.add(Log{Message: "settings reloaded", Fields: []LogField{
 		{Key: "seeds", Value: strconv.Itoa(len(next.Seeds))},
 	}})
@@ -208,6 +210,7 @@
 		s.out.add(WatchStore{After: reg.revision, Wait: s.nextWatchWait()})
 		return
 	}
+	reg.domains.verifying = reg.domains.verify
 	// Changes since a stale listing arrive with the next update. At the first
 	// start a stale listing may lack the configuration, so a fresh one is read.
 	s.out.add(ListStore{Stale: reg.revision == 0 && !s.self.Registry.FirstStart})
