intake: the bounds hold before any decision

Callers that read slowly but steadily were never cut. With few descriptors, idle connections made room so slowly that an ordinary request waited 10 s. Change: connections, streams and buffered answers have shares of the memory for callers that add up to all of it, the doubled socket buffers counted. Streams beyond a number have small socket buffers. A stalled caller is also charged for what waits in its socket. When memory is short, slow readers follow last.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -215,6 +216,20 @@
 	return held
 }
 
+// SetReadBuffer changes the size of the socket buffer for the rest of the response. The
+// connection is not used again, since its buffer would stay small.
+func (x *Exchange) SetReadBuffer(size int) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.reusable = false
+	if x.conn == nil {
+		return
+	}
+	if tcp, ok := x.conn.Conn.(*net.TCPConn); ok {
+		tcp.SetReadBuffer(size)
+	}
+}
+
 // Attempt returns the ID of the attempt.
 func (x *Exchange) Attempt() core.AttemptID { return x.command.Attempt }
 
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -177,6 +177,13 @@
 	tcp.SetWriteBuffer(b.AnswerBuffer)
 }
 
+// setWriteBuffer bounds the bytes that wait for a caller that does not read.
+func (c *conn) setWriteBuffer(size int) {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.SetWriteBuffer(size)
+	}
+}
+
 // becomeIdle ends the current request. The next byte begins a head.
 func (c *conn) becomeIdle() {
 	c.mu.Lock()
--- a/caller/forward.go
+++ b/caller/forward.go
@@ -9,6 +9,7 @@
 
 	"wisteriapond/backend"
 	"wisteriapond/core"
+	"wisteriapond/intake"
 	"wisteriapond/outcome"
 )
 
@@ -53,7 +54,10 @@
 		loop.Send(core.AnswerDelivered{Attempt: attempt, Whole: complete, Facts: facts})
 	})
 	x.streaming = true
-	c.usage.setStreaming()
+	if !x.server.gate.beginStream(c) {
+		x.exchange.SetReadBuffer(intake.SmallBuffer)
+		c.setWriteBuffer(intake.SmallBuffer)
+	}
 	length := max(-1, x.exchange.ContentLength())
 	if length < 0 && !x.ctx.Request.Header.IsHTTP11() {
 		x.forwardUntilClose(body)
--- a/caller/gate.go
+++ b/caller/gate.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wisteriapond/core"
@@ -24,6 +25,9 @@
 	pressed chan struct{}
 	done    chan struct{}
 
+	// streams is the number of answers that are being streamed.
+	streams atomic.Int64
+
 	mu      sync.Mutex
 	changed sync.Cond
 	conns   map[uint64]*conn
@@ -144,6 +148,15 @@
 	return census, g.waiting || len(g.conns) > g.bounds.Quiet
 }
 
+// beginStream counts a streamed answer until its request ends. It reports whether its
+// sockets may keep their full buffers.
+func (g *gate) beginStream(c *conn) bool {
+	streams := g.streams.Add(1)
+	c.usage.hold(0, func() { g.streams.Add(-1) })
+	c.usage.setStreaming()
+	return g.bounds.Streams == 0 || streams <= int64(g.bounds.Streams)
+}
+
 // carryOut closes connections that are still as the decision saw them.
 func (g *gate) carryOut(closures []intake.Closure) {
 	for _, closure := range closures {
--- a/caller/usage.go
+++ b/caller/usage.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"wisteriapond/core"
 	"wisteriapond/intake"
@@ -101,10 +100,6 @@
 	u.writing = false
 }
 
-// stallNotice is the time after which a write counts as stalled for the memory that
-// its connection is charged for. Most writes end at once.
-const stallNotice = 100 * time.Millisecond
-
 // describe returns the entry of the connection in a census.
 func (c *conn) describe(now core.Instant, b *intake.Bounds) intake.Connection {
 	u := &c.usage
@@ -115,7 +110,7 @@
 		d.Stalled = now.Sub(u.writingSince)
 	}
 	d.Bytes = b.Charge(intake.Use{
-		Held: u.held, SendsAhead: u.sendsAhead || u.uploading, Streaming: u.streaming, Stalled: d.Stalled >= stallNotice,
+		Held: u.held, SendsAhead: u.sendsAhead || u.uploading, Streaming: u.streaming, Stalled: d.Stalled >= intake.StallNotice,
 	})
 	return d
 }
--- a/intake/bounds.go
+++ b/intake/bounds.go
@@ -40,21 +40,30 @@
 	socketPart   = 4
 	// minHeap keeps the collector from running all the time.
 	minHeap = 8 << 20
-	// connectionShare of the memory for callers, as its divisor, is for connections
-	// without anything unusual; answerShare is for answers that are buffered.
-	connectionShare = 2
-	answerShare     = 8
+	// Shares of the memory for callers, in eighths: connections that send ahead,
+	// connections to backend servers with small socket buffers, streams with large ones,
+	// and answers that are buffered. Together they are all of it, so that the bounds hold
+	// before any decision.
+	connectionEighths   = 4
+	serverMemoryEighths = 2
+	streamEighths       = 1
+	heldEighths         = 1
 	// ConnectionBytes is what a connection holds at least: its read buffer, the parsed
 	// head and the stack of its goroutine. A connection that has sent nothing has no
 	// read buffer in use, but may take one at any moment.
 	ConnectionBytes = 48 << 10
+	// serverBytes is what a connection to a backend server holds while it is in use: its
+	// read buffer and the buffer of a body that is passed on.
+	serverBytes = 64 << 10
+	// SmallBuffer is the size of the socket buffers of streams beyond Bounds.Streams.
+	SmallBuffer = 16 << 10
 )
 
 // Socket buffers are a part of the memory, within bounds. The smallest buffer for
 // requests carries several megabytes a second over a link of 6 ms, and the smallest one
 // for answers over a link of 20 ms.
 const (
-	receivePart, minReceive, maxReceive = 4096, 16 << 10, 256 << 10
+	receivePart, minReceive, maxReceive = 32_768, 16 << 10, 256 << 10
 	answerPart, minAnswer, maxAnswer    = 1024, 32 << 10, 1 << 20
 )
 
@@ -69,6 +78,9 @@
 	// HeldAnswers bounds the bytes of answers that are buffered completely. Further
 	// answers are streamed.
 	HeldAnswers int64
+	// Streams is the number of streamed answers whose socket buffers have their full
+	// size. Those of further ones have SmallBuffer.
+	Streams int
 	// ReceiveBuffer is the size of the socket buffer for requests, and AnswerBuffer
 	// that of the two for answers, from the server and to the caller.
 	ReceiveBuffer int
@@ -102,15 +114,22 @@
 	// can be asked at all.
 	callers := max(memory/ownMemoryPart, memory-max(minOwnMemory, memory/ownMemoryPart))
 	b.Bytes = callers
-	b.HeldAnswers = callers / answerShare
+	b.HeldAnswers = callers * heldEighths / 8
 	b.Heap = max(minHeap, memory-programBytes-memory/socketPart)
-	b.Connections = max(1, min(b.Connections, int(callers/connectionShare/ConnectionBytes)))
 	b.ReceiveBuffer = int(min(max(memory/receivePart, minReceive), maxReceive))
 	b.AnswerBuffer = int(min(max(memory/answerPart, minAnswer), maxAnswer))
+	b.Connections = fitting(b.Connections, callers*connectionEighths/8, ConnectionBytes+kernelFactor*int64(b.ReceiveBuffer))
+	b.ServerConnections = fitting(b.ServerConnections, callers*serverMemoryEighths/8, serverBytes+kernelFactor*SmallBuffer)
+	b.Streams = fitting(b.ServerConnections, callers*streamEighths/8, kernelFactor*int64(b.AnswerBuffer))
 	most := b.Charge(Use{SendsAhead: true, Streaming: true, Stalled: true})
 	b.Quiet = min(b.Connections, int(callers/most))
 }
 
+// fitting returns how many of number fit into a part of the memory, at least one.
+func fitting(number int, part, each int64) int {
+	return max(1, min(number, int(part/each)))
+}
+
 // kernelFactor is the multiple of its size that a socket buffer may hold: the kernel
 // doubles the size to allow for its own records.
 const kernelFactor = 2
@@ -123,20 +142,20 @@
 	// them: a body that the server does not take, or requests behind the current one.
 	SendsAhead bool
 	// Streaming is set while an answer is streamed, and Stalled while the caller does
-	// not read it.
+	// not read it. Further requests of a stalled caller wait in its socket.
 	Streaming, Stalled bool
 }
 
 // Charge returns the bytes that a connection counts for.
 func (b *Bounds) Charge(u Use) int64 {
 	charge := ConnectionBytes + u.Held
-	if u.SendsAhead {
+	if u.SendsAhead || u.Stalled {
 		charge += kernelFactor * int64(b.ReceiveBuffer)
 	}
 	if u.Stalled {
 		charge += kernelFactor * int64(b.AnswerBuffer)
 		if u.Streaming {
-			charge += kernelFactor * int64(b.AnswerBuffer)
+			charge += serverBytes + kernelFactor*int64(b.AnswerBuffer)
 		}
 	}
 	return charge
--- a/intake/verdict.go
+++ b/intake/verdict.go
@@ -74,6 +74,10 @@
 	headTime  = time.Second
 	stallTime = time.Second
 	bodyTime  = 5 * time.Second
+	// StallNotice is the time after which the memory of a stalled answer counts. Most
+	// writes end at once. When memory is short, it is also the time that is left to a
+	// caller that reads slowly.
+	StallNotice = 100 * time.Millisecond
 	// roomPart of a bound, as its divisor, is made free at once, so that the next
 	// arrivals do not each need a decision.
 	roomPart = 8
@@ -130,12 +134,14 @@
 	}
 }
 
-// Decide returns the connections to close. Connections without a request go first,
+// Decide returns the connections to close, no more than are needed except for those that
+// have sent nothing while others wait. Connections without a request go first,
 // since their callers lose nothing: those that never carried one, then those that
 // have been idle longest. Then come the heads that have taken longest, and then the
 // answers whose callers have read nothing for longest, and last the bodies that have
-// taken longest. A request that was received completely is not closed while its answer
-// is awaited or being read. Where closing a connection would not help,
+// taken longest. Only when memory is short, answers that are read slowly follow. A
+// request that was received completely is not closed while its answer is awaited or
+// being read at a good rate. Where closing a connection would not help,
 // as for connections to backend servers, its kind is passed over.
 func (b *Bounds) Decide(c *Census) []Closure {
 	wanted := b.needOf(c)
@@ -145,11 +151,11 @@
 	var closures []Closure
 	for i := range kinds {
 		k := &kinds[i]
-		if !k.freesServers && wanted.connections <= 0 && wanted.bytes <= 0 {
+		if !k.helps(&wanted) {
 			continue
 		}
 		for _, candidate := range k.candidates(c.Connections) {
-			if wanted.met() {
+			if wanted.met() && !(k.allWhileWaiting && c.Waiting) {
 				return closures
 			}
 			wanted.subtract(candidate)
@@ -182,11 +188,16 @@
 	age     func(c *Connection) time.Duration
 	// freesServers is set if connections to backend servers become free as well.
 	freesServers bool
+	// allWhileWaiting is set for a kind that is closed completely while a connection waits
+	// to be accepted: who waits is mostly served at once, and those ask for nothing.
+	allWhileWaiting bool
+	// memoryOnly is set for a kind that is closed only when memory is short.
+	memoryOnly bool
 }
 
-// kinds are in the order in which connections are closed.
+// kinds are disjoint and in the order in which connections are closed.
 var kinds = []kind{
-	{reason: ReasonIdle, applies: func(c *Connection) bool { return c.Phase == PhaseFresh && c.For >= freshTime }, age: phaseAge},
+	{reason: ReasonIdle, applies: func(c *Connection) bool { return c.Phase == PhaseFresh && c.For >= freshTime }, age: phaseAge, allWhileWaiting: true},
 	{reason: ReasonIdle, applies: func(c *Connection) bool { return c.Phase == PhaseIdle }, age: phaseAge},
 	{reason: ReasonHead, applies: func(c *Connection) bool { return c.Phase == PhaseHead && c.For >= headTime }, age: phaseAge},
 	{
@@ -197,10 +208,31 @@
 	},
 	{
 		reason:       ReasonBody,
-		applies:      func(c *Connection) bool { return c.Phase == PhaseRequest && c.Uploading && c.For >= bodyTime },
+		applies:      slowBody,
 		age:          phaseAge,
 		freesServers: true,
 	},
+	{
+		reason: ReasonStalled,
+		applies: func(c *Connection) bool {
+			return c.Phase == PhaseRequest && c.Stalled >= StallNotice && c.Stalled < stallTime && !slowBody(c)
+		},
+		age:          func(c *Connection) time.Duration { return c.Stalled },
+		freesServers: true,
+		memoryOnly:   true,
+	},
+}
+
+func slowBody(c *Connection) bool {
+	return c.Phase == PhaseRequest && c.Uploading && c.For >= bodyTime && c.Stalled < stallTime
+}
+
+// helps reports whether closing connections of a kind frees something that is needed.
+func (k *kind) helps(n *need) bool {
+	if k.memoryOnly {
+		return n.bytes > 0
+	}
+	return k.freesServers || n.connections > 0 || n.bytes > 0
 }
 
 func phaseAge(c *Connection) time.Duration { return c.For }
