core: time to wait for cold servers of a service without a health path

Cause: such a server is left alone while its registration says that it is cold, but a refusal counted no wait, since a load query could have permitted a request.

Change: the remaining time of the registration counts. The test fails on the commit before.

--- a/core/coldservers.go
+++ b/core/coldservers.go
@@ -124,6 +124,8 @@
 	switch {
 	case !u.service.limitsCold():
 		return 0
+	case u.warmUp != nil && u.service.config.Probe.Path == "":
+		return u.warmUp.Left(now)
 	case u.warmUp != nil:
 		return u.warmUp.Wait(now, s.coldLimit(u.service), s.cold.hosts)
 	case s.spacingOf(u) != nil:
--- a/core/coldservers_test.go
+++ b/core/coldservers_test.go
@@ -226,6 +226,23 @@
 		Expect(c.arrivals["a"]).NotTo(BeEmpty())
 	})
 
+	// Guards against a service without a health path whose servers are used while they
+	// are cold, or never, and against refusals that say that they can be used at once.
+	ginkgo.It("are left alone by their registration alone if the service has no health path", func() {
+		c := newColdSite(1)
+		c.run(fleetLearnTime+time.Second, 0)
+		routes := coldRouting(2)
+		routes.Services[0].ProbePath = ""
+		a := servers[0]
+		a.ColdFor = warmUp
+		c.list(routes, a)
+		Expect(refusal(c.arrive("/lookup/x"))).To(Equal(outcome.RefusedUpstreamsOverloaded))
+		c.apply(c.arrive("/lookup/x"))
+		Expect(c.refusals[0].RetryAfter).To(BeNumerically(">=", warmUp))
+		c.now = c.now.Add(warmUp)
+		Expect(firstEffect[StartAttempt](c.arrive("/lookup/x")).Upstream).To(Equal("a"))
+	})
+
 	// Guards against an operator who cannot see why servers get few requests.
 	ginkgo.It("are shown in the status", func() {
 		c := newColdSite(1, servers[:2]...)
