settings: tests of the limits

Cause: nothing checks that limits out of range are refused, and that those of the machine reach the decisions on callers. Change: one entry and one spec. Result: the tests of settings pass.

--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriapond/document"
+	"wisteriapond/intake"
 	"wisteriapond/settings"
 )
 
@@ -43,8 +44,19 @@
 	Entry("a duration without a unit and one out of range", `"platform"`, `"accept_for": 10, "stop_timeout": "-1s", "platform"`,
 		`s.json:6: accept_for: a duration needs quotes and a unit, such as "250ms", got 10`,
 		`s.json:6: stop_timeout: must be between 0s and 168h0m0s, got -1s`),
+	Entry("limits in which no process fits", `"platform"`, `"limits": {"memory": "1MiB", "descriptors": 9}, "platform"`,
+		"s.json:6: limits.memory: must be 0B or at least 8 MiB, got 1048576 bytes",
+		"s.json:6: limits.descriptors: must be between 64 and 1048576, got 9"),
 )
 
+// Guards against limits of a machine that do not reach the decisions on callers.
+var _ = It("passes the limits on", func() {
+	raw := strings.Replace(validSettings, `"platform"`, `"limits": {"memory": "136MB", "descriptors": 2870}, "platform"`, 1)
+	s, err := settings.Parse("s.json", []byte(raw))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.Limits.Intake()).To(Equal(intake.Limits{Memory: 136_000_000, Descriptors: 2870}))
+})
+
 // Guards against documentation that differs from the code.
 var _ = It("lists every field with its default in docs/settings.md, and no other", func() {
 	page, err := os.ReadFile("../docs/settings.md")
