--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriapond/document"
+	"wisteriapond/intake"
 	"wisteriapond/settings"
 )
 
@@ -47,8 +48,19 @@
 		`"store": {"address": "127.0.0.1:8500", "warm_up_ratio": 0.5, "warm_up_slack": -1}`,
 		`s.json:6: store.warm_up_ratio: must be at least 1, got 0.5`,
 		`s.json:6: store.warm_up_slack: must be between 0 and 1e+06, got -1`),
+	Entry("limits in which no process fits", `"platform"`, `"limits": {"memory": "1MiB", "descriptors": 9}, "platform"`,
+		"s.json:6: limits.memory: must be 0B or at least 8 MiB, got 1048576 bytes",
+		"s.json:6: limits.descriptors: must be between 64 and 1048576, got 9"),
 )
 
+// Guards against limits of a machine that do not reach the decisions on callers.
+var _ = It("passes the limits on", func() {
+	raw := strings.Replace(validSettings, `"platform"`, `"limits": {"memory": "136MB", "descriptors": 2870}, "platform"`, 1)
+	s, err := settings.Parse("s.json", []byte(raw))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(s.Limits.Intake()).To(Equal(intake.Limits{Memory: 136_000_000, Descriptors: 2870}))
+})
+
 // Guards against documentation that differs from the code.
 var _ = It("lists every field with its default in docs/settings.md, and no other", func() {
 	page, err := os.ReadFile("../docs/settings.md")
