backend: take only whole digits from 100 to 599 for a status

Cause: fasthttp takes any three digits for a status and reports 000 as 200. A status line after an interim response was checked nowhere, and a server that sends only empty lines was read until the time of the attempt ended.

The status line is read byte by byte before the library reads it, also after each interim response. Anything else ends the attempt as malformed: outcome unknown, connection closed, server treated as for other malformed answers. Requests and both kinds of probes use it. The bound of 100 interim responses is that of the library.

Polls between entry hosts still read 000 as 200 and rely on the decoding of the body.

--- a/backend/errors.go
+++ b/backend/errors.go
@@ -74,6 +74,8 @@
 	errOtherInstance  = errors.New("another instance responded")
 	errUnmatched      = errors.New("response belongs to another request")
 	errNoResponse     = errors.New("the first bytes are not those of a response")
+	errNoStatus       = errors.New("the status is not a number from 100 to 599")
+	errTooManyInterim = errors.New("too many interim responses")
 	errUnsizedTooLong = errors.New("response without an announced length exceeds the limit")
 	errMissingID      = errors.New("successful response does not carry the request ID")
 )
--- a/backend/probe.go
+++ b/backend/probe.go
@@ -111,6 +111,9 @@
 		return false, err
 	}
 	var response fasthttp.Response
+	if err := skipInterim(conn.reader, &response.Header); err != nil {
+		return false, err
+	}
 	if err := response.ReadLimitBody(conn.reader, int(command.Probe.AnswerLimit)); err != nil {
 		return false, headerError(err)
 	}
@@ -150,9 +153,13 @@
 
 func readProbeResponse(conn io.Reader, d *Dialect, limit int64, facts *outcome.Facts) error {
 	limited := &io.LimitedReader{R: conn, N: limit}
+	reader := bufio.NewReaderSize(limited, probeBufferBytes)
 	var response fasthttp.Response
+	if err := skipInterim(reader, &response.Header); err != nil {
+		return err
+	}
 	response.StreamBody = true
-	if err := response.ReadLimitBody(bufio.NewReaderSize(limited, probeBufferBytes), 0); err != nil {
+	if err := response.ReadLimitBody(reader, 0); err != nil {
 		return headerError(err)
 	}
 	readFacts(&response.Header, d, &core.StartAttempt{}, facts)
--- a/backend/response.go
+++ b/backend/response.go
@@ -40,41 +40,16 @@
 	return &MalformedError{Err: errUnmatched}
 }
 
-// protocolPrefix begins every response.
-const protocolPrefix = "HTTP/1."
-
-// checkPrefix fails at the first byte that shows that what the server sends is no
-// response. Otherwise that would show only at the end of a line, which may never
-// come. Empty lines before a response are tolerated.
-func (x *Exchange) checkPrefix() error {
-	for n := 1; n <= len(protocolPrefix); n++ {
-		received, err := x.conn.reader.Peek(n)
-		if err != nil {
-			return headerError(err)
-		}
-		switch c := received[n-1]; {
-		case n == 1 && (c == '\r' || c == '\n'):
-			return nil
-		case c != protocolPrefix[n-1]:
-			return &MalformedError{Err: errNoResponse}
-		}
-	}
-	return nil
-}
-
 func (x *Exchange) receiveHeader() error {
-	if err := x.checkPrefix(); err != nil {
+	r := &x.response
+	if err := skipInterim(x.conn.reader, &r.Header); err != nil {
 		return err
 	}
-	r := &x.response
 	r.StreamBody = true
 	r.SkipBody = x.request.Header.IsHead()
 	if err := r.ReadLimitBody(x.conn.reader, 0); err != nil {
 		return headerError(err)
 	}
-	if r.StatusCode() == fasthttp.StatusSwitchingProtocols {
-		return &MalformedError{Err: errUpgrade}
-	}
 	x.conn.applyKeepAlive(&r.Header)
 	return nil
 }
--- a/caller/forward_test.go
+++ b/caller/forward_test.go
@@ -190,3 +190,18 @@
 		Expect(body == longBody).To(BeTrue())
 	})
 })
+
+// Guards against a status that is none and is passed on, 000 even as a success, and
+// against an order that is sent again after it.
+var _ = DescribeTable("a response whose status is none is an unknown outcome",
+	func(status string) {
+		s := serve(standin.RespondToEach("HTTP/1.1 " + status + " OK\r\nContent-Length: 4\r\n\r\nurns"))
+		sys := startSystem(testService(s.Address()))
+		response, body := sys.roundTrip(postLines + "Content-Length: 4\r\n\r\nurns")
+		Expect(response.StatusCode).To(Equal(502))
+		Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("unknown"))
+		Expect(body).NotTo(ContainSubstring("urns"))
+		Expect(s.Requests()).To(HaveLen(1))
+	},
+	Entry(nil, "000"), Entry(nil, "099"), Entry(nil, "600"), Entry(nil, "999"), Entry(nil, "0200"), Entry(nil, "2 0"),
+)
