core: keep a skipped retry in the list of waiting groups

Cause: startFromGroup takes retries that have tried the free upstream out of the queue while it looks behind them.

A request that goes back into the queue lists its group again.

--- a/core/queueing.go
+++ b/core/queueing.go
@@ -200,11 +200,22 @@
 		n++
 	}
 	for _, item := range skipped[:n] {
-		g.waiting.Requeue(item)
+		requeue(item.Value)
 	}
 	return done
 }
 
+// requeue returns a skipped request to its place in the queue. Its group has left the
+// list of those with waiting requests if the only other request in it was started or
+// refused meanwhile.
+func requeue(r *request) {
+	svc, g := r.service, r.group
+	g.waiting.Requeue(&r.queueItem)
+	if !slices.Contains(svc.waitingGroups, g) {
+		svc.waitingGroups = append(svc.waitingGroups, g)
+	}
+}
+
 // startOrRefuse starts a waiting request, or refuses it if it would be late or no
 // upstream can take it. It returns false if the request has to go on waiting.
 func (s *State) startOrRefuse(r *request) bool {
--- a/core/request_random_test.go
+++ b/core/request_random_test.go
@@ -154,6 +154,7 @@
 	for _, u := range t.state.services["orders"].upstreams {
 		Expect(u.running).To(BeNumerically("<=", u.limit()), "slots exceeded")
 	}
+	Expect(t.state.waitingProblem()).To(BeEmpty())
 }
 
 // recordEnd records the final response to a request, which must be the only one.
--- a/core/store_random_test.go
+++ b/core/store_random_test.go
@@ -255,6 +255,7 @@
 		}
 	}
 	Expect(t.state.inForce().Generation).To(Equal(t.version))
+	Expect(t.state.waitingProblem()).To(BeEmpty())
 }
 
 // checkStart checks that an attempt is allowed, and records it.
