core, platform, storeage: eras of a store that comes back from a copy

Cause: a store may continue from a copy some seconds old, with a higher era in the header of each response. Its revisions go back and are given out again.

Change: positions are compared by era, then revision (storeage.Age), in listings, watches, polls and reverse polls. A watch that started in another era, or pages of two eras, lead to a listing; another host's changes apply within an era only. Servers that the new era lacks stay in use for expiryGrace. An entry that left or was removed in the old era comes back only by a later write of its instance, told by its count of writes or by a revision above the first known one of the era; a removed one that the store still holds after 10 s is used again. A store that names no era is era 0, as before. An earlier instance's entry in a copy counts as the missing entry of the later one.

--- a/cli/status.go
+++ b/cli/status.go
@@ -153,6 +153,12 @@
 	if s.Measuring.PerMinute > 0 {
 		fmt.Fprintf(w, "measuring:   %d probes per minute, %d bytes so far\n", s.Measuring.PerMinute, s.Measuring.Bytes)
 	}
+	if s.Store.Revision > 0 {
+		fmt.Fprintf(w, "store:       era %d, revision %d, confirmed %s ago\n", s.Store.Era, s.Store.Revision, s.Store.Age.Round(time.Millisecond))
+	}
+	if len(s.Store.Withheld) > 0 {
+		fmt.Fprintf(w, "withheld:    %s\n", strings.Join(s.Store.Withheld, ", "))
+	}
 	fmt.Fprintf(w, "leases:      %d slots held, %d granted to %d hosts\n", s.Leases.Held, s.Leases.Granted, s.Leases.Holders)
 	if err := printMembers(w, s.Members); err != nil {
 		return err
--- a/core/counter.go
+++ b/core/counter.go
@@ -63,9 +63,12 @@
 	CounterProbeBytes Counter = "probe_bytes_total"
 	// CounterStoreUpdates counts the propagation of store updates between entry
 	// hosts: responses to polls (told), updates applied (taken), polls that failed
-	// (failed), responses of the store that updates have overtaken (outdated), and
-	// neighbours beyond the limit (too_many_neighbours).
+	// (failed), responses of the store and entries that are older than what is known
+	// (outdated), entries that came back with a copy of the store after their removal
+	// (withheld), and neighbours beyond the limit (too_many_neighbours).
 	CounterStoreUpdates Counter = "news_total"
+	// CounterStoreEras counts the returns of the store from a copy.
+	CounterStoreEras Counter = "store_eras_total"
 	// CounterUnusableEntries counts entries of the store that name no server to use.
 	CounterUnusableEntries Counter = "unusable_entries_total"
 	// CounterLogEntriesOmitted counts request log entries beyond their rate limit
--- a/core/polls.go
+++ b/core/polls.go
@@ -1,6 +1,10 @@
 package core
 
-import "slices"
+import (
+	"slices"
+
+	"wisteriapond/storeage"
+)
 
 // This file responds to the entry hosts that poll this one for store updates.
 
@@ -10,6 +14,7 @@
 	p := &s.registry.propagation
 	s.upsertNeighbour(e.Ask.From, true)
 	s.leavingReceived(e.Ask.Leaving)
+	s.hearEra(e.Ask.Era)
 	s.recordClient(&e.Ask)
 	s.reversePoll(&e.Ask)
 	s.recordReaderPoll(&e.Ask)
@@ -32,10 +37,10 @@
 	if reg.routing.Version > poll.Routing {
 		return true
 	}
-	if reg.revision <= poll.After {
+	if !poll.age().Before(reg.age()) {
 		return false
 	}
-	if poll.After < reg.propagation.historyStart {
+	if s.needsWhole(poll) {
 		return true
 	}
 	for _, revision := range reg.propagation.changeRevisions {
@@ -46,6 +51,17 @@
 	return false
 }
 
+// needsWhole reports whether the changes since the position of the sender are not all
+// known here: the sender has no state or that of another era, or the changes were
+// discarded.
+func (s *State) needsWhole(poll *NewsAsk) bool {
+	reg := &s.registry
+	return poll.After == 0 || poll.Era != reg.era || poll.After < reg.propagation.historyStart
+}
+
+// age returns the position up to which the state of the sender is complete.
+func (a *NewsAsk) age() storeage.Age { return storeage.Age{Era: a.Era, Revision: a.After} }
+
 // respondToPendingPolls responds to all pending polls, after updates arrived or
 // the store confirmed that there are none. While servers are pending removal the polls
 // stay pending, at most until their waits are over.
@@ -80,16 +96,15 @@
 }
 
 // respondToPoll sends the response to a poll: entry hosts, and the changes since
-// the revision of the sender. The response holds all servers if the sender has no
-// state, or if changes since its revision were discarded.
+// the revision of the sender. The response holds all servers if it needs them.
 func (s *State) respondToPoll(id uint64, poll *NewsAsk) {
 	reg := &s.registry
-	response := NewsAnswer{Neighbours: s.neighboursFor(poll.From), Leaving: s.recentLeaving(), Hosts: max(s.registry.fleet.largest, s.subtreeSize())}
+	response := NewsAnswer{Neighbours: s.neighboursFor(poll.From), Leaving: s.recentLeaving(), Hosts: max(s.registry.fleet.largest, s.subtreeSize()), Era: reg.era}
 	if !poll.NamesOnly && s.mayPropagate() {
 		response.Known = true
 		response.Revision = reg.revision
 		response.Age = s.storeStaleness()
-		response.Whole = poll.After == 0 || poll.After < reg.propagation.historyStart
+		response.Whole = s.needsWhole(poll)
 		response.Servers = s.serversChangedAfter(poll.After, response.Whole)
 		if reg.routing.Version > poll.Routing {
 			response.Routing = reg.routing
@@ -117,14 +132,24 @@
 		_, expired := reg.propagation.expired[id]
 		switch {
 		case registered && (complete || reg.propagation.changeRevisions[id] > after):
-			changes = append(changes, ServerChange{ID: id, Server: &server, Revision: reg.entries.Last(id).Revision})
+			changes = append(changes, ServerChange{ID: id, Server: &server, Revision: s.entryRevision(id)})
 		case !registered && !complete && (reg.propagation.changeRevisions[id] > after || expired):
-			changes = append(changes, ServerChange{ID: id, Revision: reg.entries.Last(id).Revision})
+			changes = append(changes, ServerChange{ID: id, Revision: s.entryRevision(id)})
 		}
 	}
 	return changes
 }
 
+// entryRevision returns the revision of the last known write of an entry, 0 if that was
+// in an earlier era.
+func (s *State) entryRevision(id string) uint64 {
+	last := s.registry.entries.Last(id)
+	if last.Era != s.registry.era {
+		return 0
+	}
+	return last.Revision
+}
+
 // recordChange records the current revision as the last change of an entry.
 func (s *State) recordChange(id string) {
 	reg := &s.registry
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriapond/config"
+	"wisteriapond/storeage"
 )
 
 // Store updates propagate from one entry host to another. Store calls have a
@@ -244,7 +245,7 @@
 // updateRequest returns a poll for the updates after the known revision, which the
 // receiver may hold for the given time.
 func (s *State) updateRequest(wait time.Duration) NewsAsk {
-	poll := NewsAsk{From: s.selfNeighbour(), After: s.registry.revision, Wait: wait, Age: s.storeStaleness(), Leaving: s.recentLeaving(), Hosts: s.subtreeSize()}
+	poll := NewsAsk{From: s.selfNeighbour(), After: s.registry.revision, Wait: wait, Age: s.storeStaleness(), Leaving: s.recentLeaving(), Hosts: s.subtreeSize(), Era: s.registry.era}
 	if s.registry.routing != nil {
 		poll.Routing = s.registry.routing.Version
 	}
@@ -303,9 +304,10 @@
 	}
 	s.neighbourResponded(e.Address)
 	s.leavingReceived(e.Answer.Leaving)
+	s.hearEra(e.Answer.Era)
 	s.recordFleet(min(e.Answer.Hosts, maxNeighbours))
 	switch {
-	case e.Answer.Known && e.Answer.Revision >= s.registry.revision:
+	case s.appliesTo(&e.Answer):
 		s.applyUpdates(&e.Answer)
 		if polled && s.storeStaleness() < staleAfter {
 			p.relayed = false
@@ -324,31 +326,39 @@
 	s.callStoreIfDue()
 }
 
+// appliesTo reports whether a response brings the known state to a position that is not
+// earlier. Changes in a later era say nothing about what the store has lost.
+func (s *State) appliesTo(response *NewsAnswer) bool {
+	reg := &s.registry
+	return response.Known && !response.age().Before(reg.age()) && (response.Whole || response.Era == reg.era)
+}
+
+// age returns the position up to which the state in the response is complete.
+func (a *NewsAnswer) age() storeage.Age { return storeage.Age{Era: a.Era, Revision: a.Revision} }
+
 // applyUpdates applies the state of another entry host, which must not be older than
 // the known one.
 func (s *State) applyUpdates(response *NewsAnswer) {
 	reg := &s.registry
 	s.count(CounterStoreUpdates, "taken")
-	before := reg.revision
-	reg.revision = response.Revision
+	before := reg.age()
+	s.advanceTo(response.age())
 	s.markConfirmed(s.now.Add(-max(0, response.Age)))
 	reg.listed = reg.listed || response.Whole
 	listed := make(map[string]bool, len(response.Servers))
 	for _, change := range response.Servers {
-		listed[change.ID] = true
+		listed[change.ID] = s.replacesKnown(change)
 		s.changeServer(change.checked(), false)
 	}
 	if response.Whole {
-		for _, id := range sortedKeys(reg.servers) {
-			if !listed[id] {
-				s.changeServer(ServerChange{ID: id, Revision: response.Revision}, false)
-			}
+		for _, missing := range s.missingServers(listed, response.Revision) {
+			s.changeServer(missing, false)
 		}
 		s.discardChangeHistory()
 	}
 	s.acceptRouting(response.Routing, "")
 	s.adoptRegistry()
-	if before != reg.revision && (len(response.Servers) > 0 || response.Routing != nil) {
+	if before != reg.age() && (len(response.Servers) > 0 || response.Routing != nil) {
 		reg.propagation.nextPoll = s.now.Add(pollBatchDelay)
 		s.scheduleTick(reg.propagation.nextPoll)
 	}
--- a/core/registry.go
+++ b/core/registry.go
@@ -23,6 +23,8 @@
 	Leaving       bool
 	// ColdFor is the remaining warm-up time, during which the server is slower.
 	ColdFor time.Duration
+	// Sequence counts the writes of the entry by this instance.
+	Sequence uint64
 }
 
 // ServerChange is one change of the registered servers. Server is nil if the
@@ -67,16 +69,58 @@
 		}
 		ended = true
 		delete(reg.pendingRemoval, id)
+		reg.entries.Record(id, storeage.Write{At: reg.age(), Removed: true})
 		s.removeServer(id, "entry not registered again after a store outage")
 		reg.propagation.expired[id] = s.now
 	}
-	if ended {
+	if s.releaseWithheld() || ended {
 		s.adoptRegistry()
 		s.respondToPendingPolls()
 		s.notifyReader()
 	}
 }
 
+// deferRemoval keeps a server whose entry is missing in use until the end of
+// expiryGrace.
+func (s *State) deferRemoval(id string) {
+	reg := &s.registry
+	if _, scheduled := reg.pendingRemoval[id]; !scheduled {
+		reg.pendingRemoval[id] = reg.recoveredAt.Add(expiryGrace)
+		s.scheduleTick(reg.pendingRemoval[id])
+	}
+}
+
+// replacesKnown reports whether a listed entry is that of the known server. A copy of the
+// store may hold the entry of an earlier instance, which has ended.
+func (s *State) replacesKnown(change ServerChange) bool {
+	reg := &s.registry
+	known, registered := reg.servers[change.ID]
+	return !registered || change.Server == nil || change.Server.Born >= known.Born || reg.entries.Last(change.ID).Era == reg.era
+}
+
+// missingServers returns the removals of the known servers that complete contents of
+// the store lack. A server that was registered only in an earlier era is pending
+// removal instead: the store may have lost its entry, which is then written again.
+func (s *State) missingServers(listed map[string]bool, revision uint64) []ServerChange {
+	reg := &s.registry
+	var missing []ServerChange
+	for _, id := range sortedKeys(reg.servers) {
+		switch {
+		case listed[id]:
+		case s.now.Before(reg.lossGraceUntil) && reg.entries.Last(id).Era < reg.era && !reg.servers[id].Leaving:
+			s.deferRemoval(id)
+		default:
+			missing = append(missing, ServerChange{ID: id, Revision: revision})
+		}
+	}
+	for _, id := range sortedKeys(reg.withheld) {
+		if !listed[id] {
+			delete(reg.withheld, id)
+		}
+	}
+	return missing
+}
+
 // changeServers applies several entry changes of the store, and keeps the servers
 // of services whose entries have most likely expired during an outage.
 func (s *State) changeServers(changes []ServerChange) {
@@ -118,10 +162,7 @@
 	reg := &s.registry
 	known, registered := reg.servers[change.ID]
 	if registered && change.Server == nil && expired && change.Problem == "" && !known.Leaving {
-		if _, scheduled := reg.pendingRemoval[change.ID]; !scheduled {
-			reg.pendingRemoval[change.ID] = reg.recoveredAt.Add(expiryGrace)
-			s.scheduleTick(reg.pendingRemoval[change.ID])
-		}
+		s.deferRemoval(change.ID)
 		return
 	}
 	if registered && change.Server != nil && change.Server.Born < known.Born {
@@ -157,22 +198,77 @@
 
 // acceptWrite records a change as the last known write of its entry, and reports
 // whether it is applied: an older write than the known one is not. A response of the
-// store whose pages were read at different times, or another host, may report one.
+// store whose pages were read at different times, a copy of the store, or another host
+// may report one.
 func (s *State) acceptWrite(change *ServerChange) bool {
+	reg := &s.registry
 	if change.ID == "" {
 		return true
 	}
-	write := storeage.Write{At: storeage.Age{Revision: change.Revision}, Removed: change.Server == nil}
-	if change.Server != nil {
-		write.Instance, write.Leaving = change.Server.Born, change.Server.Leaving
+	write := storeage.Write{At: storeage.Age{Era: reg.era, Revision: change.Revision}, Removed: change.Server == nil}
+	if server := change.Server; server != nil {
+		write.Instance, write.Sequence, write.Leaving = server.Born, server.Sequence, server.Leaving
 	}
-	if s.registry.entries.Record(change.ID, write) == storeage.Outdated {
+	switch reg.entries.Record(change.ID, write) {
+	case storeage.Outdated:
 		s.count(CounterStoreUpdates, "outdated")
 		return false
+	case storeage.Withheld:
+		s.withhold(*change)
+		return false
+	case storeage.ApplyLeaving:
+		leaving := *change.Server
+		leaving.Leaving = true
+		change.Server = &leaving
 	}
+	delete(reg.withheld, change.ID)
 	return true
 }
 
+// withheldEntry is an entry that came back with a copy of the store after its removal.
+type withheldEntry struct {
+	change ServerChange
+	until  Instant
+}
+
+// withheldFor is the time for which such an entry is not used unless it is written
+// again. It exceeds the three intervals of liveness reports after which the store
+// removes the entry of a server that is gone.
+const withheldFor = 10 * time.Second
+
+func (s *State) withhold(change ServerChange) {
+	reg := &s.registry
+	s.count(CounterStoreUpdates, "withheld")
+	until := s.now.Add(withheldFor)
+	if earlier, known := reg.withheld[change.ID]; known {
+		until = earlier.until
+	} else {
+		s.deferServerLog(unloggedChange{id: change.ID, service: change.Server.Service, state: "removed before the store came back from a copy", removed: true})
+	}
+	reg.withheld[change.ID] = withheldEntry{change: change, until: until}
+	s.scheduleTick(until)
+}
+
+// releaseWithheld takes the withheld entries into use that the store still holds after
+// withheldFor, and reports whether there are any. They count as written now, so that
+// other hosts which know of their removals take them as well.
+func (s *State) releaseWithheld() bool {
+	reg := &s.registry
+	released := false
+	for _, id := range sortedKeys(reg.withheld) {
+		entry := reg.withheld[id]
+		if s.now.Before(entry.until) {
+			continue
+		}
+		delete(reg.withheld, id)
+		reg.entries.Release(id)
+		entry.change.Revision = reg.revision
+		s.changeServer(entry.change, false)
+		released = true
+	}
+	return released
+}
+
 // unusableEntriesPerSecond bounds the log entries about unusable entries of the
 // store, which another writer may rewrite at any rate.
 const unusableEntriesPerSecond = 10
--- a/core/reversepoll.go
+++ b/core/reversepoll.go
@@ -48,10 +48,10 @@
 // updates of this host are stale or already come from such polls.
 func (s *State) reversePoll(poll *NewsAsk) {
 	p := &s.registry.propagation
-	known := s.registry.revision
-	fresher := poll.After > 0 && poll.After == known && poll.Age < staleAfter && poll.Age+minReversePollGain < s.storeStaleness()
+	known := s.registry.age()
+	fresher := poll.After > 0 && poll.age() == known && poll.Age < staleAfter && poll.Age+minReversePollGain < s.storeStaleness()
 	needed := p.relayed || s.storeStaleness() >= staleAfter
-	if !needed || p.reversePolledAddress != "" || poll.From.Address == "" || poll.After <= known && !fresher {
+	if !needed || p.reversePolledAddress != "" || poll.From.Address == "" || !known.Before(poll.age()) && !fresher {
 		return
 	}
 	p.relayed = true
--- a/core/status.go
+++ b/core/status.go
@@ -27,6 +27,19 @@
 	Leaving   []HostEntry
 	Leases    LeaseStatus
 	Measuring MeasuringStatus
+	// Store is the state read from a store, zero without one.
+	Store StoreStatus
+}
+
+// StoreStatus is the position in the history of the store up to which this host knows
+// its contents, and the time since the store confirmed that nothing is later.
+type StoreStatus struct {
+	Era      uint64
+	Revision uint64
+	Age      time.Duration
+	// Withheld are the servers whose entries came back with a copy of the store after
+	// their removal.
+	Withheld []string
 }
 
 // MemberStatus is the status of one entry host.
@@ -102,6 +115,10 @@
 		Leases:   s.leaseStatus(),
 	}
 	status.Measuring = s.measuringStatus()
+	if s.self.Registry != nil {
+		reg := &s.registry
+		status.Store = StoreStatus{Era: reg.era, Revision: reg.revision, Age: s.storeStaleness(), Withheld: sortedKeys(reg.withheld)}
+	}
 	if s.pending != nil {
 		status.Pending = s.pending.version
 		status.MissingParts = s.pending.fetcher.MissingCount()
--- a/core/store.go
+++ b/core/store.go
@@ -140,10 +140,26 @@
 type registry struct {
 	routing *config.Routing
 	servers map[string]Server
-	// revision is that up to which the known state is complete, and entries holds
-	// the last known write of each entry, which may be later.
+	// era and revision are the position in the history of the store up to which the
+	// known state is complete. entries holds the last known write of each entry,
+	// which may be later.
+	era      uint64
 	revision uint64
 	entries  storeage.Entries
+	// watchedEra is the era of the revision from which the last watch started.
+	watchedEra uint64
+	// heardEra is the latest era that this host has heard of, from the store or from
+	// another host, and heardAt the instant of the first time.
+	heardEra uint64
+	heardAt  Instant
+	// lossGraceUntil is the instant until which entries of an earlier era that the
+	// store lacks may be written again.
+	lossGraceUntil Instant
+	// withheld holds the entries that came back with a copy of the store after their
+	// removal.
+	withheld map[string]withheldEntry
+	// freshOnly is set when a listing cannot be used since its pages are of two eras.
+	freshOnly bool
 	// listed is set once the complete store was read, until its history is discarded.
 	listed      bool
 	callPending bool
@@ -172,6 +188,7 @@
 func (s *State) startRegistry() {
 	s.registry.servers = make(map[string]Server)
 	s.registry.pendingRemoval = make(map[string]Instant)
+	s.registry.withheld = make(map[string]withheldEntry)
 	s.registry.fleet.startedAt = s.now
 	s.registry.leaving.markedAt = make(map[string]Instant)
 	s.startPropagation()
@@ -206,12 +223,13 @@
 	}
 	reg.callPending = true
 	if reg.listed {
+		reg.watchedEra = reg.era
 		s.out.add(WatchStore{After: reg.revision, Wait: s.nextWatchWait()})
 		return
 	}
 	// Changes since a stale listing arrive with the next update. At the first
 	// start a stale listing may lack the configuration, so a fresh one is read.
-	s.out.add(ListStore{Stale: reg.revision == 0 && !s.self.Registry.FirstStart})
+	s.out.add(ListStore{Stale: reg.revision == 0 && !s.self.Registry.FirstStart && !reg.freshOnly})
 }
 
 // tickRegistry does what is due: removals of expired servers, polls, and store
@@ -234,15 +252,10 @@
 	return watchWait
 }
 
-// storeCallSucceeded records a response of the store with the given revision. A
-// stale response does not confirm that the state is current.
-func (s *State) storeCallSucceeded(revision uint64, stale bool) {
+// storeResponded ends the pending call, and a period of failed calls.
+func (s *State) storeResponded() {
 	reg := &s.registry
 	reg.callPending = false
-	if !stale {
-		s.markConfirmed(s.now)
-		reg.propagation.relayed = false
-	}
 	if reg.failures > 0 {
 		reg.recoveredAt = s.now
 		s.out.add(Log{Message: "store responds again", Fields: []LogField{
@@ -250,17 +263,77 @@
 		}})
 	}
 	reg.failures = 0
-	reg.revision = max(reg.revision, revision)
+}
+
+// storeCallSucceeded records a response of the store as of the given position. A
+// stale response does not confirm that the state is current.
+func (s *State) storeCallSucceeded(at storeage.Age, stale bool) {
+	s.storeResponded()
+	if !stale {
+		s.markConfirmed(s.now)
+		s.registry.propagation.relayed = false
+	}
+	s.advanceTo(at)
 	s.confirmFromStore()
 }
 
+// advanceTo records the position up to which the state is complete once a response is
+// applied.
+func (s *State) advanceTo(at storeage.Age) {
+	reg := &s.registry
+	switch {
+	case reg.revision == 0:
+		reg.entries.Enter(at)
+	case at.Era > reg.era:
+		s.enterEra(at)
+	}
+	if reg.age().Before(at) {
+		reg.era, reg.revision = at.Era, at.Revision
+	}
+}
+
+// enterEra begins an era of the store, which has come back from a copy. What is known
+// stays in use, and entries that the copy lacks may be written again, as after an outage.
+func (s *State) enterEra(at storeage.Age) {
+	reg := &s.registry
+	began := s.now
+	if reg.heardEra == at.Era {
+		began = reg.heardAt
+	}
+	s.count(CounterStoreEras, "")
+	s.out.add(Log{Level: LogWarn, Message: "store came back from a copy", Fields: []LogField{
+		{Key: "era", Value: strconv.FormatUint(at.Era, 10)},
+		{Key: "revision", Value: strconv.FormatUint(at.Revision, 10)},
+		{Key: "known_era", Value: strconv.FormatUint(reg.era, 10)},
+		{Key: "known", Value: strconv.FormatUint(reg.revision, 10)},
+	}})
+	reg.era, reg.revision = at.Era, at.Revision
+	reg.entries.Enter(at)
+	reg.recoveredAt, reg.lossGraceUntil = began, began.Add(expiryGrace)
+	clear(reg.withheld)
+}
+
+// hearEra records that the store is in the given era, and reports whether that is later
+// than the era of what this host knows.
+func (s *State) hearEra(era uint64) bool {
+	reg := &s.registry
+	if era <= reg.era || reg.revision == 0 {
+		return false
+	}
+	if era > reg.heardEra {
+		reg.heardEra, reg.heardAt = era, s.now
+	}
+	return true
+}
+
 // storeListed applies a complete listing, unless updates of another entry host have
 // overtaken it. Known servers that it lacks are removed, or pending removal if their
 // entries have most likely expired.
 func (s *State) storeListed(e StoreListed) {
 	reg := &s.registry
-	outdated := s.discardOutdated(e.Revision)
-	s.storeCallSucceeded(e.Revision, e.Stale || outdated)
+	at := storeage.Age{Era: e.Era, Revision: e.Revision}
+	outdated := s.discardOutdated(at)
+	s.storeCallSucceeded(at, e.Stale || outdated)
 	// Updates that have overtaken the listing left the known state complete.
 	reg.listed = true
 	if !outdated {
@@ -273,16 +346,10 @@
 func (s *State) applyListing(e *StoreListed) {
 	listed := make(map[string]bool, len(e.Servers))
 	for _, change := range e.Servers {
-		listed[change.ID] = true
+		listed[change.ID] = s.replacesKnown(change)
 		s.changeServer(change, false)
 	}
-	var missing []ServerChange
-	for _, id := range sortedKeys(s.registry.servers) {
-		if !listed[id] {
-			missing = append(missing, ServerChange{ID: id, Revision: e.Revision})
-		}
-	}
-	s.changeServers(missing)
+	s.changeServers(s.missingServers(listed, e.Revision))
 	s.discardChangeHistory()
 	s.acceptRouting(e.Routing, e.RoutingProblem)
 	s.adoptRegistry()
@@ -292,8 +359,13 @@
 // storeChanged applies the changes that a watch reported, and relays them. A
 // response that updates of another entry host have overtaken reports nothing new.
 func (s *State) storeChanged(e StoreChanged) {
-	outdated := s.discardOutdated(e.Revision)
-	s.storeCallSucceeded(e.Revision, outdated)
+	at := storeage.Age{Era: e.Era, Revision: e.Revision}
+	outdated := s.discardOutdated(at)
+	if !outdated && e.Era != s.registry.watchedEra {
+		s.watchCrossedEras(e.Era)
+		return
+	}
+	s.storeCallSucceeded(at, outdated)
 	if outdated {
 		s.delayStoreCall()
 		return
@@ -309,18 +381,32 @@
 	s.callStoreIfDue()
 }
 
+// watchCrossedEras handles the response to a watch that started from a revision of an
+// earlier era. The changes since that revision of the later era are not all changes
+// since the copy, so the store is listed, unless another host has provided the state of
+// the later era.
+func (s *State) watchCrossedEras(era uint64) {
+	s.storeResponded()
+	if s.hearEra(era) {
+		s.registry.listed = false
+	}
+	s.callStoreIfDue()
+}
+
 // discardOutdated reports whether a response of the store is discarded, since it describes
-// an earlier revision than the known one. If it were applied, it would revert changes that
+// an earlier position than the known one. If it were applied, it would revert changes that
 // no later watch or poll reports again. Discarded responses are counted and logged.
-func (s *State) discardOutdated(revision uint64) bool {
-	known := s.registry.revision
-	if revision >= known {
+func (s *State) discardOutdated(at storeage.Age) bool {
+	known := s.registry.age()
+	if !at.Before(known) {
 		return false
 	}
 	s.count(CounterStoreUpdates, "outdated")
 	s.out.add(Log{Message: "outdated response of the store ignored", Fields: []LogField{
-		{Key: "revision", Value: strconv.FormatUint(revision, 10)},
-		{Key: "known", Value: strconv.FormatUint(known, 10)},
+		{Key: "revision", Value: strconv.FormatUint(at.Revision, 10)},
+		{Key: "known", Value: strconv.FormatUint(known.Revision, 10)},
+		{Key: "era", Value: strconv.FormatUint(at.Era, 10)},
+		{Key: "known_era", Value: strconv.FormatUint(known.Era, 10)},
 	}})
 	return true
 }
@@ -337,9 +423,12 @@
 	reg := &s.registry
 	reg.callPending = false
 	s.count(CounterPlatformFailures, "")
+	if s.hearEra(e.Era) {
+		reg.listed = false
+	}
 	if e.HistoryGone {
 		// The known state stays in use until the new listing arrives.
-		reg.listed = false
+		reg.listed, reg.freshOnly = false, true
 		s.out.add(Log{Level: LogWarn, Message: "store history discarded, listing again", Fields: []LogField{
 			{Key: "revision", Value: strconv.FormatUint(reg.revision, 10)},
 		}})
@@ -373,4 +462,4 @@
 
 // age returns the position in the history of the store up to which the known state is
 // complete.
-func (r *registry) age() storeage.Age { return storeage.Age{Revision: r.revision} }
+func (r *registry) age() storeage.Age { return storeage.Age{Era: r.era, Revision: r.revision} }
--- a/entryhost/store.go
+++ b/entryhost/store.go
@@ -1,8 +1,6 @@
 package entryhost
 
 import (
-	"errors"
-
 	"wisteriapond/core"
 	"wisteriapond/metrics"
 	"wisteriapond/platform"
@@ -68,7 +66,7 @@
 			return nil
 		}
 		if err != nil {
-			event = core.StoreFailed{HistoryGone: errors.Is(err, platform.ErrHistoryGone), Reason: err.Error()}
+			event = platform.Failure(err)
 		}
 		h.loop.Send(event)
 		return nil
--- a/metrics/describe.go
+++ b/metrics/describe.go
@@ -176,7 +176,13 @@
 		string(core.CounterStoreUpdates), KindCounter,
 		[]string{"event"},
 		"messages",
-		"News of the store between entry hosts: `told`, `taken`, `failed`, `outdated` (a response of the store, overtaken by such news), or `too_many_neighbours`.",
+		"News of the store between entry hosts: `told`, `taken`, `failed`, `outdated` (a response of the store or an entry, older than what is known), `withheld` (an entry that came back with a copy of the store after its removal), or `too_many_neighbours`.",
+	},
+	{
+		string(core.CounterStoreEras), KindCounter,
+		nil,
+		"eras",
+		"Returns of the store from a copy that lacks its latest changes.",
 	},
 	{
 		string(core.CounterUnusableEntries), KindCounter,
