--- a/core/emptieddomains.go
+++ b/core/emptieddomains.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"wisteriapond/evacuation"
+	"wisteriapond/storeage"
 )
 
 // This file applies the marks of failure domains that the operators have emptied:
@@ -27,8 +28,16 @@
 	// back. verifying is set once it has started.
 	verify    bool
 	verifying bool
+	// keepUntil is the end of the time in which marks of an earlier era hold although
+	// the store lacks them, 0 if there are none.
+	keepUntil Instant
 }
 
+// domainLossGrace is the time that the operators have to empty a domain again after
+// the store has come back from a copy without the mark. A domain that stays emptied
+// too long costs less than one that gets requests too early.
+const domainLossGrace = 5 * time.Second
+
 // domainEmptied reports whether the operators have emptied a failure domain.
 func (s *State) domainEmptied(domain string) bool {
 	return s.registry.domains.table.Emptied(domain) || s.table != nil && slices.Contains(s.table.Manifest.EmptiedDomains, domain)
@@ -60,7 +69,7 @@
 	for _, m := range e.Domains {
 		marks = append(marks, evacuation.Mark(m))
 	}
-	changed := s.registry.domains.table.Listed(e.Era, e.Revision, marks)
+	changed := s.registry.domains.table.Listed(e.Era, e.Revision, marks, s.keepsEarlierMarks(e.Era))
 	for _, domain := range changed {
 		s.reportDomain(s.registry.domains.table.Mark(domain), domainSourceStore)
 	}
@@ -69,16 +78,47 @@
 	}
 }
 
+// keepsEarlierMarks reports whether marks of eras before the given one, which the store
+// has reached, still hold although the store lacks them.
+func (s *State) keepsEarlierMarks(era uint64) bool {
+	d := &s.registry.domains
+	if era > s.registry.era && d.table.EmptiedBefore(era) {
+		d.keepUntil = s.now.Add(domainLossGrace)
+		s.scheduleTick(d.keepUntil)
+	}
+	return s.now.Before(d.keepUntil)
+}
+
+// tickEmptiedDomains reads the complete store again once marks of an earlier era no
+// longer hold without it.
+func (s *State) tickEmptiedDomains() {
+	d := &s.registry.domains
+	if d.keepUntil == 0 || s.now.Before(d.keepUntil) {
+		return
+	}
+	d.keepUntil = 0
+	if d.table.EmptiedBefore(s.registry.era) {
+		d.verify, d.verifying = true, false
+	}
+}
+
 // domainsReceived applies the marks of another entry host, and reports whether any
 // domain has changed, so that the marks have to be passed on.
 func (s *State) domainsReceived(marks []DomainMark) (changed bool) {
 	for _, m := range marks[:min(len(marks), evacuation.MaxDomains)] {
-		unexpected := m.Emptied && m.Revision <= s.registry.revision && !s.registry.domains.table.Known(m.Domain)
-		if s.learnDomain(m, domainSourceNeighbour) {
-			changed = true
-			if unexpected {
-				s.registry.domains.verify, s.registry.domains.verifying = true, false
-			}
+		at := storeage.Age{Era: m.Era, Revision: m.Revision}
+		unexpected := m.Emptied && !s.registry.age().Before(at) && !s.registry.domains.table.Known(m.Domain)
+		if !s.learnDomain(m, domainSourceNeighbour) {
+			continue
+		}
+		changed = true
+		switch {
+		case unexpected && m.Era < s.registry.era:
+			// This host has not seen the era of the mark, which the store may have lost.
+			s.registry.domains.keepUntil = s.now.Add(domainLossGrace)
+			s.scheduleTick(s.registry.domains.keepUntil)
+		case unexpected:
+			s.registry.domains.verify, s.registry.domains.verifying = true, false
 		}
 	}
 	if changed {
--- a/core/status.go
+++ b/core/status.go
@@ -30,6 +30,8 @@
 	// EmptiedDomains are the failure domains that the operators have emptied.
 	EmptiedDomains []string
 	Cold           ColdStatus
+	// Store is the state read from a store, zero without one.
+	Store StoreStatus
 }
 
 // ColdStatus is the status of the limit of requests to cold backend servers.
@@ -44,6 +46,17 @@
 	Upstreams int
 }
 
+// StoreStatus is the position in the history of the store up to which this host knows
+// its contents, and the time since the store confirmed that nothing is later.
+type StoreStatus struct {
+	Era      uint64
+	Revision uint64
+	Age      time.Duration
+	// Withheld are the servers whose entries came back with a copy of the store after
+	// their removal.
+	Withheld []string
+}
+
 // MemberStatus is the status of one entry host.
 type MemberStatus struct {
 	Name        string
@@ -126,6 +139,10 @@
 	status.EmptiedDomains = s.emptiedDomainNames()
 	status.Measuring = s.measuringStatus()
 	status.Cold = s.coldStatus()
+	if s.self.Registry != nil {
+		reg := &s.registry
+		status.Store = StoreStatus{Era: reg.era, Revision: reg.revision, Age: s.storeStaleness(), Withheld: sortedKeys(reg.withheld)}
+	}
 	if s.pending != nil {
 		status.Pending = s.pending.version
 		status.MissingParts = s.pending.fetcher.MissingCount()
--- a/evacuation/evacuation.go
+++ b/evacuation/evacuation.go
@@ -84,8 +84,10 @@
 
 // Listed applies a complete listing of the store as of a revision, which holds the
 // marks of all emptied domains. A domain that it lacks is taken back if its mark is
-// older than the listing. The result holds the domains whose state has changed.
-func (t *Table) Listed(era, revision uint64, marks []Mark) (changed []string) {
+// older than the listing. With keepEarlier, it is not taken back if the mark is of an
+// earlier era: the store may have lost it. The result holds the domains whose state
+// has changed.
+func (t *Table) Listed(era, revision uint64, marks []Mark, keepEarlier bool) (changed []string) {
 	listed := make(map[string]bool, len(marks))
 	for _, m := range marks {
 		listed[m.Domain] = true
@@ -95,6 +97,9 @@
 	}
 	for _, known := range t.Marks() {
 		back := Mark{Domain: known.Domain, Era: era, Revision: revision}
+		if keepEarlier && known.Era < era {
+			continue
+		}
 		if known.Emptied && !listed[known.Domain] && t.Learn(back) {
 			changed = append(changed, known.Domain)
 		}
@@ -102,6 +107,17 @@
 	return changed
 }
 
+// EmptiedBefore reports whether any domain is emptied by a mark of an era before the
+// given one.
+func (t *Table) EmptiedBefore(era uint64) bool {
+	for _, m := range t.marks {
+		if m.Emptied && m.Era < era {
+			return true
+		}
+	}
+	return false
+}
+
 // Mark returns the mark of a failure domain, or a zero mark if there is none.
 func (t *Table) Mark(domain string) Mark { return t.marks[domain] }
 
--- a/evacuation/evacuation_test.go
+++ b/evacuation/evacuation_test.go
@@ -60,7 +60,7 @@
 		func(revision uint64, want bool) {
 			var t evacuation.Table
 			t.Learn(emptied(5))
-			changed := t.Listed(0, revision, nil)
+			changed := t.Listed(0, revision, nil, false)
 			Expect(len(changed) > 0).To(Equal(!want))
 			Expect(t.Emptied("a")).To(Equal(want))
 		},
@@ -73,7 +73,7 @@
 	It("keeps the domains that a listing holds", func() {
 		var t evacuation.Table
 		t.Learn(emptied(5))
-		Expect(t.Listed(0, 9, []evacuation.Mark{emptied(5), {Domain: "b", Emptied: true, Revision: 8}})).To(Equal([]string{"b"}))
+		Expect(t.Listed(0, 9, []evacuation.Mark{emptied(5), {Domain: "b", Emptied: true, Revision: 8}}, false)).To(Equal([]string{"b"}), false)
 		Expect(t.Domains()).To(Equal([]string{"a", "b"}))
 	})
 
