storeage: forget removed entries in bulk

Cause: beyond 1,024 removed entries, each further removal scanned all known entries. A listing that lacks thousands of 37,000 servers would have scanned them thousands of times in one step of the control thread. Change: the older half is forgotten at once. The time was not measured.

--- a/storeage/entries.go
+++ b/storeage/entries.go
@@ -1,5 +1,10 @@
 package storeage
 
+import (
+	"cmp"
+	"slices"
+)
+
 // maxRemoved bounds the removed entries that are remembered.
 const maxRemoved = 1024
 
@@ -128,23 +133,26 @@
 	}
 }
 
-// forgetOldestRemoved keeps the number of removed entries at maxRemoved.
+// forgetOldestRemoved forgets the older half of the removed entries once there are more
+// than maxRemoved, so that a listing without thousands of entries scans all entries only
+// a few times.
 func (e *Entries) forgetOldestRemoved() {
 	if e.removed <= maxRemoved {
 		return
 	}
-	oldest, found := "", false
+	removed := make([]string, 0, e.removed)
 	for id, write := range e.known {
-		if !write.Removed {
-			continue
-		}
-		order := write.At.Compare(e.known[oldest].At)
-		if !found || order < 0 || order == 0 && id < oldest {
-			oldest, found = id, true
+		if write.Removed {
+			removed = append(removed, id)
 		}
 	}
-	delete(e.known, oldest)
-	e.removed--
+	slices.SortFunc(removed, func(a, b string) int {
+		return cmp.Or(e.known[a].At.Compare(e.known[b].At), cmp.Compare(a, b))
+	})
+	for _, id := range removed[:len(removed)-maxRemoved/2] {
+		delete(e.known, id)
+	}
+	e.removed = maxRemoved / 2
 }
 
 // Last returns the position of the last known write of an entry, the zero Age if
