caller: the configured limit on heads is the one in force

Cause: a head has to fit into the read buffer of its connection, 32 KiB, and a request inside a higher configured limit got 431. Change: while the configuration allows larger heads, connections are accepted by a second server with read buffers of 1 MiB, and count with that size. A connection from before such a configuration is closed without an answer when a head outgrows its buffer. Tests of intake, caller, entryhost, cmd and platform pass under the race detector, those of cli and docs without.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -64,6 +64,8 @@
 	// bound. head is guarded by mu.
 	headBytes func() int
 	head      headState
+	// readBufferBytes is the size of the read buffer, 0 if it is not known.
+	readBufferBytes int
 }
 
 // headState counts the bytes of the head that is being read, and of the empty lines
--- a/caller/errorresponse.go
+++ b/caller/errorresponse.go
@@ -84,6 +84,10 @@
 		c.Conn.Close()
 		return
 	}
+	if ok && s.outgrown(c, err) {
+		c.Conn.Close()
+		return
+	}
 	var large *fasthttp.ErrSmallBuffer
 	var beyond *headTooLargeError
 	status, reason := fasthttp.StatusBadRequest, outcome.RefusedMalformed
@@ -104,6 +108,14 @@
 	})
 }
 
+// outgrown reports whether a head was too large only for the read buffer of a connection
+// from before a higher limit. The connection is closed without a response, so that the
+// caller sends the request again on a new one.
+func (s *Server) outgrown(c *conn, err error) bool {
+	var large *fasthttp.ErrSmallBuffer
+	return errors.As(err, &large) && c.readBufferBytes > 0 && s.headBytes() > c.readBufferBytes
+}
+
 func writeFailure(ctx *fasthttp.RequestCtx, failure core.Fail) {
 	status := fasthttp.StatusBadGateway
 	if failure.Reason == outcome.FailedTimeout {
--- a/caller/gate.go
+++ b/caller/gate.go
@@ -21,6 +21,9 @@
 type gate struct {
 	loop   *runtime.Loop
 	bounds intake.Bounds
+	// readBufferBytes returns the size of the read buffer of a connection that is accepted
+	// now.
+	readBufferBytes func() int
 	// pressed holds a value while a census may be needed.
 	pressed chan struct{}
 	done    chan struct{}
@@ -39,9 +42,9 @@
 	closed      bool
 }
 
-func newGate(loop *runtime.Loop, bounds intake.Bounds) *gate {
+func newGate(loop *runtime.Loop, bounds intake.Bounds, readBufferBytes func() int) *gate {
 	g := &gate{
-		loop: loop, bounds: bounds, conns: make(map[uint64]*conn),
+		loop: loop, bounds: bounds, readBufferBytes: readBufferBytes, conns: make(map[uint64]*conn),
 		pressed: make(chan struct{}, 1), done: make(chan struct{}),
 	}
 	g.changed.L = &g.mu
@@ -53,7 +56,7 @@
 func (g *gate) admit() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for len(g.conns) >= g.bounds.Connections && !g.closed {
+	for len(g.conns) >= g.bounds.ConnectionsWith(g.extraBytes()) && !g.closed {
 		g.waiting = true
 		g.press()
 		g.changed.Wait()
@@ -62,13 +65,16 @@
 	return !g.closed
 }
 
+// extraBytes returns what a connection that is accepted now holds beyond an ordinary one.
+func (g *gate) extraBytes() int64 { return int64(g.readBufferBytes() - maxHeaderBytes) }
+
 func (g *gate) add(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastID++
 	c.id = g.lastID
 	g.conns[c.id] = c
-	if len(g.conns) > g.bounds.Quiet {
+	if len(g.conns) > g.bounds.QuietWith(g.extraBytes()) {
 		g.press()
 	}
 }
@@ -145,7 +151,7 @@
 	for _, c := range g.conns {
 		census.Connections = append(census.Connections, c.describe(now, &g.bounds))
 	}
-	return census, g.waiting || len(g.conns) > g.bounds.Quiet
+	return census, g.waiting || len(g.conns) > g.bounds.QuietWith(g.extraBytes())
 }
 
 // beginStream counts a streamed answer until its request ends. It reports whether its
@@ -177,9 +183,25 @@
 	// bytes that a request may have before its body.
 	timeouts  func() readTimeouts
 	headBytes func() int
+	// large receives the connections that need a large read buffer.
+	large *handoff
 }
 
+// Accept returns the next connection that needs no large read buffer.
 func (l listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if c.readBufferBytes <= maxHeaderBytes {
+			return c, nil
+		}
+		l.large.put(c)
+	}
+}
+
+func (l listener) accept() (*conn, error) {
 	if !l.gate.admit() {
 		return nil, net.ErrClosed
 	}
@@ -192,6 +214,7 @@
 	wrapped.headBytes = l.headBytes
 	wrapped.usage.enter(intake.PhaseFresh, l.gate.loop.Now())
 	wrapped.gate = l.gate
+	wrapped.readBufferBytes = l.gate.readBufferBytes()
 	wrapped.setBuffers(&l.gate.bounds)
 	l.gate.add(wrapped)
 	return wrapped, nil
@@ -199,6 +222,13 @@
 
 // Close closes the listener and ends a wait for room.
 func (l listener) Close() error {
-	l.gate.close()
+	l.stop()
 	return l.Listener.Close()
 }
+
+// stop ends everything that serves the connections of the listener, but not the
+// connections.
+func (l listener) stop() {
+	l.gate.close()
+	l.large.Close()
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 
 	"wisteriapond/backend"
 	"wisteriapond/intake"
@@ -23,9 +24,11 @@
 	maxBufferedBodyBytes = 64 << 10
 	// firstBodyBufferBytes is the first size of the buffer for a body of unknown length.
 	firstBodyBufferBytes = 4 << 10
-	// maxHeaderBytes bounds the header section of a request. The configuration may
-	// set a lower limit.
-	maxHeaderBytes = 32 << 10
+	// maxHeaderBytes is the size of the read buffer of a connection, which bounds the head
+	// of a request. The configuration may set a lower limit. With a higher one,
+	// connections have a read buffer of maxLargeHeadBytes.
+	maxHeaderBytes    = 32 << 10
+	maxLargeHeadBytes = 1 << 20
 	// requestLineBytes is the room for a request line, which the configured limit on the
 	// header section does not count.
 	requestLineBytes = 8 << 10
@@ -49,7 +52,11 @@
 	pool *backend.Pool
 	log  log.Interface
 	http *fasthttp.Server
-	gate *gate
+	// large serves connections that were accepted while the configuration allowed larger
+	// heads than maxHeaderBytes. fasthttp has one size of buffer for a server.
+	large      *fasthttp.Server
+	largeConns *handoff
+	gate       *gate
 	// ObserveLatency, if set, is called with the latency of each request.
 	ObserveLatency func(service, outcome string, took time.Duration)
 	// ObserveRefusal, if set, is called for each refusal that did not pass
@@ -60,12 +67,20 @@
 // NewServer returns a server that submits requests to the loop, and whose callers hold
 // no more than the bounds allow.
 func NewServer(loop *runtime.Loop, pool *backend.Pool, bounds intake.Bounds, logger log.Interface) *Server {
-	s := &Server{loop: loop, pool: pool, log: logger, gate: newGate(loop, bounds)}
-	s.http = &fasthttp.Server{
+	s := &Server{loop: loop, pool: pool, log: logger}
+	s.gate = newGate(loop, bounds, s.readBufferBytes)
+	s.http = s.newHTTP(maxHeaderBytes)
+	s.large = s.newHTTP(maxLargeHeadBytes)
+	s.largeConns = newHandoff()
+	return s
+}
+
+func (s *Server) newHTTP(readBufferBytes int) *fasthttp.Server {
+	return &fasthttp.Server{
 		Handler:                      s.handle,
 		ErrorHandler:                 s.refuseUnreadable,
-		Logger:                       libraryLog{logger},
-		ReadBufferSize:               maxHeaderBytes,
+		Logger:                       libraryLog{s.log},
+		ReadBufferSize:               readBufferBytes,
 		WriteBufferSize:              writeBufferBytes,
 		StreamRequestBody:            true,
 		DisablePreParseMultipartForm: true,
@@ -78,13 +93,19 @@
 		SecureErrorLogMessage:        true,
 		LazyRequestTime:              true,
 	}
-	return s
 }
 
 // Serve accepts connections until the listener is closed.
 func (s *Server) Serve(l net.Listener) error {
-	go s.gate.watch()
-	return s.http.Serve(listener{Listener: l, gate: s.gate, timeouts: s.readTimeouts, headBytes: s.headBytes})
+	accepted := listener{Listener: l, gate: s.gate, timeouts: s.readTimeouts, headBytes: s.headBytes, large: s.largeConns}
+	var group errgroup.Group
+	group.Go(func() error { s.gate.watch(); return nil })
+	group.Go(func() error { return s.large.Serve(s.largeConns) })
+	group.Go(func() error {
+		defer accepted.stop()
+		return s.http.Serve(accepted)
+	})
+	return group.Wait()
 }
 
 // CloseConnections closes connections as the reducer decided. It does not block.
@@ -98,7 +119,16 @@
 // header section in force, and room for the request line and a few empty lines.
 func (s *Server) headBytes() int {
 	if limit := s.loop.View().Limits.HeaderBytes; limit > 0 {
-		return min(limit+requestLineBytes, maxHeaderBytes)
+		return min(limit, maxLargeHeadBytes-requestLineBytes) + requestLineBytes
+	}
+	return maxHeaderBytes
+}
+
+// readBufferBytes returns the size of the read buffer of a connection that is accepted
+// now.
+func (s *Server) readBufferBytes() int {
+	if s.headBytes() > maxHeaderBytes {
+		return maxLargeHeadBytes
 	}
 	return maxHeaderBytes
 }
@@ -124,7 +154,10 @@
 // Shutdown closes the listener and idle connections. It waits until every
 // response in progress is written or ctx is done.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return s.http.ShutdownWithContext(ctx)
+	var group errgroup.Group
+	group.Go(func() error { return s.http.ShutdownWithContext(ctx) })
+	group.Go(func() error { return s.large.ShutdownWithContext(ctx) })
+	return group.Wait()
 }
 
 // libraryLog forwards log messages of fasthttp.
--- a/caller/usage.go
+++ b/caller/usage.go
@@ -109,7 +109,7 @@
 	if u.writing {
 		d.Stalled = now.Sub(u.writingSince)
 	}
-	d.Bytes = b.Charge(intake.Use{
+	d.Bytes = int64(max(0, c.readBufferBytes-maxHeaderBytes)) + b.Charge(intake.Use{
 		Held: u.held, SendsAhead: u.sendsAhead || u.uploading, Streaming: u.streaming, Stalled: d.Stalled >= intake.StallNotice,
 	})
 	return d
--- a/caller/usage_test.go
+++ b/caller/usage_test.go
@@ -33,10 +33,10 @@
 		go loop.Run(ctx)
 		bounds := intake.BoundsOf(intake.Limits{Memory: 64 << 20, Descriptors: 512})
 		bounds.Connections = 1
-		g = newGate(loop, bounds)
+		g = newGate(loop, bounds, func() int { return maxHeaderBytes })
 		inner, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		l = listener{Listener: inner, gate: g, headBytes: func() int { return 100 }}
+		l = listener{Listener: inner, gate: g, large: newHandoff(), headBytes: func() int { return 100 }}
 		DeferCleanup(func() { l.Close() })
 		caller, err = net.Dial("tcp", inner.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
--- a/intake/bounds.go
+++ b/intake/bounds.go
@@ -125,6 +125,25 @@
 	b.Quiet = min(b.Connections, int(callers/most))
 }
 
+// ConnectionsWith returns the number of connections if each holds more bytes than an
+// ordinary one, since the configuration allows larger heads.
+func (b *Bounds) ConnectionsWith(extra int64) int {
+	if b.Bytes == 0 || extra == 0 {
+		return b.Connections
+	}
+	return fitting(b.Connections, b.Bytes*connectionEighths/8, ConnectionBytes+extra+kernelFactor*int64(b.ReceiveBuffer))
+}
+
+// QuietWith returns the number of connections that stay within Bytes whatever they do,
+// if each holds more bytes than an ordinary one.
+func (b *Bounds) QuietWith(extra int64) int {
+	if b.Bytes == 0 || extra == 0 {
+		return b.Quiet
+	}
+	most := b.Charge(Use{SendsAhead: true, Streaming: true, Stalled: true})
+	return min(b.Quiet, int(b.Bytes/(most+extra)))
+}
+
 // fitting returns how many of number fit into a part of the memory, at least one.
 func fitting(number int, part, each int64) int {
 	return max(1, min(number, int(part/each)))
