--- a/core/doc.go
+++ b/core/doc.go
@@ -22,17 +22,24 @@
 //	requestlog.go                    log entries of requests
 //	transfer.go                      pacing of long responses between regions
 //	stop.go, pauses.go, startup.go   planned stop, process pauses, readiness
+//	callers.go                       what callers hold, whose connections close
 //	status.go, explain.go            reports for operators
 //
 // With a store that is read only:
 //
 //	store.go                         calls to the store, backoff
-//	registry.go                      registered servers, routing in force
+//	storeera.go, withheldservers.go  a store that comes back from a copy
+//	registry.go, serverlog.go        registered servers, routing in force
+//	leavingservers.go, hints.go      what servers say of themselves
+//	emptieddomains.go                failure domains that get nothing new
+//	fleetsize.go                     how many entry hosts there are
+//	earlyrequests.go                 requests before the first configuration
 //	propagation.go, neighbours.go    updates from other entry hosts, the reader
 //	polls.go, reversepoll.go         polls of other hosts, relaying to the reader
 //	routing.go, routeregions.go      routes, splits, regions of routes
 //	loadquery.go, loadreport.go      load queries and reports of upstreams
 //	placement.go                     latency against transfer costs
+//	coldservers.go                   what cold servers bear
 //
 // With a configuration service and a host list:
 //
--- a/core/registry.go
+++ b/core/registry.go
@@ -90,14 +90,6 @@
 	}
 }
 
-// replacesKnown reports whether a listed entry is that of the known server. A copy of the
-// store may hold the entry of an earlier instance, which has ended.
-func (s *State) replacesKnown(change ServerChange) bool {
-	reg := &s.registry
-	known, registered := reg.servers[change.ID]
-	return !registered || change.Server == nil || change.Server.Born >= known.Born || reg.entries.Last(change.ID).Era == reg.era
-}
-
 // missingServers returns the removals of the known servers that complete contents of
 // the store lack. A server that was registered only in an earlier era is pending
 // removal instead: the store may have lost its entry, which is then written again.
@@ -197,79 +189,6 @@
 	}
 }
 
-// acceptWrite records a change as the last known write of its entry, and reports
-// whether it is applied: an older write than the known one is not. A response of the
-// store whose pages were read at different times, a copy of the store, or another host
-// may report one.
-func (s *State) acceptWrite(change *ServerChange) bool {
-	reg := &s.registry
-	if change.ID == "" {
-		return true
-	}
-	write := storeage.Write{At: storeage.Age{Era: reg.era, Revision: change.Revision}, Removed: change.Server == nil}
-	if server := change.Server; server != nil {
-		write.Instance, write.Sequence, write.Leaving = server.Born, server.Sequence, server.Leaving
-	}
-	switch reg.entries.Record(change.ID, write) {
-	case storeage.Outdated:
-		s.count(CounterStoreUpdates, "outdated")
-		return false
-	case storeage.Withheld:
-		s.withhold(*change)
-		return false
-	case storeage.ApplyLeaving:
-		leaving := *change.Server
-		leaving.Leaving = true
-		change.Server = &leaving
-	}
-	delete(reg.withheld, change.ID)
-	return true
-}
-
-// withheldEntry is an entry that came back with a copy of the store after its removal.
-type withheldEntry struct {
-	change ServerChange
-	until  Instant
-}
-
-// withheldFor is the time for which such an entry is not used unless it is written
-// again. It exceeds the three intervals of liveness reports after which the store
-// removes the entry of a server that is gone.
-const withheldFor = 10 * time.Second
-
-func (s *State) withhold(change ServerChange) {
-	reg := &s.registry
-	s.count(CounterStoreUpdates, "withheld")
-	until := s.now.Add(withheldFor)
-	if earlier, known := reg.withheld[change.ID]; known {
-		until = earlier.until
-	} else {
-		s.deferServerLog(unloggedChange{id: change.ID, service: change.Server.Service, state: "removed before the store came back from a copy", removed: true})
-	}
-	reg.withheld[change.ID] = withheldEntry{change: change, until: until}
-	s.scheduleTick(until)
-}
-
-// releaseWithheld takes the withheld entries into use that the store still holds after
-// withheldFor, and reports whether there are any. They count as written now, so that
-// other hosts which know of their removals take them as well.
-func (s *State) releaseWithheld() bool {
-	reg := &s.registry
-	released := false
-	for _, id := range sortedKeys(reg.withheld) {
-		entry := reg.withheld[id]
-		if s.now.Before(entry.until) {
-			continue
-		}
-		delete(reg.withheld, id)
-		reg.entries.Release(id)
-		entry.change.Revision = reg.revision
-		s.changeServer(entry.change, false)
-		released = true
-	}
-	return released
-}
-
 // unusableEntriesPerSecond bounds the log entries about unusable entries of the
 // store, which another writer may rewrite at any rate.
 const unusableEntriesPerSecond = 10
@@ -301,68 +220,6 @@
 	return true
 }
 
-// deferServerLog logs a server change at the end of the step.
-func (s *State) deferServerLog(change unloggedChange) {
-	s.registry.unloggedChanges = append(s.registry.unloggedChanges, change)
-}
-
-// maxServerLogEntries is the number of changes in a step up to which each
-// server gets a log entry. A listing changes all servers, and that many log
-// entries would slow down the start of a small host.
-const maxServerLogEntries = 16
-
-// unloggedChange is a server change that has no log entry yet. state is the new
-// state of the server, or the reason for its removal.
-type unloggedChange struct {
-	id, service, state string
-	removed            bool
-}
-
-// logServerChanges logs the server changes of an event, one by one or as
-// totals.
-func (s *State) logServerChanges() {
-	changes := s.registry.unloggedChanges
-	if len(changes) == 0 {
-		return
-	}
-	s.registry.unloggedChanges = nil
-	revision := LogField{Key: "revision", Value: strconv.FormatUint(s.registry.revision, 10)}
-	removed := 0
-	for _, change := range changes {
-		if change.removed {
-			removed++
-		}
-		if len(changes) > maxServerLogEntries {
-			continue
-		}
-		message := "backend server changed"
-		if change.removed {
-			message = "backend server removed"
-		}
-		s.out.add(Log{Message: message, Fields: []LogField{
-			{Key: "server", Value: change.id},
-			{Key: "service", Value: change.service},
-			{Key: "state", Value: change.state},
-			revision,
-		}})
-	}
-	if len(changes) > maxServerLogEntries {
-		s.out.add(Log{Message: "backend servers changed", Fields: []LogField{
-			{Key: "changed", Value: strconv.Itoa(len(changes) - removed)},
-			{Key: "removed", Value: strconv.Itoa(removed)},
-			{Key: "known", Value: strconv.Itoa(len(s.registry.servers))},
-			revision,
-		}})
-	}
-}
-
-func leavingText(leaving bool) string {
-	if leaving {
-		return "leaving"
-	}
-	return "ready"
-}
-
 // acceptRouting stores a routing configuration that is valid and newer than the
 // known one, nil if there is none. It logs problem, which describes why a published
 // one cannot be read. adoptRegistry puts the stored one in force.
