--- a/caller/gate.go
+++ b/caller/gate.go
@@ -185,6 +185,9 @@
 	headBytes func() int
 	// large receives the connections that need a large read buffer.
 	large *handoff
+	// startAheadOf and pipelined are those of the connections.
+	startAheadOf func(c *conn, raw []byte) *aheadCall
+	pipelined    int
 }
 
 // Accept returns the next connection that needs no large read buffer.
@@ -212,6 +215,7 @@
 	wrapped := newConn(c)
 	wrapped.timeouts = l.timeouts
 	wrapped.headBytes = l.headBytes
+	wrapped.startAheadOf, wrapped.pipelined = l.startAheadOf, l.pipelined
 	wrapped.usage.enter(intake.PhaseFresh, l.gate.loop.Now())
 	wrapped.gate = l.gate
 	wrapped.readBufferBytes = l.gate.readBufferBytes()
--- a/caller/server.go
+++ b/caller/server.go
@@ -58,6 +58,9 @@
 	large      *httpserver.Server
 	largeConns *handoff
 	gate       *gate
+	// Pipelined bounds the requests of one connection that run side by side; 1 runs them
+	// one after the other. It must be set before Serve.
+	Pipelined int
 	// ObserveLatency, if set, is called with the latency of each request.
 	ObserveLatency func(service, outcome string, took time.Duration)
 	// ObserveRefusal, if set, is called for each refusal that did not pass
@@ -68,7 +71,7 @@
 // NewServer returns a server that submits requests to the loop, and whose callers hold
 // no more than the bounds allow.
 func NewServer(loop *runtime.Loop, pool *backend.Pool, bounds intake.Bounds, logger log.Interface) *Server {
-	s := &Server{loop: loop, pool: pool, log: logger}
+	s := &Server{loop: loop, pool: pool, log: logger, Pipelined: DefaultPipelined}
 	s.gate = newGate(loop, bounds, s.readBufferBytes)
 	s.http = s.newHTTP(maxHeaderBytes)
 	s.large = s.newHTTP(maxLargeHeadBytes)
@@ -103,6 +106,9 @@
 // listener is closed.
 func (s *Server) Serve(l net.Listener) error {
 	accepted := listener{Listener: l, gate: s.gate, timeouts: s.readTimeouts, headBytes: s.headBytes, large: s.largeConns}
+	if s.Pipelined > 1 {
+		accepted.startAheadOf, accepted.pipelined = s.startAheadOf, s.Pipelined
+	}
 	var group errgroup.Group
 	group.Go(func() error { s.gate.watch(); return nil })
 	group.Go(func() error { return s.large.Serve(s.largeConns) })
@@ -182,10 +188,22 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	c := ctx.Conn().(*conn)
+	ahead := c.takeAhead()
+	if ahead != nil && !ahead.matches(&ctx.Request.Header) {
+		ahead.drop()
+		ahead = nil
+	}
 	if !c.beginRequest() {
+		if ahead != nil {
+			ahead.drop()
+		}
 		ctx.SetConnectionClose()
 		return
 	}
+	c.allowAhead(&ctx.Request.Header)
+	if ahead != nil && s.finishAhead(ctx, ahead) {
+		return
+	}
 	x := &call{server: s, ctx: ctx, conn: c, startedAt: s.loop.Now()}
 	defer x.finish()
 	defer x.recoverPanic()
