--- a/review/kit-2/host.go
+++ b/review/kit-2/host.go
@@ -19,7 +19,9 @@
 	control string
 	dir     string
 	process *exec.Cmd
-	ended   chan error
+	// ended is closed once the process has ended with the error endErr, nil for none.
+	ended  chan struct{}
+	endErr error
 }
 
 // freeAddress returns a loopback address with a port that is free at the moment.
@@ -72,8 +74,11 @@
 	if err := h.process.Start(); err != nil {
 		return err
 	}
-	h.ended = make(chan error, 1)
-	go func() { h.ended <- h.process.Wait() }()
+	h.ended = make(chan struct{})
+	go func() {
+		defer close(h.ended)
+		h.endErr = h.process.Wait()
+	}()
 	return nil
 }
 
--- a/review/kit-2/slowbody.go
+++ b/review/kit-2/slowbody.go
@@ -99,8 +99,8 @@
 	mu.Unlock()
 	r.note("%d tries of ordinary callers, %d answered; the longest time without one taken: %v", tried, answered, longest.Round(time.Millisecond))
 	select {
-	case err := <-h.ended:
-		r.note("the process ended: %v", err)
+	case <-h.ended:
+		r.note("the process ended: %v", h.endErr)
 		return broken
 	default:
 	}
