backend: a reset during an upload truncates a response without a length

Cause: a response without a length ends with its connection, and the system reports a reset once, to the first read or write that comes after it. When the write of the request body was told of it, the read that follows returned an end of file as after a close in order, and the error of the write was dropped as soon as a response had been read.

At the end of such a response the upload is stopped, and the error of its write is checked. EPIPE says that the server had closed in order before it rejected the rest of the body; any other error of the connection truncates the response. The write has taken the error before the read can return the end of file, so waiting for the write is enough. A connection whose request could not be sent is no longer kept. Responses with a length or in chunks are complete or not by their framing, as before.

--- a/backend/body.go
+++ b/backend/body.go
@@ -77,12 +77,17 @@
 func (b *Body) end(err error) {
 	b.ended = true
 	x := b.exchange
-	if err == io.EOF && x.response.CloseBodyStream() == nil {
+	if err == io.EOF {
+		err = x.closeBody()
+	} else {
+		err = bodyError(err)
+	}
+	if err == nil {
 		b.complete = true
 		x.finish()
 		return
 	}
-	b.cause = causeOf(bodyError(err))
+	b.cause = causeOf(err)
 	if x.isCanceled() {
 		b.cause = outcome.CauseCanceled
 	}
--- a/backend/errors.go
+++ b/backend/errors.go
@@ -147,6 +147,14 @@
 	return errors.As(err, &opError) || errors.As(err, &errno) || isTimeout(err) || errors.Is(err, net.ErrClosed)
 }
 
+// isConnectionFailure reports whether a write failed because the connection did. The
+// write fails with EPIPE if the server had closed the connection in order before.
+func isConnectionFailure(writeErr error) bool {
+	var body *RequestBodyError
+	var errno syscall.Errno
+	return !errors.As(writeErr, &body) && errors.As(writeErr, &errno) && errno != syscall.EPIPE
+}
+
 func isTimeout(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, fasthttp.ErrTimeout)
 }
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -42,6 +42,8 @@
 	unsized bool
 	held    int64
 	upload  *upload
+	// sendErr is set if a request whose body is not streamed could not be sent.
+	sendErr error
 	// reused is set if the connection has carried an earlier request, and reusable
 	// if it can carry another one.
 	reused   bool
@@ -86,15 +88,15 @@
 	if err := x.connect(clock); err != nil {
 		return err
 	}
-	sendErr := x.send(clock)
+	x.sendErr = x.send(clock)
 	if !x.Facts.Wrote {
-		return sendErr
+		return x.sendErr
 	}
 	// The response is read even if sending failed: the backend server may have
 	// responded before it closed the connection while the request was being
 	// sent.
 	if err := x.receive(); err != nil {
-		return errors.Join(x.requestBodyError(), sendErr, err)
+		return errors.Join(x.requestBodyError(), x.sendErr, err)
 	}
 	if x.Streaming {
 		return x.clearDeadline()
@@ -246,11 +248,11 @@
 // finish returns the connection to the pool if it can be reused, and closes it
 // otherwise.
 func (x *Exchange) finish() {
-	complete := x.stopUpload()
+	sendErr := x.stopSending()
 	conn := x.detach()
 	switch {
 	case conn == nil:
-	case x.reusable && complete && !x.isCanceled():
+	case x.reusable && sendErr == nil && !x.isCanceled():
 		x.pool.put(conn)
 	default:
 		x.pool.discard(conn)
@@ -269,7 +271,7 @@
 // Abort closes the connection of an exchange that did not end cleanly.
 func (x *Exchange) Abort() {
 	if x.conn != nil {
-		x.stopUpload()
+		x.stopSending()
 	}
 	if conn := x.detach(); conn != nil {
 		x.pool.discard(conn)
--- a/backend/response.go
+++ b/backend/response.go
@@ -133,7 +133,25 @@
 		return nil
 	}
 	x.Facts.Bytes = int64(len(body))
-	return x.response.CloseBodyStream()
+	return x.closeBody()
+}
+
+// closeBody closes the body of a response after its last byte was read. It fails if the
+// body ends with the connection and the connection failed: the system reports the
+// failure of a connection once, and if it does so to the write of the request, reads
+// return an end of file.
+func (x *Exchange) closeBody() error {
+	endsWithConnection := x.response.Header.ContentLength() < chunkedLength
+	if err := x.response.CloseBodyStream(); err != nil {
+		return bodyError(err)
+	}
+	if !endsWithConnection {
+		return nil
+	}
+	if err := x.stopSending(); isConnectionFailure(err) {
+		return &TruncatedError{Err: err}
+	}
+	return nil
 }
 
 // readUpTo reads limit bytes, or fewer if the stream ends earlier. The stream
--- a/backend/upload.go
+++ b/backend/upload.go
@@ -106,7 +106,7 @@
 }
 
 // requestBodyError returns the error of an upload whose body the caller
-// aborted, or nil. It must be called before stopUpload, which itself aborts the
+// aborted, or nil. It must be called before stopSending, which itself aborts the
 // upload.
 func (x *Exchange) requestBodyError() error {
 	if x.upload == nil {
@@ -118,11 +118,12 @@
 	return nil
 }
 
-// stopUpload ends the upload and reports whether it was complete. Afterwards
-// nothing reads from the caller's connection on behalf of this attempt.
-func (x *Exchange) stopUpload() bool {
+// stopSending ends an upload that is in progress. It returns the error that kept the
+// request from being sent completely, or nil. Afterwards nothing reads from the
+// caller's connection on behalf of this attempt.
+func (x *Exchange) stopSending() error {
 	if x.upload == nil {
-		return true
+		return x.sendErr
 	}
 	select {
 	case <-x.upload.done:
@@ -133,5 +134,5 @@
 		x.conn.SetWriteDeadline(pastDeadline)
 		<-x.upload.done
 	}
-	return x.upload.err == nil
+	return x.upload.err
 }
--- a/caller/forward_test.go
+++ b/caller/forward_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -205,3 +206,66 @@
 	},
 	Entry(nil, "000"), Entry(nil, "099"), Entry(nil, "600"), Entry(nil, "999"), Entry(nil, "0200"), Entry(nil, "2 0"),
 )
+
+var _ = Describe("a connection that is reset during an upload", func() {
+	const uploadBytes = 32 << 20
+	// beginUpload sends the header section of an order, and its body until the connection
+	// is closed. The channel receives the error of the last write.
+	beginUpload := func(sys *system, version, framing, bodyPart string) (*client, chan error) {
+		c := sys.dial()
+		ended := make(chan error, 1)
+		c.send("POST /orders " + version + "\r\nHost: h\r\n" + framing + "\r\n\r\n")
+		go func() {
+			var err error
+			for sent := 0; sent < uploadBytes && err == nil; sent += len(bodyPart) {
+				_, err = io.WriteString(c, bodyPart)
+			}
+			ended <- err
+		}()
+		return c, ended
+	}
+	const chunkHeader = "200\r\n"
+	part := strings.Repeat("u", 512)
+	sized := fmt.Sprintf("Content-Length: %d", uploadBytes)
+
+	// Guards against a part of a response that the caller gets as a complete one: without
+	// a length, only the way in which the connection ends tells them apart.
+	DescribeTable("makes the outcome of an order unknown whose response has no length",
+		func(version, framing, bodyPart, response string) {
+			s := serve(standin.ResetDuringUpload(response))
+			sys := startSystem(testService(s.Address()))
+			for range 20 {
+				c, _ := beginUpload(sys, version, framing, bodyPart)
+				response, body := c.readResponse("POST")
+				Expect(response.StatusCode).To(Equal(502))
+				Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("unknown"))
+				Expect(body).NotTo(ContainSubstring("urns"))
+			}
+		},
+		Entry("sent with a length", "HTTP/1.1", sized, part, "HTTP/1.1 200 OK\r\n\r\nurns"),
+		Entry("sent in chunks", "HTTP/1.1", "Transfer-Encoding: chunked", chunkHeader+part+"\r\n", "HTTP/1.1 200 OK\r\n\r\nurns"),
+		Entry("and no body", "HTTP/1.1", sized, part, "HTTP/1.1 200 OK\r\n\r\n"),
+		Entry("sent with HTTP/1.0", "HTTP/1.0", sized, part, "HTTP/1.0 200 OK\r\n\r\nurns"),
+	)
+
+	// The response is too long to be held, so its first part is passed on before the reset.
+	DescribeTable("leaves a long response without a length incomplete",
+		func(version string) {
+			s := serve(standin.ResetDuringUpload("HTTP/1.1 200 OK\r\n\r\n" + longBody))
+			sys := startSystem(testService(s.Address()))
+			for range 20 {
+				c, ended := beginUpload(sys, version, sized, part)
+				response, err := http.ReadResponse(c.reader, nil)
+				if err != nil || response.StatusCode == 502 {
+					continue // The reset may arrive before the header of the response is read.
+				}
+				if _, err = io.Copy(io.Discard, response.Body); err == nil {
+					// A caller is told of a reset once, by a read or by a write.
+					Expect(<-ended).To(MatchError(syscall.ECONNRESET))
+				}
+			}
+		},
+		Entry("for a caller of HTTP/1.1", "HTTP/1.1"),
+		Entry("for a caller of HTTP/1.0", "HTTP/1.0"),
+	)
+})
--- a/standin/raw.go
+++ b/standin/raw.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // RawServer is a backend server on loopback that passes each connection to a
@@ -68,6 +69,21 @@
 	}
 }
 
+// uploadTime is how long a request body is being sent before ResetDuringUpload resets
+// the connection.
+const uploadTime = 10 * time.Millisecond
+
+// ResetDuringUpload returns a handler that responds as soon as it has read the header
+// section of a request, and then resets the connection while the body is being sent.
+func ResetDuringUpload(raw string) func(c *RawConn) {
+	return func(c *RawConn) {
+		c.ReadHeaderSection()
+		io.WriteString(c, raw)
+		time.Sleep(uploadTime)
+		c.Conn.(*net.TCPConn).SetLinger(0)
+	}
+}
+
 func (s *RawServer) accept() {
 	for {
 		c, err := s.listener.Accept()
