--- a/caller/forward_test.go
+++ b/caller/forward_test.go
@@ -207,6 +207,55 @@
 	Entry(nil, "000"), Entry(nil, "099"), Entry(nil, "600"), Entry(nil, "999"), Entry(nil, "0200"), Entry(nil, "2 0"),
 )
 
+// brokenFields are header lines whose names hold a blank or a control byte.
+var brokenFields = []string{"X Field: 1", "X-Field : 1", "X\tField: 1", "X-Field\x00: 1", "\x01X-Field: 1", "X-Before: 1\r\n X-Field: 1", "X-Before: 1\n\x7fX-Field: 1", "Content-Length : 2"}
+
+var _ = Describe("a response in whose header the name of a field is broken", func() {
+	broken := func(field string) string {
+		return "HTTP/1.1 200 OK\r\n" + field + "\r\nContent-Length: 4\r\n\r\nurns"
+	}
+
+	// Guards against a response that is passed on with a line that is no field, and against
+	// an order that is sent again after it.
+	It("makes the outcome of an order unknown", func() {
+		for _, field := range brokenFields {
+			s := serve(standin.RespondToEach(broken(field)))
+			sys := startSystem(testService(s.Address()))
+			response, body := sys.roundTrip(postLines + "Content-Length: 4\r\n\r\nurns")
+			Expect(response.StatusCode).To(Equal(502), "%q", field)
+			Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("unknown"))
+			Expect(response.Header.Get("Wisteriapond-Reason")).To(Equal("malformed"))
+			Expect(body).NotTo(ContainSubstring("urns"))
+			Expect(s.Requests()).To(HaveLen(1))
+		}
+	})
+
+	// Guards against an order that is sent again because of a statement that it did not run
+	// in a header that cannot be relied on.
+	It("does not state that an order did not run", func() {
+		s := serve(standin.RespondToEach("HTTP/1.1 503 Busy\r\nX-Not-Run : 1\r\nContent-Length: 0\r\n\r\n"))
+		sys := startSystem(testService(s.Address()))
+		response, _ := sys.roundTrip(postLines + "Content-Length: 4\r\n\r\nurns")
+		Expect(response.StatusCode).To(Equal(502))
+		Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("unknown"))
+		Expect(s.Requests()).To(HaveLen(1))
+	})
+
+	// Guards against a lookup that fails although another backend server has the response.
+	It("is replaced by one of another backend server for a lookup", func() {
+		for _, field := range brokenFields {
+			a, b := serve(standin.RespondToEach(broken(field))), serve(standin.RespondToEach(plainResponse))
+			sys := startSystem(testService(a.Address(), b.Address(), b.Address()))
+			for range 4 {
+				response, body := sys.roundTrip(getLines + "\r\n")
+				Expect(response.StatusCode).To(Equal(200), "%q", field)
+				Expect(response.Header).NotTo(HaveKey(ContainSubstring("Field")))
+				Expect(body).To(Equal("urns"))
+			}
+		}
+	})
+})
+
 var _ = Describe("a connection that is reset during an upload", func() {
 	const uploadBytes = 32 << 20
 	// beginUpload sends the header section of an order, and its body until the connection
