backend: reject control bytes in the reason phrase

Cause: fasthttp checks the values of fields, but not the reason phrase.

A line feed in it was rejected before.

The scanner of header sections, which already read every line to its end, rejects control bytes but tabs in the rest of the status line and in values. Bytes beyond ASCII stay allowed in both.

--- a/backend/errors.go
+++ b/backend/errors.go
@@ -76,6 +76,7 @@
 	errNoResponse     = errors.New("the first bytes are not those of a response")
 	errNoStatus       = errors.New("the status is not a number from 100 to 599")
 	errFieldName      = errors.New("the name of a header field is not a token")
+	errControlByte    = errors.New("the header section holds a control byte")
 	errLineEnd        = errors.New("a line of the header section does not end with CRLF")
 	errTooManyInterim = errors.New("too many interim responses")
 	errUnsizedTooLong = errors.New("response without an announced length exceeds the limit")
--- a/backend/head.go
+++ b/backend/head.go
@@ -9,6 +9,9 @@
 // maxInterimResponses bounds the interim responses before a response.
 const maxInterimResponses = 100
 
+// deleteByte is the control byte beyond the printable ones of ASCII.
+const deleteByte = 0x7f
+
 // skipInterim reads interim responses up to the header section of the response proper,
 // which stays unread. fasthttp understands header sections that can be understood in
 // more than one way, so each is checked before fasthttp reads it.
@@ -113,18 +116,19 @@
 	}
 }
 
-// skipLine skips the rest of a line.
+// skipLine skips the rest of a line, which holds no control bytes but tabs. fasthttp checks
+// the values of fields, but not the reason phrase.
 func (s *headScanner) skipLine() {
-	last := byte(0)
 	for s.err == nil {
-		c := s.next()
-		if c == '\n' {
-			if last != '\r' {
-				s.fail(errLineEnd)
-			}
+		switch c := s.next(); {
+		case c == '\r':
+			s.expect("\n", errLineEnd)
 			return
+		case c == '\n':
+			s.fail(errLineEnd)
+		case c < ' ' && c != '\t' || c == deleteByte:
+			s.fail(errControlByte)
 		}
-		last = c
 	}
 }
 
--- a/caller/forward_test.go
+++ b/caller/forward_test.go
@@ -207,6 +207,20 @@
 	Entry(nil, "000"), Entry(nil, "099"), Entry(nil, "600"), Entry(nil, "999"), Entry(nil, "0200"), Entry(nil, "2 0"),
 )
 
+// Guards against control bytes in the reason phrase, which callers get with the status.
+var _ = DescribeTable("a response with a control byte in its reason phrase is an unknown outcome",
+	func(reason string) {
+		s := serve(standin.RespondToEach("HTTP/1.1 200 " + reason + "\r\nContent-Length: 4\r\n\r\nurns"))
+		sys := startSystem(testService(s.Address()))
+		response, _ := sys.roundTrip(postLines + "Content-Length: 4\r\n\r\nurns")
+		Expect(response.StatusCode).To(Equal(502))
+		Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("unknown"))
+		Expect(s.Requests()).To(HaveLen(1))
+	},
+	Entry("NUL", "O\x00K"), Entry("start of heading", "\x01"), Entry("carriage return", "O\rK"),
+	Entry("escape", "OK\x1b[2J"), Entry("delete", "OK\x7f"),
+)
+
 // brokenFields are header lines whose names hold a blank or a control byte.
 var brokenFields = []string{"X Field: 1", "X-Field : 1", "X\tField: 1", "X-Field\x00: 1", "\x01X-Field: 1", "X-Before: 1\r\n X-Field: 1", "X-Before: 1\n\x7fX-Field: 1", "Content-Length : 2"}
 
