platform, httphead: reject broken header sections of the store

A response of the store in whose header the name of a field held a blank, a line was folded, or the reason phrase held a control byte was used as the contents of the store. A blank after the name of the header with the store's era hid the era, and the response counted as one of a store without eras.

Cause: as for backend servers. net/http keeps blanks in names, joins folded lines, and takes a line feed alone for the end of the section.

A status of 000 was rejected before.

The scanner of header sections moves from backend to a package of its own, httphead, so that backend servers and the store pass the same check. net/http reads from connections that check a section when its first byte arrives after a request was sent. Broken sections fail the call, as responses without a valid status did. Sections beyond 8 KiB fail too. The error for these is not bufio.ErrBufferFull: net/http's own buffered reader would take it for its own and read again without end.

--- a/backend/response.go
+++ b/backend/response.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"wisteriapond/core"
+	"wisteriapond/httphead"
 	"wisteriapond/outcome"
 )
 
@@ -18,6 +20,9 @@
 // discarded while waiting for the response to the current request.
 const maxUnmatchedResponses = 4
 
+// maxInterimResponses bounds the interim responses before a response.
+const maxInterimResponses = 100
+
 // receive reads the header of the response, and its body if that is short
 // enough to be buffered. Late responses to earlier requests on the same
 // connection are discarded.
@@ -54,6 +59,24 @@
 	return nil
 }
 
+// skipInterim reads interim responses up to the header section of the response proper,
+// which stays unread. Each header section is checked before fasthttp reads it.
+func skipInterim(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for range maxInterimResponses {
+		section, err := httphead.Check(r)
+		if err != nil {
+			return headerError(err)
+		}
+		if section.Status >= fasthttp.StatusOK {
+			return nil
+		}
+		if err := h.Read(r); err != nil {
+			return headerError(err)
+		}
+	}
+	return &MalformedError{Err: errTooManyInterim}
+}
+
 // matchesRequest reports whether the response belongs to the request of this
 // attempt. A response with a status below 300 must carry the request ID. Any other
 // response is accepted without one, but only on a new connection: on a reused one
--- a/backend/statusline.go
+++ b/httphead/statusline.go
@@ -1,4 +1,4 @@
-package backend
+package httphead
 
 const (
 	// protocolPrefix begins every response.
@@ -9,9 +9,9 @@
 )
 
 // status reads the status line and returns the status. Empty lines before a response are
-// tolerated. The status is checked here since fasthttp takes any three digits for one, and
-// reports 000 as 200.
-func (s *headScanner) status() int {
+// tolerated. The status is checked here since libraries take any three digits for one, and
+// fasthttp reports 000 as 200.
+func (s *scanner) status() int {
 	s.skipEmptyLines()
 	s.expect(protocolPrefix, errNoResponse)
 	if c := s.next(); c != '0' && c != '1' {
@@ -38,7 +38,7 @@
 }
 
 // skipEmptyLines skips the ends of lines. Their number is bounded by the buffer.
-func (s *headScanner) skipEmptyLines() {
+func (s *scanner) skipEmptyLines() {
 	for c := s.next(); s.err == nil; c = s.next() {
 		if c != '\r' && c != '\n' {
 			s.back()
@@ -48,7 +48,7 @@
 }
 
 // skipSpaces skips the spaces before the status, at least one.
-func (s *headScanner) skipSpaces() {
+func (s *scanner) skipSpaces() {
 	if s.next() != ' ' {
 		s.fail(errNoResponse)
 	}
