relay: reject broken header sections of other hosts

The response to a poll counted as one of another host if its status was 000, or if its header section could not be understood in one way only. An empty answer, which says that the host knows nothing, decodes from a single byte, so the body did not show the fault.

Polls are read by fasthttp, which reports 000 as 200 and repairs header lines.

Evidence: on the former code one of two new specs of relay/relay_test.go fails, at its first response; a trial with a status of 000 returned an answer without an error. The other spec, a response cut at every byte, passes there.

The client's connections check header sections before fasthttp reads them, by the scanner that backend servers and the store pass (httphead). A broken one fails the poll, as an unexpected status does. Polls are not retried.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"wisteriapond/codec"
 	"wisteriapond/core"
+	"wisteriapond/httphead"
 	"wisteriapond/httpserver"
 	"wisteriapond/recovery"
 )
@@ -57,9 +58,9 @@
 
 // NewClient returns a client. It does not retry failed polls.
 func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := httphead.Checked((&net.Dialer{Timeout: dialTimeout}).DialContext)
 	return &Client{http: fasthttp.Client{
-		Dial:                      func(address string) (net.Conn, error) { return dialer.Dial("tcp", address) },
+		Dial:                      func(address string) (net.Conn, error) { return dial(context.Background(), "tcp", address) },
 		MaxIdemponentCallAttempts: 1,
 		MaxIdleConnDuration:       idleTimeout,
 		MaxResponseBodySize:       maxMessageBytes,
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -16,6 +16,7 @@
 	"wisteriapond/config"
 	"wisteriapond/core"
 	"wisteriapond/relay"
+	"wisteriapond/standin"
 	"wisteriapond/testsuite"
 )
 
@@ -33,6 +34,9 @@
 	return listener.Addr().String()
 }
 
+// emptyAnswer is the shortest answer to a poll: an encoded map without entries.
+const emptyAnswer = "\xa0"
+
 var _ = Describe("a poll between entry hosts", func() {
 	poll := core.NewsAsk{
 		From:  core.Neighbour{Host: "entry-1", Address: "127.0.0.1:1", FailureDomain: "mtl-a", Capacity: 3},
@@ -115,4 +119,30 @@
 		response.Body.Close()
 		Expect(response.StatusCode).To(Equal(http.StatusBadRequest))
 	})
+
+	// Guards against a response that counts as one of another host although its status is
+	// none, or its header cannot be understood in one way only.
+	It("fails if the header section of the response is broken", func() {
+		for _, raw := range append(standin.BrokenHeads(emptyAnswer), standin.BrokenHeads("")...) {
+			server, err := standin.StartRawServer(standin.RespondOnce(raw))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(server.Close)
+			_, err = relay.NewClient().Poll(server.Address(), poll)
+			var failure *relay.Error
+			Expect(errors.As(err, &failure)).To(BeTrue(), "%q: %v", raw, err)
+			Expect(server.Requests()).To(HaveLen(1))
+		}
+	})
+
+	// Guards against a part of a response that counts as a complete one.
+	It("fails wherever the response ends early", func() {
+		whole := "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + emptyAnswer
+		for sent := range len(whole) + 1 {
+			server, err := standin.StartRawServer(standin.RespondOnce(whole[:sent]))
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(server.Close)
+			_, err = relay.NewClient().Poll(server.Address(), poll)
+			Expect(err == nil).To(Equal(sent == len(whole)), "%q: %v", whole[:sent], err)
+		}
+	})
 })
