configservice: reject broken header sections

A value of the configuration service was used although the header section of its response could not be understood in one way only.

The client has a transport of its own, whose connections check header sections (httphead). Connections of HTTPS URLs are left to net/http, since they may carry HTTP/2, which has no header lines.

--- a/configservice/client.go
+++ b/configservice/client.go
@@ -13,9 +13,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"wisteriapond/document"
+	"wisteriapond/httphead"
 )
 
 const (
@@ -51,9 +53,15 @@
 	http *http.Client
 }
 
-// NewClient returns a client for the platform at the base URL.
+// NewClient returns a client for the platform at the base URL. The header sections of
+// responses are checked before net/http reads them, unless the URL is one of HTTPS, whose
+// connections may carry HTTP/2.
 func NewClient(base string) *Client {
-	return &Client{base: base, http: &http.Client{}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if !strings.HasPrefix(strings.ToLower(base), "https:") {
+		transport.DialContext = httphead.Checked(transport.DialContext)
+	}
+	return &Client{base: base, http: &http.Client{Transport: transport}}
 }
 
 // Value is a value of the configuration service or the host list.
