backend, caller: tests of header sections that are cut

Other operators saw a server that stopped in the middle of its answer's head and closed; their clients got a 200 with an empty or short body, framed as whole. They cut seven header sections at every byte, for orders, lookups, HEAD and uploads, with a close, a reset and a half close, on new and kept connections and in load queries. Each ends the attempt as reset, outcome unknown; a lookup goes to another server.

--- /dev/null
+++ b/backend/cuthead_test.go
@@ -0,0 +1,107 @@
+package backend_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"wisteriapond/backend"
+	"wisteriapond/config"
+	"wisteriapond/core"
+	"wisteriapond/outcome"
+	"wisteriapond/standin"
+)
+
+// completeHeads are header sections that may be cut.
+var completeHeads = []string{
+	"HTTP/1.1 200 OK\r\nX-A: a\r\nContent-Length: 1234\r\nX-B: b\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-B: b\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nX-A: a\r\n\r\n",
+	"HTTP/1.1 200\r\nX-A:\r\n\r\n",
+	"HTTP/1.1 204 No Content\r\nX-A: a\r\n\r\n",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-A: a\r\n\r\n",
+	"HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+}
+
+// Guards against a header section that counts as complete where the server stopped: the
+// response would have no length, and its body would seem to end with the connection.
+var _ = Describe("a server that stops within a header section", func() {
+	uploading := func() *backend.Request {
+		return streamedPost(strings.NewReader(longBody), int64(len(longBody)), func() {})
+	}
+	for name, request := range map[string]func() *backend.Request{
+		"an order": func() *backend.Request { return post("order") }, "a lookup": get, "HEAD": head, "an upload": uploading,
+	} {
+		for end, stop := range map[string]func(c *net.TCPConn){
+			"closes": func(*net.TCPConn) {},
+			"resets": func(c *net.TCPConn) { c.SetLinger(0) },
+			"only half closes": func(c *net.TCPConn) {
+				c.CloseWrite()
+				io.Copy(io.Discard, c)
+			},
+		} {
+			It(end+" the connection and makes the outcome of "+name+" unknown", func() {
+				for _, whole := range completeHeads {
+					for sent := 1; sent < len(whole); sent++ {
+						s := serve(func(c *standin.RawConn) {
+							c.ReadRequest()
+							// In two parts, so that the beginning is seen alone.
+							io.WriteString(c, whole[:sent/2])
+							time.Sleep(200 * time.Microsecond)
+							io.WriteString(c, whole[sent/2:sent])
+							stop(c.Conn.(*net.TCPConn))
+						})
+						f := newFixture()
+						command := f.command(s.Address())
+						command.NotRun = config.NotRunForm{Header: "X-Not-Run", Value: "1"}
+						x := f.run(command, request())
+						Expect(x.Facts.Cause).To(Equal(outcome.CauseReset), "%q", whole[:sent])
+						Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.Unknown), "%q", whole[:sent])
+						Expect(x.Streaming).To(BeFalse())
+						Expect(f.pool.OpenConnections(s.Address())).To(BeZero())
+					}
+				}
+			})
+		}
+	}
+
+	It("leaves the outcome unknown on a kept connection", func() {
+		for _, whole := range completeHeads {
+			for sent := 1; sent < len(whole); sent++ {
+				s := serve(func(c *standin.RawConn) {
+					for _, raw := range []string{statusOK + withLength("first"), whole[:sent]} {
+						if c.ReadRequest() != nil {
+							io.WriteString(c, raw)
+						}
+					}
+				})
+				f := newFixture()
+				Expect(f.run(f.command(s.Address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
+				x := f.run(f.command(s.Address()), post("order"))
+				Expect(x.Facts.Cause).To(Equal(outcome.CauseReset), "%q", whole[:sent])
+				Expect(s.Accepted()).To(BeEquivalentTo(1))
+			}
+		}
+	})
+
+	It("is no response to a load query", func() {
+		for _, reuse := range []bool{false, true} {
+			for _, whole := range completeHeads {
+				for sent := 1; sent < len(whole); sent++ {
+					s := serve(standin.RespondOnce(whole[:sent]))
+					f := newFixture()
+					facts, _ := f.pool.Probe(GinkgoT().Context(), f.clock, core.StartProbe{
+						Address: s.Address(), Reuse: reuse, StartBefore: f.command("").StartBefore,
+						Probe: config.Probe{Path: "/load", Timeout: waitTimeout, AnswerLimit: 4 << 10},
+					})
+					Expect(facts.Cause).To(Equal(outcome.CauseReset), "%q", whole[:sent])
+					Expect(facts.Status).To(BeZero())
+				}
+			}
+		}
+	})
+})
--- a/caller/forward_test.go
+++ b/caller/forward_test.go
@@ -103,19 +103,31 @@
 		Entry("shorter than its content length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nurns", "truncated"),
 		Entry("chunked without the last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nurns\r\n", "truncated"),
 		Entry("malformed", "urns\r\n\r\n", "malformed"),
+		Entry("cut in the status line", "HTTP/1.1 200 O", "reset"),
+		Entry("cut after the status line", "HTTP/1.1 200 OK\r\n", "reset"),
+		Entry("cut in a field", "HTTP/1.1 200 OK\r\nX-A: a\r\nContent-Le", "reset"),
+		Entry("cut in a length", "HTTP/1.1 200 OK\r\nX-A: a\r\nContent-Length: 1", "reset"),
+		Entry("cut before the last line of the header", "HTTP/1.1 200 OK\r\nX-A: a\r\n", "reset"),
+		Entry("cut in the last line of the header", "HTTP/1.1 200 OK\r\nX-A: a\r\n\r", "reset"),
+		Entry("cut after an interim response", "HTTP/1.1 100 Continue\r\n\r\n", "reset"),
 	)
 
 	// Guards against forwarding a truncated response to a caller although
 	// another backend server has the complete one.
-	It("that is short and truncated is replaced by one of another backend server for a lookup", func() {
-		a := serve(standin.RespondOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nur\r\n"))
-		b := serve(standin.RespondToEach(plainResponse))
-		sys := startSystem(testService(a.Address(), b.Address(), b.Address()))
-		for range 4 {
-			_, body := sys.roundTrip(getLines + "\r\n")
-			Expect(body).To(Equal("urns"))
-		}
-	})
+	DescribeTable("that is short and truncated is replaced by one of another backend server for a lookup",
+		func(raw string) {
+			a := serve(standin.RespondOnce(raw))
+			b := serve(standin.RespondToEach(plainResponse))
+			sys := startSystem(testService(a.Address(), b.Address(), b.Address()))
+			for range 4 {
+				_, body := sys.roundTrip(getLines + "\r\n")
+				Expect(body).To(Equal("urns"))
+			}
+		},
+		Entry("in its body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nur\r\n"),
+		Entry("in its header", "HTTP/1.1 200 OK\r\nX-A: a\r\n"),
+		Entry("in the last line of its header", "HTTP/1.1 200 OK\r\nX-A: a\r\n\r"),
+	)
 
 	// Guards against a truncated download that appears complete to the caller.
 	DescribeTable("that is truncated after its first bytes resets the caller's connection",
