httphead: reject a transfer coding in a response of HTTP/1.0

Cause: HTTP/1.0 has no transfer codings, and fasthttp and net/http ignore the header there. The body then ends with the connection, chunk headers included. RFC 9112, section 6.1, has the framing of such a message treated as faulty.

Evidence: on the former code the two new entries of backend/fields_test.go with HTTP/1.0 fail, with a complete response and a coded body.

The check of header sections rejects such a response as malformed, outcome unknown, for every reader that uses it. Chunks of HTTP/1.1 are decoded as before.

--- a/backend/fields_test.go
+++ b/backend/fields_test.go
@@ -196,3 +196,19 @@
 	r.Header.SetMethod(http.MethodHead)
 	return r
 }
+
+// Guards against the headers of chunks that are passed on as a part of the body: HTTP/1.0
+// has no transfer codings, so a response with one cannot be understood in one way only.
+var _ = DescribeTable("a response in chunks",
+	func(version, name string, cause outcome.Cause, body string) {
+		s := serve(standin.RespondOnce(version + " 200 OK\r\n" + name + ": chunked\r\n\r\n4\r\nurns\r\n0\r\n\r\n"))
+		f := newFixture()
+		x := f.run(f.command(s.Address()), post("order"))
+		Expect(x.Facts.Cause).To(Equal(cause))
+		Expect(string(x.BufferedBody())).To(Equal(body))
+	},
+	Entry("is decoded", "HTTP/1.1", "Transfer-Encoding", outcome.CauseNone, "urns"),
+	Entry("is decoded, with a name in lower case", "HTTP/1.1", "transfer-encoding", outcome.CauseNone, "urns"),
+	Entry("is malformed with HTTP/1.0", "HTTP/1.0", "Transfer-Encoding", outcome.CauseMalformed, ""),
+	Entry("is malformed with HTTP/1.0 and a name in lower case", "HTTP/1.0", "transfer-encoding", outcome.CauseMalformed, ""),
+)
--- a/httphead/head.go
+++ b/httphead/head.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 )
 
@@ -34,6 +35,7 @@
 	errFieldName   = errors.New("the name of a field is not a token")
 	errControlByte = errors.New("a line holds a control byte")
 	errTooLong     = errors.New("it is too long")
+	errCoding      = errors.New("HTTP/1.0 has no transfer codings")
 	errLineEnd     = errors.New("a line does not end with CRLF")
 )
 
@@ -65,7 +67,9 @@
 	// received holds the bytes that are buffered, of which offset were looked at.
 	received []byte
 	offset   int
-	err      error
+	// codings is set if the version of the protocol has transfer codings.
+	codings bool
+	err     error
 }
 
 // next returns the next byte, 0 after an error.
@@ -116,7 +120,8 @@
 // checkFields checks the fields up to the empty line that ends the header section. A name
 // consists of the bytes of a token, and a line ends with a carriage return and a line
 // feed. Libraries keep blanks in a name or drop them, join a line that begins with a blank to
-// the one before, and may take a line feed alone for the end of the section.
+// the one before, and may take a line feed alone for the end of the section. HTTP/1.0 has no
+// transfer codings (RFC 9112, section 6.1): libraries take the coded body for the body.
 func (s *scanner) checkFields() {
 	for s.err == nil {
 		c := s.next()
@@ -124,14 +129,16 @@
 			s.expect("\n", errLineEnd)
 			return
 		}
-		if !isTokenByte(c) {
-			s.fail(errFieldName)
-		}
+		begin := s.offset - 1
 		for isTokenByte(c) {
 			c = s.next()
 		}
-		if c != ':' {
+		name := s.received[begin : s.offset-1]
+		switch {
+		case c != ':' || len(name) == 0:
 			s.fail(errFieldName)
+		case !s.codings && bytes.EqualFold(name, transferEncoding):
+			s.fail(errCoding)
 		}
 		s.skipLine()
 	}
@@ -153,6 +160,8 @@
 	}
 }
 
+var transferEncoding = []byte("Transfer-Encoding")
+
 // tokenBytes tells which bytes a token consists of, according to RFC 9110, section 5.6.2.
 var tokenBytes = func() (is [256]bool) {
 	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
--- a/httphead/statusline.go
+++ b/httphead/statusline.go
@@ -14,9 +14,11 @@
 func (s *scanner) status() int {
 	s.skipEmptyLines()
 	s.expect(protocolPrefix, errNoResponse)
-	if c := s.next(); c != '0' && c != '1' {
+	minor := s.next()
+	if minor != '0' && minor != '1' {
 		s.fail(errNoResponse)
 	}
+	s.codings = minor == '1'
 	s.skipSpaces()
 	status := 0
 	for range 3 {
