--- a/backend/cuthead_test.go
+++ b/backend/cuthead_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,20 +32,22 @@
 // Guards against a header section that counts as complete where the server stopped: the
 // response would have no length, and its body would seem to end with the connection.
 var _ = Describe("a server that stops within a header section", func() {
-	uploading := func() *backend.Request {
-		return streamedPost(strings.NewReader(longBody), int64(len(longBody)), func() {})
+	requests := map[string]func() *backend.Request{
+		"an order": func() *backend.Request { return post("order") }, "a lookup": get, "HEAD": head,
+		"an upload": func() *backend.Request {
+			return streamedPost(strings.NewReader(longBody), int64(len(longBody)), func() {})
+		},
 	}
-	for name, request := range map[string]func() *backend.Request{
-		"an order": func() *backend.Request { return post("order") }, "a lookup": get, "HEAD": head, "an upload": uploading,
-	} {
-		for end, stop := range map[string]func(c *net.TCPConn){
-			"closes": func(*net.TCPConn) {},
-			"resets": func(c *net.TCPConn) { c.SetLinger(0) },
-			"only half closes": func(c *net.TCPConn) {
-				c.CloseWrite()
-				io.Copy(io.Discard, c)
-			},
-		} {
+	stops := map[string]func(c *net.TCPConn){
+		"closes": func(*net.TCPConn) {},
+		"resets": func(c *net.TCPConn) { c.SetLinger(0) },
+		"half closes": func(c *net.TCPConn) {
+			c.CloseWrite()
+			io.Copy(io.Discard, c)
+		},
+	}
+	for _, name := range slices.Sorted(maps.Keys(requests)) {
+		for _, end := range slices.Sorted(maps.Keys(stops)) {
 			It(end+" the connection and makes the outcome of "+name+" unknown", func() {
 				for _, whole := range completeHeads {
 					for sent := 1; sent < len(whole); sent++ {
@@ -53,12 +57,12 @@
 							io.WriteString(c, whole[:sent/2])
 							time.Sleep(200 * time.Microsecond)
 							io.WriteString(c, whole[sent/2:sent])
-							stop(c.Conn.(*net.TCPConn))
+							stops[end](c.Conn.(*net.TCPConn))
 						})
 						f := newFixture()
 						command := f.command(s.Address())
 						command.NotRun = config.NotRunForm{Header: "X-Not-Run", Value: "1"}
-						x := f.run(command, request())
+						x := f.run(command, requests[name]())
 						Expect(x.Facts.Cause).To(Equal(outcome.CauseReset), "%q", whole[:sent])
 						Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.Unknown), "%q", whole[:sent])
 						Expect(x.Streaming).To(BeFalse())
--- a/backend/reset_test.go
+++ b/backend/reset_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"io"
+	"maps"
 	"net"
+	"slices"
 	"strings"
 	"time"
 
@@ -53,7 +55,8 @@
 // although the connection was reset: the system reports a reset once, and the read that
 // follows finds an end of file if the write of the request body was told.
 var _ = Describe("a reset while the request body is being sent", func() {
-	for name, upload := range uploads {
+	for _, name := range slices.Sorted(maps.Keys(uploads)) {
+		upload := uploads[name]
 		DescribeTable("of an upload "+name+" truncates a response without a length",
 			func(version, body string) {
 				s := serve(standin.ResetDuringUpload(version + " 200 OK\r\n\r\n" + body))
