testsuite: unused addresses that other tests cannot take

Cause: the test asks the system for a free port of 127.0.0.1, closes its listener and leaves the port to a host that is started later. Between the two, any other test of any package may get the same port, as a listener or as the local end of a connection. The specs of cut header sections opened thousands of listeners beside it, which made that more likely. Nothing of the product took part.

The address now has a loopback host part of the calling process alone, so no other test binds or connects from it. What the specs check is unchanged.

--- a/cmd/wisteriapond/main_test.go
+++ b/cmd/wisteriapond/main_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -82,10 +81,9 @@
 }
 
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := testsuite.UnusedAddress()
 	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	return address
 }
 
 func status(url string) (int, error) {
--- a/testsuite/testsuite.go
+++ b/testsuite/testsuite.go
@@ -4,6 +4,8 @@
 package testsuite
 
 import (
+	"fmt"
+	"net"
 	"os"
 	"strconv"
 	"testing"
@@ -37,3 +39,16 @@
 	}
 	ginkgo.RunSpecs(t, description, suite, reporter)
 }
+
+// UnusedAddress returns a loopback address at which nothing listens, for a server that is
+// started later. Its host part belongs to the calling process alone: the system hands out
+// the ports of 127.0.0.1 to every test that listens or connects at the same time.
+func UnusedAddress() (string, error) {
+	id := os.Getpid()
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+id>>16&0x7f, id>>8&0xff, id&0xff))
+	if err != nil {
+		return "", fmt.Errorf("find an unused address: %w", err)
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
