httphead, backend: plainer comments, one server for all cuts

The specs of cut header sections use one server for all cuts of a section: the nth connection gets the first n bytes. They opened a listener for each before.

--- a/backend/cuthead_test.go
+++ b/backend/cuthead_test.go
@@ -18,7 +18,8 @@
 	"wisteriapond/standin"
 )
 
-// completeHeads are header sections that may be cut.
+// completeHeads are header sections. On its nth connection a server sends the first n
+// bytes of one.
 var completeHeads = []string{
 	"HTTP/1.1 200 OK\r\nX-A: a\r\nContent-Length: 1234\r\nX-B: b\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-B: b\r\n\r\n",
@@ -50,23 +51,25 @@
 		for _, end := range slices.Sorted(maps.Keys(stops)) {
 			It(end+" the connection and makes the outcome of "+name+" unknown", func() {
 				for _, whole := range completeHeads {
+					s := serve(func(c *standin.RawConn) {
+						sent := int(c.Number)
+						c.ReadRequest()
+						// In two parts, so that the beginning is seen alone.
+						io.WriteString(c, whole[:sent/2])
+						time.Sleep(200 * time.Microsecond)
+						io.WriteString(c, whole[sent/2:sent])
+						stops[end](c.Conn.(*net.TCPConn))
+					})
+					f := newFixture()
+					command := f.command(s.Address())
+					command.NotRun = config.NotRunForm{Header: "X-Not-Run", Value: "1"}
 					for sent := 1; sent < len(whole); sent++ {
-						s := serve(func(c *standin.RawConn) {
-							c.ReadRequest()
-							// In two parts, so that the beginning is seen alone.
-							io.WriteString(c, whole[:sent/2])
-							time.Sleep(200 * time.Microsecond)
-							io.WriteString(c, whole[sent/2:sent])
-							stops[end](c.Conn.(*net.TCPConn))
-						})
-						f := newFixture()
-						command := f.command(s.Address())
-						command.NotRun = config.NotRunForm{Header: "X-Not-Run", Value: "1"}
 						x := f.run(command, requests[name]())
 						Expect(x.Facts.Cause).To(Equal(outcome.CauseReset), "%q", whole[:sent])
 						Expect(outcome.Classify(x.Facts, 0)).To(Equal(outcome.Unknown), "%q", whole[:sent])
 						Expect(x.Streaming).To(BeFalse())
 						Expect(f.pool.OpenConnections(s.Address())).To(BeZero())
+						Expect(s.Accepted()).To(BeEquivalentTo(sent))
 					}
 				}
 			})
@@ -75,19 +78,19 @@
 
 	It("leaves the outcome unknown on a kept connection", func() {
 		for _, whole := range completeHeads {
-			for sent := 1; sent < len(whole); sent++ {
-				s := serve(func(c *standin.RawConn) {
-					for _, raw := range []string{statusOK + withLength("first"), whole[:sent]} {
-						if c.ReadRequest() != nil {
-							io.WriteString(c, raw)
-						}
+			s := serve(func(c *standin.RawConn) {
+				for _, raw := range []string{statusOK + withLength("first"), whole[:c.Number]} {
+					if c.ReadRequest() != nil {
+						io.WriteString(c, raw)
 					}
-				})
-				f := newFixture()
+				}
+			})
+			f := newFixture()
+			for sent := 1; sent < len(whole); sent++ {
 				Expect(f.run(f.command(s.Address()), get()).Facts.Cause).To(Equal(outcome.CauseNone))
 				x := f.run(f.command(s.Address()), post("order"))
 				Expect(x.Facts.Cause).To(Equal(outcome.CauseReset), "%q", whole[:sent])
-				Expect(s.Accepted()).To(BeEquivalentTo(1))
+				Expect(s.Accepted()).To(BeEquivalentTo(sent))
 			}
 		}
 	})
@@ -95,9 +98,9 @@
 	It("is no response to a load query", func() {
 		for _, reuse := range []bool{false, true} {
 			for _, whole := range completeHeads {
+				s := serve(func(c *standin.RawConn) { standin.RespondOnce(whole[:c.Number])(c) })
+				f := newFixture()
 				for sent := 1; sent < len(whole); sent++ {
-					s := serve(standin.RespondOnce(whole[:sent]))
-					f := newFixture()
 					facts, _ := f.pool.Probe(GinkgoT().Context(), f.clock, core.StartProbe{
 						Address: s.Address(), Reuse: reuse, StartBefore: f.command("").StartBefore,
 						Probe: config.Probe{Path: "/load", Timeout: waitTimeout, AnswerLimit: 4 << 10},
--- a/httphead/head.go
+++ b/httphead/head.go
@@ -34,7 +34,7 @@
 	errUpgrade     = errors.New("the server switches protocols")
 	errFieldName   = errors.New("the name of a field is not a token")
 	errControlByte = errors.New("a line holds a control byte")
-	errTooLong     = errors.New("it is too long")
+	errTooLong     = errors.New("the section is too long")
 	errCoding      = errors.New("HTTP/1.0 has no transfer codings")
 	errLineEnd     = errors.New("a line does not end with CRLF")
 )
@@ -42,8 +42,8 @@
 // Check reads ahead to the end of the header section that begins next, and leaves it
 // unread. It fails with an *Error at the first byte that shows that what the server sends
 // is no response: otherwise that would show only at the end of a line, which may never
-// come. A section that exceeds the buffer of the reader is
-// no section either. Errors of the reader are returned as they are, io.EOF included.
+// come. A section that exceeds the buffer of the reader fails in the same way. Errors of
+// the reader are returned as they are, io.EOF included.
 func Check(r *bufio.Reader) (Section, error) {
 	s := scanner{reader: r}
 	status := s.status()
@@ -108,6 +108,7 @@
 	}
 }
 
+// expect reads the text, and fails with the given error if it reads anything else.
 func (s *scanner) expect(text string, otherwise error) {
 	for i := range len(text) {
 		if s.next() != text[i] {
@@ -119,9 +120,10 @@
 
 // checkFields checks the fields up to the empty line that ends the header section. A name
 // consists of the bytes of a token, and a line ends with a carriage return and a line
-// feed. Libraries keep blanks in a name or drop them, join a line that begins with a blank to
-// the one before, and may take a line feed alone for the end of the section. HTTP/1.0 has no
-// transfer codings (RFC 9112, section 6.1): libraries take the coded body for the body.
+// feed. Libraries keep blanks in a name or drop them, join a line that begins with a blank
+// to the one before, and may take a line feed alone for the end of the section. HTTP/1.0
+// has no transfer codings (RFC 9112, section 6.1): libraries take the coded body for the
+// body.
 func (s *scanner) checkFields() {
 	for s.err == nil {
 		c := s.next()
