backend, docs: bytes beyond ASCII as they are in tests; plainer comments

The specs of broken field names sent bytes from 0x80 as two bytes of UTF-8; they send the byte itself now, and pass.

--- a/backend/errors.go
+++ b/backend/errors.go
@@ -144,8 +144,9 @@
 	return errors.As(err, &opError) || errors.As(err, &errno) || isTimeout(err) || errors.Is(err, net.ErrClosed)
 }
 
-// isConnectionFailure reports whether a write failed because the connection did. The
-// write fails with EPIPE if the server had closed the connection in order before.
+// isConnectionFailure reports whether the write of a request failed because the connection
+// did, such as by a reset. Linux reports EPIPE instead if the server had closed the
+// connection in order before it reset it.
 func isConnectionFailure(writeErr error) bool {
 	var body *RequestBodyError
 	var errno syscall.Errno
--- a/backend/fields_test.go
+++ b/backend/fields_test.go
@@ -20,12 +20,8 @@
 // brokenNames returns a field name with one more byte: in front, in the middle and at the
 // end.
 func brokenNames(name string, broken byte) []string {
-	middle := len(name) / 2
-	return []string{
-		string(broken) + name,
-		name[:middle] + string(broken) + name[middle:],
-		name + string(broken),
-	}
+	middle, inserted := len(name)/2, string([]byte{broken})
+	return []string{inserted + name, name[:middle] + inserted + name[middle:], name + inserted}
 }
 
 // brokenBytes are blanks, control bytes, and bytes that separate or end a name elsewhere
