caller: tests of broken responses to second attempts

Guards against a check that holds for a first attempt only. After a refusal of the server, broken header sections, a status of 000 and a cut header section leave the outcome unknown; an order arrives twice, the refused attempt included, and no third time. After an upstream that cannot be reached, a reset during the upload does so too.

--- a/caller/forward_test.go
+++ b/caller/forward_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"wisteriapond/standin"
+	"wisteriapond/testsuite"
 )
 
 var longBody = strings.Repeat("archive ", 40000)
@@ -323,6 +325,22 @@
 		Entry("sent with HTTP/1.0", "HTTP/1.0", sized, part, "HTTP/1.0 200 OK\r\n\r\nurns"),
 	)
 
+	// Guards against a first attempt, to an upstream that cannot be reached, after which
+	// the end of the response is judged otherwise.
+	It("makes the outcome of an order unknown in a second attempt as well", func() {
+		unreachable, err := testsuite.UnusedAddress()
+		Expect(err).NotTo(HaveOccurred())
+		s := serve(standin.ResetDuringUpload("HTTP/1.1 200 OK\r\n\r\nurns"))
+		for range 20 {
+			sys := startSystem(testService(unreachable, s.Address()))
+			c, _ := beginUpload(sys, "HTTP/1.1", sized, part)
+			response, body := c.readResponse("POST")
+			Expect(response.StatusCode).To(Equal(502))
+			Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("unknown"))
+			Expect(body).NotTo(ContainSubstring("urns"))
+		}
+	})
+
 	// The response is too long to be held, so its first part is passed on before the reset.
 	DescribeTable("leaves a long response without a length incomplete",
 		func(version string) {
@@ -344,3 +362,38 @@
 		Entry("for a caller of HTTP/1.0", "HTTP/1.0"),
 	)
 })
+
+// Guards against a broken response that is checked only in a first attempt. The first one
+// ends with a refusal of the server.
+var _ = DescribeTable("a response to a second attempt that is broken is an unknown outcome",
+	func(broken string) {
+		const refusal = "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+		for lines, mayRepeat := range map[string]bool{postLines + "Content-Length: 4\r\n\r\nurns": false, getLines + "\r\n": true} {
+			var attempts atomic.Int64
+			respond := func(c *standin.RawConn) {
+				for c.ReadRequest() != nil {
+					if attempts.Add(1) > 1 {
+						io.WriteString(c, broken)
+						return
+					}
+					io.WriteString(c, refusal)
+				}
+			}
+			a, b := serve(respond), serve(respond)
+			sys := startSystem(testService(a.Address(), b.Address()))
+			response, body := sys.roundTrip(lines)
+			Expect(response.StatusCode).To(Equal(502))
+			Expect(response.Header.Get("Wisteriapond-Outcome")).To(Equal("unknown"))
+			Expect(body).NotTo(ContainSubstring("urns"))
+			Expect(attempts.Load()).To(BeNumerically(">=", 2))
+			if !mayRepeat {
+				Expect(attempts.Load()).To(BeEquivalentTo(2))
+			}
+		}
+	},
+	Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nX Field: 1\r\nContent-Length: 4\r\n\r\nurns"),
+	Entry("with a blank behind the name of the length", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nurns"),
+	Entry("with a blank in the statement not to have run", "HTTP/1.1 503 Busy\r\nX-Not-Run : 1\r\nContent-Length: 0\r\n\r\n"),
+	Entry("with a status of 000", "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nurns"),
+	Entry("cut in its header", "HTTP/1.1 200 OK\r\nX-A: a\r\n"),
+)
