--- a/httphead/conn.go
+++ b/httphead/conn.go
@@ -23,25 +23,19 @@
 	checked int
 }
 
-// NewConn returns a connection whose reads fail with an *Error where a header section
-// begins that Check rejects. The connection may be used for one request at a time, which
-// must be sent completely before its response begins.
-func NewConn(c net.Conn) net.Conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferBytes)}
-}
-
 // Dial is the type of functions that open connections, such as net.Dialer.DialContext.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Checked returns a function that opens connections as dial does, and passes them to
-// NewConn.
+// Checked returns a function that opens connections as dial does. Their reads fail with an
+// *Error where a header section begins that Check rejects. A connection may be used for one
+// request at a time, which must be sent completely before its response begins.
 func Checked(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return NewConn(c), nil
+		return &conn{Conn: c, reader: bufio.NewReaderSize(c, bufferBytes)}, nil
 	}
 }
 
