core: a call that a silent store swallowed does not delay the next one

Cause: a call that a silent store has swallowed gets no response when the store is back, and only one call was pending at a time. The host waited until the call failed after 2 s (2.7 s for a watch), then up to 2.4 s of backoff that counted from the failure, and then 1.5 s for entries that may be written again, during which it passes on nothing.

A call without a response 0.5 s after the end of its wait is overdue now: it counts as failed and the next one starts beside it, so that a store that is back is heard within 0.5 s by the host that reads it for the others. Calls have IDs; a response supersedes the calls that started before it. The backoff counts from the start of the failed call, and is 0.6 to 1.2 s on a host that has a reader. A host that takes the place of a lost reader calls sooner.

store_age_test.go lets calls overlap and complete in any order. The test of runtime that needs a panic of the reducer uses another event, since a listing that nobody asked for is ignored now.

--- a/core/emptieddomains.go
+++ b/core/emptieddomains.go
@@ -25,9 +25,8 @@
 	table evacuation.Table
 	// verify is set if another host knows a mark that the state of this host should
 	// have held. Only a complete listing that starts later tells whether the domain is
-	// back. verifying is set once it has started.
-	verify    bool
-	verifying bool
+	// back, see storeCall.verifies.
+	verify bool
 	// keepUntil is the end of the time in which marks of an earlier era hold although
 	// the store lacks them, 0 if there are none.
 	keepUntil Instant
@@ -56,14 +55,15 @@
 }
 
 // domainsListed applies the marks of a listing. One that may be stale takes no domain
-// back: its pages may be of different ages.
-func (s *State) domainsListed(e *StoreListed) {
+// back: its pages may be of different ages. verified is set if the listing started after
+// the last unexpected mark.
+func (s *State) domainsListed(e *StoreListed, verified bool) {
 	if e.Stale {
 		s.domainsChanged(e.Domains)
 		return
 	}
-	if d := &s.registry.domains; d.verifying {
-		d.verify, d.verifying = false, false
+	if verified {
+		s.registry.domains.verify = false
 	}
 	marks := make([]evacuation.Mark, 0, len(e.Domains))
 	for _, m := range e.Domains {
@@ -98,7 +98,7 @@
 	}
 	d.keepUntil = 0
 	if d.table.EmptiedBefore(s.registry.era) {
-		d.verify, d.verifying = true, false
+		s.verifyDomains()
 	}
 }
 
@@ -118,7 +118,7 @@
 			s.registry.domains.keepUntil = s.now.Add(domainLossGrace)
 			s.scheduleTick(s.registry.domains.keepUntil)
 		case unexpected:
-			s.registry.domains.verify, s.registry.domains.verifying = true, false
+			s.verifyDomains()
 		}
 	}
 	if changed {
@@ -127,6 +127,14 @@
 	return changed
 }
 
+// verifyDomains requests a listing that starts later than now.
+func (s *State) verifyDomains() {
+	s.registry.domains.verify = true
+	for i := range s.registry.calls.pending {
+		s.registry.calls.pending[i].verifies = false
+	}
+}
+
 func (s *State) learnDomain(m DomainMark, source string) (changed bool) {
 	mark := evacuation.Mark(m)
 	changed = s.registry.domains.table.Learn(mark)
--- a/core/emptieddomains_fleet_test.go
+++ b/core/emptieddomains_fleet_test.go
@@ -103,7 +103,7 @@
 	f.deliver()
 	for _, h := range f.hosts {
 		if !h.stopped {
-			f.respondToWatch(h)
+			f.respondToWatches(h)
 			f.tick(h)
 		}
 	}
--- a/core/emptieddomains_test.go
+++ b/core/emptieddomains_test.go
@@ -153,7 +153,7 @@
 		r.step(NewsAsked{ID: 1, Ask: NewsAsk{From: neighbourNamed("entry-2", 5), NamesOnly: true, Domains: []DomainMark{{Domain: "mtl-a", Emptied: true, Revision: 3}}}})
 		Expect(r.state.domainEmptied("mtl-a")).To(BeTrue(), "the mark holds until the store has been read")
 		effects := r.step(StoreChanged{Revision: r.revision})
-		Expect(effects).To(ContainElement(Equal(ListStore{})))
+		Expect(effects).To(ContainElement(And(BeAssignableToTypeOf(ListStore{}), HaveField("Stale", BeFalse()))))
 		Expect(count[WatchStore](effects)).To(BeZero())
 		a := storeServer("a", "read", "mtl-a")
 		r.step(StoreListed{Revision: r.revision, Routing: routing(1), Servers: []ServerChange{{ID: "a", Server: &a}}})
--- a/core/fleetsize_test.go
+++ b/core/fleetsize_test.go
@@ -16,7 +16,7 @@
 		f.deliver()
 		for _, h := range f.hosts {
 			if !h.stopped {
-				f.respondToWatch(h)
+				f.respondToWatches(h)
 				f.tick(h)
 			}
 		}
--- a/core/neighbours.go
+++ b/core/neighbours.go
@@ -70,14 +70,13 @@
 	return best
 }
 
-// readerClients returns the number of hosts that poll the given reader, this host
-// included: the other hosts of its failure domain, or the readers of all failure
-// domains.
+// readerClients returns the number of hosts of the failure domain that poll the given
+// reader, this host included.
 func (s *State) readerClients(reader *neighbour) int {
+	n := 1
 	if reader.FailureDomain != s.self.FailureDomain {
-		return len(s.self.Registry.Domains)
+		return n
 	}
-	n := 1
 	for _, other := range s.registry.propagation.neighbours {
 		if other.FailureDomain == s.self.FailureDomain && other != reader && !s.now.Before(other.backoffUntil) {
 			n++
@@ -114,6 +113,7 @@
 // next-ranked host becomes the reader.
 func (s *State) neighbourFailed(e NewsAnswered) {
 	s.count(CounterStoreUpdates, "failed")
+	lost := false
 	for _, name := range sortedKeys(s.registry.propagation.neighbours) {
 		other := s.registry.propagation.neighbours[name]
 		if other.Address == e.Address {
@@ -122,6 +122,7 @@
 				// known to be down is no reason to query them again: it may be a
 				// seed itself.
 				s.registry.propagation.nextSeedQuery = s.now
+				lost = true
 			}
 			other.backoffUntil = s.now.Add(min(minNeighbourBackoff<<min(other.failures, 8), maxNeighbourBackoff))
 			other.failures++
@@ -131,6 +132,9 @@
 			}})
 		}
 	}
+	if lost {
+		s.callSoonerAsReader()
+	}
 	s.pollReader()
 	s.callStoreIfDue()
 }
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -52,7 +52,7 @@
 	// minBackoffWithReader is the lower limit of the backoff, before jitter,
 	// after a failed store call of a host that has a reader, since the reader
 	// notices the recovery of the store earlier.
-	minBackoffWithReader = 1600 * time.Millisecond
+	minBackoffWithReader = 1200 * time.Millisecond
 	// expiredRetention is the time for which a server that was removed without a
 	// change of the store is reported as removed. Each neighbour polls a few times
 	// within it.
--- a/core/propagation_test.go
+++ b/core/propagation_test.go
@@ -93,7 +93,7 @@
 	// Guards against a host that becomes ready late after a restart.
 	ginkgo.It("provide a starting host with updates while it reads the store", func() {
 		r := newPropagationTestReducer("entry-2", 5)
-		Expect(r.state.registry.callPending).To(BeTrue())
+		Expect(r.state.registry.calls.pending).To(HaveLen(1))
 		r.deliverNeighbours(neighbourNamed("entry-1", 5))
 		reader := newPropagationTestReducer("entry-1", 5)
 		reader.list(routing(3), storeServer("a", "read", "mtl-a"))
@@ -267,7 +267,7 @@
 			r.list(routing(1), ready)
 			r.advance(watchBatchDelay)
 		}
-		Expect(r.state.registry.callPending).To(BeTrue())
+		Expect(r.state.registry.calls.pending).To(HaveLen(1))
 		poll := firstEffect[AskNews](r.deliverNeighbours(neighbourNamed("entry-1", 5))).Ask
 		r.step(NewsAnswered{Address: "entry-1:1", Answer: responseOf(reader, poll)})
 		staleness := r.state.storeStaleness()
--- a/core/request_test.go
+++ b/core/request_test.go
@@ -78,7 +78,7 @@
 // step applies an event to the reducer and returns the effects.
 func (r *testReducer) step(event Event) []Effect {
 	var effects Effects
-	r.state.Step(r.now, event, &effects)
+	r.state.Step(r.now, ofLastCall(r.state, event), &effects)
 	return effects.All()
 }
 
--- a/core/state.go
+++ b/core/state.go
@@ -78,6 +78,8 @@
 		s.storeChanged(e)
 	case StoreFailed:
 		s.storeFailed(e)
+	case StoreResponding:
+		s.storeResponding(e)
 	case NewsAsked:
 		s.updatesRequested(e)
 	case NewsAnswered:
--- a/core/store.go
+++ b/core/store.go
@@ -33,9 +33,6 @@
 	// share has most likely left: a host that was cut off on its own finds such
 	// entries missing in the same way.
 	massExpiryDivisor = 3
-	// maxStoreWarnings bounds the number of consecutive failures that are logged,
-	// so that an outage does not produce a log entry for each call.
-	maxStoreWarnings = 3
 )
 
 // RegistrySettings configures a host that reads routing and backend servers
@@ -76,6 +73,8 @@
 
 // StoreListed reports the complete contents of the store.
 type StoreListed struct {
+	// Call is that of the ListStore effect.
+	Call     uint64
 	Revision uint64
 	// Stale is the Stale field of the ListStore effect.
 	Stale bool
@@ -92,6 +91,8 @@
 
 // StoreChanged reports the end of a watch with the changes up to Revision.
 type StoreChanged struct {
+	// Call is that of the WatchStore effect.
+	Call           uint64
 	Revision       uint64
 	Routing        *config.Routing
 	RoutingProblem string
@@ -115,6 +116,8 @@
 
 // StoreFailed reports a store call without a usable response.
 type StoreFailed struct {
+	// Call is that of the effect which started the call.
+	Call uint64
 	// HistoryGone reports that the store has discarded changes after the last
 	// known revision.
 	HistoryGone bool
@@ -125,6 +128,8 @@
 
 // ListStore reads the complete store. It results in StoreListed or StoreFailed.
 type ListStore struct {
+	// Call identifies the call. Calls may overlap.
+	Call uint64
 	// Stale allows a response that is some seconds old, at a tenth of the price.
 	Stale bool
 }
@@ -132,6 +137,8 @@
 // WatchStore requests the changes after a revision. It results in StoreChanged
 // or StoreFailed.
 type WatchStore struct {
+	// Call identifies the call. Calls may overlap.
+	Call  uint64
 	After uint64
 	Wait  time.Duration
 }
@@ -146,8 +153,6 @@
 	era      uint64
 	revision uint64
 	entries  storeage.Entries
-	// watchedEra is the era of the revision from which the last watch started.
-	watchedEra uint64
 	// heardEra is the latest era that this host has heard of, from the store or from
 	// another host, and heardAt the instant of the first time.
 	heardEra uint64
@@ -161,10 +166,10 @@
 	// freshOnly is set when a listing cannot be used since its pages are of two eras.
 	freshOnly bool
 	// listed is set once the complete store was read, until its history is discarded.
-	listed      bool
-	callPending bool
-	// failures is the number of consecutive failed calls, and nextCall the
-	// earliest instant of the next call.
+	listed bool
+	calls  storeCalls
+	// failures is the number of consecutive calls that failed or are overdue, and
+	// nextCall the earliest instant of the next call.
 	failures int
 	nextCall Instant
 	// confirmedAt is the instant at which the store last confirmed that the
@@ -217,26 +222,27 @@
 }
 
 // callStoreIfDue starts the next store call when it is due. Only one call is
-// pending at a time: a watch is of use only after a complete listing.
+// pending at a time, besides overdue ones: a watch is of use only after a complete
+// listing.
 func (s *State) callStoreIfDue() {
 	reg := &s.registry
-	if reg.callPending || s.now.Before(reg.nextCall) {
+	if reg.calls.busy() || s.now.Before(reg.nextCall) {
 		return
 	}
 	if !s.mayCallStore() {
 		s.scheduleTick(max(s.now+1, reg.confirmedAt.Add(reg.propagation.stalenessLimit)))
 		return
 	}
-	reg.callPending = true
 	if reg.listed && !reg.domains.verify {
-		reg.watchedEra = reg.era
-		s.out.add(WatchStore{After: reg.revision, Wait: s.nextWatchWait()})
+		wait := s.nextWatchWait()
+		call := s.startStoreCall(storeCall{era: reg.era}, wait)
+		s.out.add(WatchStore{Call: call, After: reg.revision, Wait: wait})
 		return
 	}
-	reg.domains.verifying = reg.domains.verify
+	call := s.startStoreCall(storeCall{verifies: reg.domains.verify}, 0)
 	// Changes since a stale listing arrive with the next update. At the first
 	// start a stale listing may lack the configuration, so a fresh one is read.
-	s.out.add(ListStore{Stale: reg.revision == 0 && !s.self.Registry.FirstStart && !reg.freshOnly})
+	s.out.add(ListStore{Call: call, Stale: reg.revision == 0 && !s.self.Registry.FirstStart && !reg.freshOnly})
 }
 
 // tickRegistry does what is due: removals of expired servers, polls, and store
@@ -247,37 +253,24 @@
 	s.tickColdServers()
 	s.tickEmptiedDomains()
 	s.tickPropagation()
+	s.tickStoreCalls()
 	s.callStoreIfDue()
 }
 
 // nextWatchWait returns how long the store may hold a watch while nothing
-// changes. It is 0 for a host that has a reader and does not relay to it: such
-// a host reads the store because its updates are stale, and notifies the reader
-// of the changes at once.
+// changes. It is 0 after a failed call, so that a store that is back responds at once,
+// and for a host that has a reader and does not relay to it: such a host reads the store
+// because its updates are stale, and notifies the reader of the changes at once.
 func (s *State) nextWatchWait() time.Duration {
-	if s.reader() != nil && !s.relaysToReader() {
+	if s.registry.failures > 0 || s.reader() != nil && !s.relaysToReader() {
 		return 0
 	}
 	return watchWait
 }
 
-// storeResponded ends the pending call, and a period of failed calls.
-func (s *State) storeResponded() {
-	reg := &s.registry
-	reg.callPending = false
-	if reg.failures > 0 {
-		reg.recoveredAt = s.now
-		s.out.add(Log{Message: "store responds again", Fields: []LogField{
-			{Key: "failures", Value: strconv.Itoa(reg.failures)},
-		}})
-	}
-	reg.failures = 0
-}
-
 // storeCallSucceeded records a response of the store as of the given position. A
 // stale response does not confirm that the state is current.
 func (s *State) storeCallSucceeded(at storeage.Age, stale bool) {
-	s.storeResponded()
 	if !stale {
 		s.markConfirmed(s.now)
 		s.registry.propagation.relayed = false
@@ -291,7 +284,11 @@
 // entries have most likely expired.
 func (s *State) storeListed(e StoreListed) {
 	reg := &s.registry
-	s.domainsListed(&e)
+	call, pending := s.storeResponded(e.Call)
+	if !pending {
+		return
+	}
+	s.domainsListed(&e, call.verifies)
 	at := storeage.Age{Era: e.Era, Revision: e.Revision}
 	outdated := s.discardOutdated(at)
 	s.storeCallSucceeded(at, e.Stale || outdated)
@@ -320,10 +317,14 @@
 // storeChanged applies the changes that a watch reported, and relays them. A
 // response that updates of another entry host have overtaken reports nothing new.
 func (s *State) storeChanged(e StoreChanged) {
+	call, pending := s.storeResponded(e.Call)
+	if !pending {
+		return
+	}
 	s.domainsChanged(e.Domains)
 	at := storeage.Age{Era: e.Era, Revision: e.Revision}
 	outdated := s.discardOutdated(at)
-	if !outdated && e.Era != s.registry.watchedEra {
+	if !outdated && e.Era != call.era {
 		s.watchCrossedEras(e.Era)
 		return
 	}
@@ -366,46 +367,3 @@
 	s.registry.nextCall = s.now.Add(watchBatchDelay)
 	s.scheduleTick(s.registry.nextCall)
 }
-
-// storeFailed handles a failed call. The next call follows after a backoff, or
-// without one if the store has to be listed again because its history was discarded.
-func (s *State) storeFailed(e StoreFailed) {
-	reg := &s.registry
-	reg.callPending = false
-	s.count(CounterPlatformFailures, "")
-	if s.hearEra(e.Era) {
-		reg.listed = false
-	}
-	if e.HistoryGone {
-		// The known state stays in use until the new listing arrives.
-		reg.listed, reg.freshOnly = false, true
-		s.out.add(Log{Level: LogWarn, Message: "store history discarded, listing again", Fields: []LogField{
-			{Key: "revision", Value: strconv.FormatUint(reg.revision, 10)},
-		}})
-		s.callStoreIfDue()
-		return
-	}
-	reg.failures++
-	if reg.failures <= maxStoreWarnings {
-		s.out.add(Log{Level: LogWarn, Message: "store call failed", Fields: []LogField{
-			{Key: "reason", Value: e.Reason},
-			{Key: "failures", Value: strconv.Itoa(reg.failures)},
-			{Key: "age", Value: s.storeStaleness().String()},
-		}})
-	}
-	backoff := s.storeBackoff()
-	reg.nextCall = s.now.Add(backoff/2 + time.Duration(s.random.intN(int(backoff/2))))
-	s.scheduleTick(reg.nextCall)
-	s.pollRandomNeighbour()
-}
-
-// storeBackoff returns the backoff after a failed call, before jitter. Hosts
-// with the same reader together call as often as the reader does alone: the
-// reader notices the recovery of the store, and any of them that the store
-// serves notifies the reader.
-func (s *State) storeBackoff() time.Duration {
-	if reader := s.reader(); reader != nil {
-		return max(minBackoffWithReader, maxStoreBackoff*time.Duration(s.readerClients(reader)))
-	}
-	return min(minStoreBackoff<<min(s.registry.failures-1, 8), maxStoreBackoff)
-}
--- a/core/store_age_test.go
+++ b/core/store_age_test.go
@@ -151,6 +151,14 @@
 	watch *WatchStore
 }
 
+// id returns the ID that the reducer gave the call.
+func (c *agedCall) id() uint64 {
+	if c.list != nil {
+		return c.list.Call
+	}
+	return c.watch.Call
+}
+
 type agedMessage struct {
 	from, to *agedHost
 	run      int
@@ -166,7 +174,7 @@
 	capacity int
 	run      int
 	state    *State
-	call     *agedCall
+	calls    []agedCall
 	lastTick Instant
 	wakeAt   Instant
 	polls    map[uint64]agedMessage
@@ -227,7 +235,7 @@
 // start starts a new run of a host, which knows nothing.
 func (m *ageModel) start(h *agedHost) {
 	h.run++
-	h.state, h.call, h.wakeAt, h.lastTick = New(), nil, 0, m.now
+	h.state, h.calls, h.wakeAt, h.lastTick = New(), nil, 0, m.now
 	h.polls, h.seen = make(map[uint64]agedMessage), make(map[string]agedEntry)
 	h.age, h.version = storeage.Age{}, 0
 	registry := registrySettings()
@@ -246,9 +254,9 @@
 				h.wakeAt = e.At
 			}
 		case ListStore:
-			h.call = &agedCall{at: m.now, list: &e}
+			h.calls = append(h.calls, agedCall{at: m.now, list: &e})
 		case WatchStore:
-			h.call = &agedCall{at: m.now, watch: &e}
+			h.calls = append(h.calls, agedCall{at: m.now, watch: &e})
 		case AskNews:
 			m.poll(h, e)
 		case AnswerNews:
@@ -342,7 +350,9 @@
 		m.store.version += 2
 		m.store.publish(m.now)
 	case 3, 4, 5:
-		m.respond(h, m.drawTime)
+		if len(h.calls) > 0 {
+			m.respond(h, m.drawCall(h), m.drawTime)
+		}
 	case 6, 7, 8:
 		if len(m.queue) > 0 {
 			m.deliver(rapid.IntRange(0, len(m.queue)-1).Draw(m.t, "message"))
@@ -352,9 +362,9 @@
 			m.start(h)
 		}
 	case 10:
-		if h.call != nil {
-			h.call = nil
-			m.step(h, StoreFailed{Reason: "reset", Era: m.store.current().era})
+		if len(h.calls) > 0 {
+			call := h.takeCall(m.drawCall(h))
+			m.step(h, StoreFailed{Call: call.id(), Reason: "reset", Era: m.store.current().era})
 		}
 	case 11:
 		if m.eras && rapid.IntRange(0, 2).Draw(m.t, "restore") == 0 {
@@ -369,6 +379,11 @@
 	}
 }
 
+// drawCall draws one of the pending calls of a host, which may overlap.
+func (m *ageModel) drawCall(h *agedHost) int {
+	return rapid.IntRange(0, len(h.calls)-1).Draw(m.t, "call")
+}
+
 // drawTime draws a time up to a limit.
 func (m *ageModel) drawTime(limit time.Duration) time.Duration {
 	return ageStep * time.Duration(rapid.IntRange(0, int(limit/ageStep)).Draw(m.t, "time"))
@@ -392,14 +407,17 @@
 	}
 }
 
-// respond responds to the pending call of a host. age draws the age of a read up to a
+// takeCall removes a pending call of the host.
+func (h *agedHost) takeCall(i int) agedCall {
+	call := h.calls[i]
+	h.calls = slices.Delete(h.calls, i, i+1)
+	return call
+}
+
+// respond responds to a pending call of a host. age draws the age of a read up to a
 // limit.
-func (m *ageModel) respond(h *agedHost, age func(time.Duration) time.Duration) {
-	call := h.call
-	if call == nil {
-		return
-	}
-	h.call = nil
+func (m *ageModel) respond(h *agedHost, i int, age func(time.Duration) time.Duration) {
+	call := h.takeCall(i)
 	// A response may be on its way for as long as the call is pending.
 	delay := age(m.now.Sub(call.at))
 	if call.watch != nil {
@@ -411,15 +429,15 @@
 		limit = max(limit, maxReadAge)
 	}
 	first, second := m.store.before(m.now.Add(-age(limit))), m.store.before(m.now.Add(-age(limit)))
-	m.step(h, m.listed(first, second, call.list.Stale))
+	m.step(h, m.listed(first, second, call.list))
 }
 
 // listed returns the result of a listing with two pages.
-func (m *ageModel) listed(first, second *agedView, stale bool) Event {
+func (m *ageModel) listed(first, second *agedView, call *ListStore) Event {
 	if first.era != second.era {
-		return StoreFailed{HistoryGone: true, Era: max(first.era, second.era)}
+		return StoreFailed{Call: call.Call, HistoryGone: true, Era: max(first.era, second.era)}
 	}
-	listed := StoreListed{Stale: stale, Era: first.era, Revision: min(first.revision(), second.revision())}
+	listed := StoreListed{Call: call.Call, Stale: call.Stale, Era: first.era, Revision: min(first.revision(), second.revision())}
 	for page, view := range []*agedView{first, second} {
 		entries, version := view.entries()
 		for _, id := range sortedKeys(entries) {
@@ -437,9 +455,9 @@
 // watched returns the result of a watch.
 func (m *ageModel) watched(view *agedView, watch *WatchStore) Event {
 	if watch.After < m.store.historyStart || watch.After > view.revision() {
-		return StoreFailed{HistoryGone: true, Era: view.era}
+		return StoreFailed{Call: watch.Call, HistoryGone: true, Era: view.era}
 	}
-	changed := StoreChanged{Revision: view.revision(), Era: view.era}
+	changed := StoreChanged{Call: watch.Call, Revision: view.revision(), Era: view.era}
 	for _, w := range view.writes {
 		switch {
 		case w.revision <= watch.After:
@@ -471,9 +489,9 @@
 		m.store.rewrite(m.now)
 		m.failOverdue()
 		for _, h := range m.hosts {
-			if h.call != nil && m.now.Sub(h.call.at) >= ageCallTimeout {
-				h.call = nil
-				m.step(h, StoreFailed{Reason: "timeout"})
+			for len(h.calls) > 0 && m.now.Sub(h.calls[0].at) >= ageCallTimeout {
+				call := h.takeCall(0)
+				m.step(h, StoreFailed{Call: call.id(), Reason: "timeout"})
 			}
 			if m.now.Sub(h.lastTick) >= TickInterval || h.wakeAt > 0 && m.now >= h.wakeAt {
 				h.lastTick, h.wakeAt = m.now, 0
@@ -520,9 +538,11 @@
 			m.deliver(0)
 		}
 		for _, h := range m.hosts {
-			if call := h.call; call != nil && (call.list != nil || m.now.Sub(call.at) >= call.watch.Wait ||
-				call.watch.After != m.store.current().revision()) {
-				m.respond(h, func(time.Duration) time.Duration { return 0 })
+			due := func(call agedCall) bool {
+				return call.list != nil || m.now.Sub(call.at) >= call.watch.Wait || call.watch.After != m.store.current().revision()
+			}
+			for i := slices.IndexFunc(h.calls, due); i >= 0; i = slices.IndexFunc(h.calls, due) {
+				m.respond(h, i, func(time.Duration) time.Duration { return 0 })
 			}
 		}
 		m.advance(ageStep)
--- a/core/store_era_test.go
+++ b/core/store_era_test.go
@@ -128,7 +128,7 @@
 		other.advance(2 * expiryGrace)
 		r := newEraReducer()
 		r.advance(watchBatchDelay)
-		Expect(r.state.registry.callPending).To(BeTrue())
+		Expect(r.state.registry.calls.pending).To(HaveLen(1))
 		poll := firstEffect[AskNews](r.deliverNeighbours(neighbourNamed("entry-1", 9))).Ask
 		Expect(poll.Era).To(Equal(uint64(1)))
 		answer := responseOf(other, poll)
--- a/core/store_fleet_test.go
+++ b/core/store_fleet_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"wisteriapond/config"
 )
 
 const (
@@ -34,6 +36,8 @@
 	slowStaleListingAge = 3 * time.Second
 	// pollTimeoutSlack is the time beyond its wait after which a poll fails.
 	pollTimeoutSlack = 400 * time.Millisecond
+	// storeCallTimeout is the time beyond its wait after which a call to the store fails.
+	storeCallTimeout = 2 * time.Second
 )
 
 // regressionSeeds holds the seeds beyond fleetSeeds that have failed before,
@@ -44,7 +48,7 @@
 }
 
 // storeFleet simulates several reducers that share a store and poll each other,
-// on a virtual clock. The store rejects hosts, discards its history and is down
+// on a virtual clock. The store rejects hosts, discards its history and is down or silent
 // at times; hosts are killed and started again.
 type storeFleet struct {
 	now    Instant
@@ -59,6 +63,9 @@
 	// historyStart is the first revision after which the store still has all changes.
 	historyStart uint64
 	down         bool
+	// silent is set while the store swallows calls, also those that are pending when
+	// it falls silent.
+	silent       bool
 	nextID       uint64
 	pendingPolls map[uint64]fleetPoll
 	// lastDisturbance is the instant of the last disturbance, and registrations counts
@@ -70,18 +77,23 @@
 	delays *rand.Rand
 }
 
-// storeHost is an entry host of a store fleet, with its pending watch.
+// storeHost is an entry host of a store fleet, with its pending watches.
 type storeHost struct {
-	name       string
-	domain     string
-	state      *State
-	run        int
-	stopped    bool
-	rejected   bool
-	watch      *WatchStore
-	watchUntil Instant
-	wakeAt     Instant
-	lastTick   Instant
+	name     string
+	domain   string
+	state    *State
+	run      int
+	stopped  bool
+	rejected bool
+	watches  []fleetWatch
+	wakeAt   Instant
+	lastTick Instant
+}
+
+// fleetWatch is a pending watch. The store responds at until if there are no changes.
+type fleetWatch struct {
+	WatchStore
+	until Instant
 }
 
 // fleetEvent is an event that reaches a run of a host at an instant. If pollID is set,
@@ -101,13 +113,14 @@
 	poll AskNews
 }
 
-// fleetChange is a change of the store: of a server, or of a failure domain if domain is
-// set. checked is set once its propagation has been checked, or did not need to be.
+// fleetChange is a change of the store: of a server, of a failure domain if domain is
+// set, or of the routing if that is set. checked is set once its propagation has been checked, or did not need to be.
 type fleetChange struct {
 	revision uint64
 	at       Instant
 	change   ServerChange
 	domain   *DomainMark
+	routing  *config.Routing
 	checked  bool
 }
 
@@ -134,7 +147,7 @@
 // start starts a new run of a host. first is set at the first start of the deployment.
 func (f *storeFleet) start(h *storeHost, first bool) {
 	h.run++
-	h.stopped, h.watch, h.wakeAt, h.lastTick = false, nil, 0, f.now
+	h.stopped, h.watches, h.wakeAt, h.lastTick = false, nil, 0, f.now
 	h.state = New()
 	registry := registrySettings()
 	registry.Address, registry.FirstStart = h.name, first
@@ -156,7 +169,7 @@
 			f.list(h, e)
 		case WatchStore:
 			f.calls++
-			h.watch, h.watchUntil = &e, f.now.Add(e.Wait)
+			h.watches = append(h.watches, fleetWatch{WatchStore: e, until: f.now.Add(e.Wait)})
 		case AskNews:
 			f.poll(h, e)
 		case AnswerNews:
@@ -214,12 +227,16 @@
 	if f.delays != nil {
 		age = slowStaleListingAge
 	}
+	if f.silent {
+		f.send(storeCallTimeout, h, h.run, StoreFailed{Call: e.Call, Reason: "timeout"})
+		return
+	}
 	if f.down || h.rejected {
-		f.send(f.storeDelay(), h, h.run, StoreFailed{Reason: "refused"})
+		f.send(f.storeDelay(), h, h.run, StoreFailed{Call: e.Call, Reason: "refused"})
 		return
 	}
-	listed := StoreListed{Revision: f.revision, Stale: e.Stale, Routing: routing(1)}
-	servers := make(map[string]Server)
+	listed := StoreListed{Call: e.Call, Revision: f.revision, Stale: e.Stale, Routing: routing(1)}
+	servers := make(map[string]ServerChange)
 	domains := make(map[string]DomainMark)
 	for _, c := range f.changes {
 		if e.Stale && f.now.Sub(c.at) < age && c.at > 0 {
@@ -230,8 +247,12 @@
 			domains[c.domain.Domain] = *c.domain
 			continue
 		}
+		if c.routing != nil {
+			listed.Routing = c.routing
+			continue
+		}
 		if delete(servers, c.change.ID); c.change.Server != nil {
-			servers[c.change.ID] = *c.change.Server
+			servers[c.change.ID] = c.change
 		}
 	}
 	for _, name := range sortedKeys(domains) {
@@ -240,41 +261,46 @@
 		}
 	}
 	for _, id := range sortedKeys(servers) {
-		listed.Servers = append(listed.Servers, ServerChange{ID: id, Server: new(servers[id])})
+		listed.Servers = append(listed.Servers, servers[id])
 	}
 	f.send(f.storeDelay(), h, h.run, listed)
 }
 
-// respondToWatch responds to the watch of a host if there are changes, if the wait is
-// over, or if the store is down, rejects the host or has discarded the history.
-func (f *storeFleet) respondToWatch(h *storeHost) {
-	if h.watch == nil {
-		return
-	}
-	var event Event
+// respondToWatches responds to the watches of a host for which there are changes, whose
+// wait is over, or which the store does not serve.
+func (f *storeFleet) respondToWatches(h *storeHost) {
+	h.watches = slices.DeleteFunc(h.watches, func(watch fleetWatch) bool { return f.respondToWatch(h, &watch) })
+}
+
+// respondToWatch responds to a watch, and reports whether it has ended.
+func (f *storeFleet) respondToWatch(h *storeHost, watch *fleetWatch) bool {
 	var changed []ServerChange
 	var domains []DomainMark
+	var newest *config.Routing
 	for _, c := range f.changes {
 		switch {
-		case c.revision <= h.watch.After:
+		case c.revision <= watch.After:
 		case c.domain != nil:
 			domains = append(domains, *c.domain)
+		case c.routing != nil:
+			newest = c.routing
 		default:
 			changed = append(changed, c.change)
 		}
 	}
 	switch {
+	case f.silent:
+		f.send(watch.until.Sub(f.now)+storeCallTimeout, h, h.run, StoreFailed{Call: watch.Call, Reason: "timeout"})
 	case f.down || h.rejected:
-		event = StoreFailed{Reason: "refused"}
-	case h.watch.After < f.historyStart:
-		event = StoreFailed{HistoryGone: true}
-	case len(changed)+len(domains) > 0 || !f.now.Before(h.watchUntil):
-		event = StoreChanged{Revision: f.revision, Servers: changed, Domains: domains}
+		f.send(f.storeDelay(), h, h.run, StoreFailed{Call: watch.Call, Reason: "refused"})
+	case watch.After < f.historyStart:
+		f.send(f.storeDelay(), h, h.run, StoreFailed{Call: watch.Call, HistoryGone: true})
+	case len(changed)+len(domains) > 0 || newest != nil || !f.now.Before(watch.until):
+		f.send(f.storeDelay(), h, h.run, StoreChanged{Call: watch.Call, Revision: f.revision, Routing: newest, Servers: changed, Domains: domains})
 	default:
-		return
+		return false
 	}
-	h.watch = nil
-	f.send(f.storeDelay(), h, h.run, event)
+	return true
 }
 
 // changeServers registers a server, marks one as leaving, or removes one.
@@ -364,7 +390,7 @@
 		f.deliver()
 		for _, h := range f.hosts {
 			if !h.stopped {
-				f.respondToWatch(h)
+				f.respondToWatches(h)
 				f.tick(h)
 			}
 		}
@@ -440,7 +466,7 @@
 	for end := f.now.Add(3 * quietPeriod); f.now < end; f.now = f.now.Add(fleetStep) {
 		f.deliver()
 		for _, h := range f.hosts {
-			f.respondToWatch(h)
+			f.respondToWatches(h)
 			f.tick(h)
 		}
 	}
--- a/core/store_test.go
+++ b/core/store_test.go
@@ -95,6 +95,34 @@
 	return r.step(StoreChanged{Revision: r.revision, Servers: changes})
 }
 
+// ofLastCall returns an event of the store as the result of the last call, for tests in
+// which calls do not overlap. If the reducer awaits none, a call is added.
+func ofLastCall(state *State, event Event) Event {
+	calls := &state.registry.calls
+	last := func(watch bool) uint64 {
+		if len(calls.pending) == 0 {
+			call := storeCall{startedAt: state.now, overdueAt: state.now.Add(callOverdueAfter)}
+			if watch {
+				call.era = state.registry.era
+			}
+			calls.add(call)
+		}
+		return calls.lastID
+	}
+	switch e := event.(type) {
+	case StoreListed:
+		e.Call = last(false)
+		return e
+	case StoreChanged:
+		e.Call = last(true)
+		return e
+	case StoreFailed:
+		e.Call = last(true)
+		return e
+	}
+	return event
+}
+
 // removed returns the removal of a server.
 func removed(id string) ServerChange { return ServerChange{ID: id} }
 
@@ -136,22 +164,25 @@
 	// Guards against changes that take effect after more than 2 s: a store that
 	// discards its history may leave a pending watch without a response.
 	ginkgo.It("calls the store often enough", func() {
+		const slowStoreCall = 240 * time.Millisecond
 		const bound = 2 * time.Second
 		Expect(watchWait + watchBatchDelay).To(BeNumerically("<", bound))
 		Expect(maxStaleness).To(BeNumerically("<", bound))
 		Expect(maxStaleness).To(BeNumerically(">", staleAfter))
 		Expect(staleAfter).To(BeNumerically(">", watchWait+watchBatchDelay))
-		Expect(maxStoreBackoff + expiryGrace).To(BeNumerically("<=", bound))
+		Expect(max(maxStoreBackoff, callOverdueAfter) + expiryGrace).To(BeNumerically("<=", bound))
+		// A host alone after an outage, whatever its reader does.
+		Expect(max(minBackoffWithReader, callOverdueAfter) + expiryGrace + slowStoreCall).To(BeNumerically("<=", outageRecoveryBound))
 	})
 
 	// Guards against overlapping calls, and against missed changes between a
 	// listing and the first watch.
 	ginkgo.It("lists, then watches from the revision of the listing", func() {
 		r := newStoreTestReducer(defaultRegistry)
-		Expect(r.state.registry.callPending).To(BeTrue())
+		Expect(r.state.registry.calls.pending).To(HaveLen(1))
 		Expect(count[ListStore](r.advance(time.Millisecond))).To(BeZero())
 		r.list(routing(1), storeServer("a", "read", "mtl-a"))
-		Expect(firstEffect[WatchStore](r.advance(watchBatchDelay))).To(Equal(WatchStore{After: 1, Wait: watchWait}))
+		Expect(firstEffect[WatchStore](r.advance(watchBatchDelay))).To(Equal(WatchStore{Call: 2, After: 1, Wait: watchWait}))
 		effects := r.step(StoreChanged{Revision: 7})
 		Expect(firstEffect[WatchStore](effects).After).To(Equal(uint64(7)))
 	})
--- a/core/storeera.go
+++ b/core/storeera.go
@@ -62,7 +62,6 @@
 // since the copy, so the store is listed, unless another host has provided the state of
 // the later era.
 func (s *State) watchCrossedEras(era uint64) {
-	s.storeResponded()
 	if s.hearEra(era) {
 		s.registry.listed = false
 	}
--- a/entryhost/store.go
+++ b/entryhost/store.go
@@ -1,6 +1,9 @@
 package entryhost
 
 import (
+	"context"
+	"net/http/httptrace"
+
 	"wisteriapond/core"
 	"wisteriapond/metrics"
 	"wisteriapond/platform"
@@ -53,24 +56,36 @@
 }
 
 func (h *Host) listStore(e core.ListStore) {
-	h.callStore(kindStoreList, func() (core.Event, error) { return h.store.List(h.ctx, e.Stale) })
+	h.callStore(kindStoreList, e.Call, func(ctx context.Context) (core.Event, error) {
+		listed, err := h.store.List(ctx, e.Stale)
+		listed.Call = e.Call
+		return listed, err
+	})
 }
 
 func (h *Host) watchStore(e core.WatchStore) {
-	h.callStore(kindStoreWatch, func() (core.Event, error) { return h.store.Watch(h.ctx, e.After, e.Wait) })
+	h.callStore(kindStoreWatch, e.Call, func(ctx context.Context) (core.Event, error) {
+		changed, err := h.store.Watch(ctx, e.After, e.Wait)
+		changed.Call = e.Call
+		return changed, err
+	})
 }
 
-// callStore calls the store in the background. The reducer makes one call at a
-// time.
-func (h *Host) callStore(kind string, call func() (core.Event, error)) {
+// callStore calls the store in the background, and reports the beginning of each
+// response besides the result.
+func (h *Host) callStore(kind string, id uint64, call func(ctx context.Context) (core.Event, error)) {
 	h.metrics.Add(metrics.PlatformCalls, kind, 1)
 	h.group.Go(func() error {
-		event, err := call()
+		event, err := call(httptrace.WithClientTrace(h.ctx, &httptrace.ClientTrace{
+			GotFirstResponseByte: func() { h.loop.Send(core.StoreResponding{Call: id}) },
+		}))
 		if err != nil && h.ctx.Err() != nil {
 			return nil
 		}
 		if err != nil {
-			event = platform.Failure(err)
+			failed := platform.Failure(err)
+			failed.Call = id
+			event = failed
 		}
 		h.loop.Send(event)
 		return nil
--- a/eventlog/registry.go
+++ b/eventlog/registry.go
@@ -43,6 +43,7 @@
 	{24, core.SettingsChanged{}},
 	{25, core.CallersCounted{}},
 	{26, core.DescriptorsShort{}},
+	{27, core.StoreResponding{}},
 }
 
 // eventType holds the tag and the codec of an event type.
--- a/runtime/loop_test.go
+++ b/runtime/loop_test.go
@@ -59,10 +59,10 @@
 		run(l)
 		waiting := l.Submit(core.RequestArrived{})
 		Eventually(waiting.Commands).WithTimeout(waitTimeout).Should(Receive(BeAssignableToTypeOf(core.Refuse{})))
-		l.Send(core.StoreListed{})
+		l.Send(core.NewsAnswered{Answer: core.NewsAnswer{Neighbours: []core.Neighbour{{Host: "entry-2", Address: "entry-2:1"}}}})
 		isPanic := func(effect core.Effect) bool {
 			entry, ok := effect.(core.Log)
-			return ok && entry.Level == core.LogError && entry.Fields[0].Value == "core.StoreListed"
+			return ok && entry.Level == core.LogError && entry.Fields[0].Value == "core.NewsAnswered"
 		}
 		Eventually(func() int { return r.indexOf(isPanic) }).WithTimeout(waitTimeout).Should(BeNumerically(">=", 0))
 		after := l.Submit(core.RequestArrived{})
