core: pass on the configuration while servers are pending removal

Cause: while entries are pending removal, for up to 1.5 s, a host passes on no servers, since they are those of no revision. It held back the configuration with them.

Evidence: core/propagation_test.go "pass on the configuration while entries are pending removal" fails before: the poll of the other host stays pending.

A poll of a host with an earlier configuration is answered at once now, with the configuration alone. That is safe, since versions only rise and do not depend on the revision of the servers. A host that has no state yet still waits for both.

--- a/core/polls.go
+++ b/core/polls.go
@@ -35,12 +35,12 @@
 // poll lacks.
 func (s *State) hasUpdatesFor(poll *NewsAsk) bool {
 	reg := &s.registry
+	if s.hasRoutingFor(poll) {
+		return true
+	}
 	if !s.mayPropagate() {
 		return false
 	}
-	if reg.routing.Version > poll.Routing {
-		return true
-	}
 	if !poll.age().Before(reg.age()) {
 		return false
 	}
@@ -55,6 +55,14 @@
 	return false
 }
 
+// hasRoutingFor reports whether this host has a later configuration than the sender of the
+// poll. Versions only rise, so that the configuration is passed on also while the servers
+// are of no revision. A sender without a state needs both.
+func (s *State) hasRoutingFor(poll *NewsAsk) bool {
+	routing := s.registry.routing
+	return routing != nil && routing.Version > poll.Routing && (poll.After > 0 || s.mayPropagate())
+}
+
 // needsWhole reports whether the changes since the position of the sender are not all
 // known here: the sender has no state or that of another era, or the changes were
 // discarded.
@@ -67,16 +75,18 @@
 func (a *NewsAsk) age() storeage.Age { return storeage.Age{Era: a.Era, Revision: a.After} }
 
 // respondToPendingPolls responds to all pending polls, after updates arrived or
-// the store confirmed that there are none. While servers are pending removal the polls
-// stay pending, at most until their waits are over.
+// the store confirmed that there are none. While servers are pending removal the polls of
+// hosts that have the configuration stay pending, at most until their waits are over.
 func (s *State) respondToPendingPolls() {
-	if len(s.registry.pendingRemoval) > 0 {
-		return
-	}
 	p := &s.registry.propagation
+	held := len(s.registry.pendingRemoval) > 0
 	pending := p.pendingPolls
 	p.pendingPolls = nil
 	for i := range pending {
+		if held && !s.hasRoutingFor(&pending[i].request) {
+			p.pendingPolls = append(p.pendingPolls, pending[i])
+			continue
+		}
 		s.respondToPoll(pending[i].id, &pending[i].request)
 	}
 }
@@ -110,9 +120,9 @@
 		response.Age = s.storeStaleness()
 		response.Whole = s.needsWhole(poll)
 		response.Servers = s.serversChangedAfter(poll.After, response.Whole)
-		if reg.routing.Version > poll.Routing {
-			response.Routing = reg.routing
-		}
+	}
+	if !poll.NamesOnly && s.hasRoutingFor(poll) {
+		response.Routing = reg.routing
 	}
 	s.count(CounterStoreUpdates, "told")
 	s.out.add(AnswerNews{ID: id, Answer: response})
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -98,13 +98,15 @@
 
 // NewsAnswer is the response to a NewsAsk.
 type NewsAnswer struct {
-	// Known is false if the responding host has no state of the store, and in
-	// responses to NamesOnly.
+	// Known is false if the responding host has no state of the store to pass on,
+	// and in responses to NamesOnly.
 	Known    bool
 	Revision uint64
 	// Whole reports that Servers holds all servers instead of changes.
 	Whole   bool
 	Servers []ServerChange
+	// Routing is the configuration if it is later than that of the sender, nil
+	// otherwise. It may be set without Known.
 	Routing *config.Routing
 	// Age is the time since the store confirmed that this state is current.
 	Age        time.Duration
@@ -318,6 +320,8 @@
 			// The store may reject the reader as well.
 			s.notifyReader()
 		}
+	case s.acceptRelayedRouting(e.Answer.Routing):
+		s.respondToPendingPolls()
 	case polled:
 		// A host without a confirmed state polls without a wait, and would poll a
 		// reader that has no newer state again and again.
@@ -335,6 +339,23 @@
 	s.callStoreIfDue()
 }
 
+// acceptRelayedRouting puts a later configuration in force that another entry host passes
+// on without the state of the servers, and reports whether there was one. A host without
+// a state waits for both.
+func (s *State) acceptRelayedRouting(routing *config.Routing) bool {
+	reg := &s.registry
+	if routing == nil || reg.routing == nil {
+		return false
+	}
+	before := reg.routing.Version
+	s.acceptRouting(routing, "")
+	if reg.routing.Version == before {
+		return false
+	}
+	s.adoptRegistry()
+	return true
+}
+
 // appliesTo reports whether a response brings the known state to a position that is not
 // earlier. Changes in a later era say nothing about what the store has lost.
 func (s *State) appliesTo(response *NewsAnswer) bool {
--- a/core/propagation_test.go
+++ b/core/propagation_test.go
@@ -192,6 +192,45 @@
 		Expect(update.Answer.Servers).To(ConsistOf(ServerChange{ID: "a", Revision: r.revision}, ServerChange{ID: "b", Revision: r.revision}))
 	})
 
+	// Guards against hosts that go on with an earlier configuration because the host that
+	// reads the store for them has entries pending removal (rule CONFIG).
+	ginkgo.It("pass on the configuration while entries are pending removal", func() {
+		reader, member := newPropagationTestReducer("entry-1", 5), newPropagationTestReducer("entry-2", 5)
+		for _, r := range []*storeTestReducer{reader, member} {
+			r.list(routing(1), storeServer("a", "read", "mtl-a"), storeServer("b", "read", "mtl-a"))
+		}
+		reader.advance(watchBatchDelay)
+		reader.step(StoreFailed{Reason: "reset"})
+		reader.advance(maxStoreBackoff)
+		poll := firstEffect[AskNews](member.deliverNeighbours(neighbourNamed("entry-1", 5))).Ask
+		reader.change(removed("a"), removed("b"))
+		Expect(reader.state.registry.pendingRemoval).To(HaveLen(2))
+		Expect(count[AnswerNews](reader.step(NewsAsked{ID: 7, Ask: poll}))).To(BeZero())
+		reader.revision++
+		update := firstEffect[AnswerNews](reader.step(StoreChanged{Revision: reader.revision, Routing: routing(2)}))
+		Expect(update.ID).To(Equal(uint64(7)))
+		Expect(update.Answer.Known).To(BeFalse())
+		next := firstEffect[AskNews](member.step(NewsAnswered{Address: "entry-1:1", Answer: update.Answer}))
+		Expect(member.state.inForce().Generation).To(Equal(uint64(2)))
+		Expect(member.upstreams("read")).To(Equal([]string{"a", "b"}))
+		Expect(count[AnswerNews](reader.step(NewsAsked{ID: 8, Ask: next.Ask}))).To(BeZero(), "the configuration is passed on once")
+		Expect(firstEffect[AnswerNews](reader.advance(expiryGrace)).Answer.Known).To(BeTrue())
+	})
+
+	// Guards against a starting host that has routes but no servers.
+	ginkgo.It("pass no configuration on without servers to a host that has neither", func() {
+		r := newPropagationTestReducer("entry-1", 5)
+		r.list(routing(1), storeServer("a", "read", "mtl-a"), storeServer("b", "read", "mtl-a"))
+		r.advance(watchBatchDelay)
+		r.step(StoreFailed{Reason: "reset"})
+		r.advance(maxStoreBackoff)
+		r.change(removed("a"), removed("b"))
+		Expect(responseOf(r, NewsAsk{From: neighbourNamed("entry-2", 5)}).Routing).To(BeNil())
+		starting := newPropagationTestReducer("entry-2", 5)
+		starting.step(NewsAnswered{Address: "entry-1:1", Answer: NewsAnswer{Routing: routing(1)}})
+		Expect(starting.state.ready).To(BeFalse())
+	})
+
 	// Guards against store calls that grow with the number of hosts while the
 	// store is down for all of them.
 	ginkgo.It("call a store that is down no more often than a single host", func() {
