core: no promise of a backend server that may have run an order

A backend server in trouble ran an order and answered 503 without the header that says "not run".

Cause: such an answer was rightly not repeated here, but it was passed on with its status. On the platform 408, 421, 429 and 503 promise that the request has not run and never will, whoever sends them.

A request that is not idempotent now ends as a failure with 502, without the headers and the body of such an answer. The statuses are the platform's and come from there. The project's own interface is unchanged: there the promise is Wisteriapond-Outcome, which backend servers cannot send.

--- a/core/completion.go
+++ b/core/completion.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"wisteriapond/outcome"
@@ -30,6 +31,13 @@
 	}
 }
 
+// promisesNotRun reports whether the caller would take a response with the given status
+// as a promise that its request did not run, although the backend server may have run it.
+// A request that may run more than once gets the response all the same.
+func (s *State) promisesNotRun(r *request, status int) bool {
+	return !r.idempotent && s.self.Registry != nil && slices.Contains(s.self.Registry.NotRunStatuses, status)
+}
+
 // passLastResponse forwards the response of the last attempt.
 func (s *State) passLastResponse(r *request, upstream string, gaveUp bool) {
 	s.out.add(PassAnswer{Attempt: r.attempt(), Upstream: upstream, GaveUp: gaveUp})
--- a/core/request.go
+++ b/core/request.go
@@ -289,7 +289,8 @@
 }
 
 // responseStarted handles the header of a long response. The response is not
-// forwarded if another attempt follows or if the request was not run.
+// forwarded if another attempt follows, if the request was not run, or if the response
+// would promise that it was not.
 func (s *State) responseStarted(e AnswerBegun) {
 	r := s.currentRequest(e.Attempt)
 	if r == nil || r.streaming {
@@ -300,7 +301,7 @@
 	}
 	class := s.classify(r, e.Facts)
 	retry := s.decideRetry(r, e.Facts, class)
-	if class != outcome.Responded || retry != outcome.RetryNone {
+	if class != outcome.Responded || retry != outcome.RetryNone || s.promisesNotRun(r, e.Facts.Status) {
 		s.endAttempt(r, e.Facts, class, retry, false)
 		return
 	}
@@ -365,6 +366,8 @@
 		r.responseHeld = held && class == outcome.Responded
 		r.heldUpstream = u.config.Name
 		s.scheduleRetry(r, retry)
+	case class == outcome.Responded && s.promisesNotRun(r, facts.Status):
+		s.failRequest(r, r.failure)
 	case class == outcome.Responded:
 		s.logResponse(r, facts)
 		s.passLastResponse(r, u.config.Name, r.shouldMarkGaveUp(facts))
--- a/core/store.go
+++ b/core/store.go
@@ -43,6 +43,9 @@
 	// NotRun describes the response with which backend servers refuse requests
 	// without running them.
 	NotRun config.NotRunForm
+	// NotRunStatuses are the statuses by which callers know that their request did not
+	// run and will not, whoever sent them.
+	NotRunStatuses []int
 	// RetryPermille is the share of the requests, in thousandths, that may be
 	// retried. RetrySlack is the number of retries that all hosts together may make
 	// beyond that share.
--- a/core/store_test.go
+++ b/core/store_test.go
@@ -26,10 +26,11 @@
 		Domains: []FailureDomain{
 			{Name: "mtl-a", Region: "mtl"}, {Name: "mtl-b", Region: "mtl"}, {Name: "qc-a", Region: "qc"},
 		},
-		NotRun:        config.NotRunForm{Header: "X-Not-Run", Value: "1"},
-		RetryPermille: 200,
-		RetrySlack:    1,
-		Transfer:      TransferPrices{BetweenDomains: 12000, BetweenRegions: 25000},
+		NotRun:         config.NotRunForm{Header: "X-Not-Run", Value: "1"},
+		NotRunStatuses: []int{408, 421, 429, 503},
+		RetryPermille:  200,
+		RetrySlack:     1,
+		Transfer:       TransferPrices{BetweenDomains: 12000, BetweenRegions: 25000},
 	}
 }
 
--- a/entryhost/store.go
+++ b/entryhost/store.go
@@ -32,7 +32,8 @@
 		return nil
 	}
 	registry := &core.RegistrySettings{
-		NotRun: platform.NotRun(),
+		NotRun:         platform.NotRun(),
+		NotRunStatuses: platform.NotRunStatuses(),
 		// Rounded down, so that the limit of the platform is kept.
 		RetryPermille: int(s.RetryRatio * ratioScale),
 		RetrySlack:    s.RetrySlack,
