configservice: notice within seconds that a watch was swallowed

A configuration service that falls silent while a watch is pending says nothing on its connection after its return. A host on the project's own interface would have applied a change up to 35 s late.

A watch waits 3 s now instead of 30 s, and its response must begin within 1.5 s after that; a large value may take longer to arrive, as before.

--- a/configservice/client.go
+++ b/configservice/client.go
@@ -23,8 +23,12 @@
 const (
 	// callTimeout bounds a call. A watch call may take WatchTimeout longer.
 	callTimeout = 5 * time.Second
-	// WatchTimeout is the time after which a watch call ends without a change.
-	WatchTimeout = 30 * time.Second
+	// WatchTimeout is the time after which a watch call ends without a change, and
+	// watchMargin the time beyond it in which the response must begin. A service that
+	// falls silent swallows pending watches, and a change has to take effect within
+	// seconds of its return.
+	WatchTimeout = 3 * time.Second
+	watchMargin  = 1500 * time.Millisecond
 )
 
 // ErrUnchanged is returned if the value or host list still has the given ETag.
@@ -58,6 +62,7 @@
 // connections may carry HTTP/2.
 func NewClient(base string) *Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.ResponseHeaderTimeout = WatchTimeout + watchMargin
 	if !strings.HasPrefix(strings.ToLower(base), "https:") {
 		transport.DialContext = httphead.Checked(transport.DialContext)
 	}
--- a/configservice/client_test.go
+++ b/configservice/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"time"
 
@@ -47,6 +48,17 @@
 		Eventually(changed).WithTimeout(10 * time.Second).Should(Receive(Equal("new")))
 	})
 
+	// Guards against a change that takes effect half a minute after an outage in which
+	// the service swallowed the watch.
+	It("notices within seconds that a watch was swallowed", func() {
+		swallowing := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
+		DeferCleanup(swallowing.Close)
+		const bound = 5 * time.Second
+		started := time.Now()
+		Expect(configservice.NewClient(swallowing.URL).Watch(context.Background(), "manifest", "etag")).Error().To(HaveOccurred())
+		Expect(time.Since(started)).To(BeNumerically("<", bound))
+	})
+
 	It("returns errors for a missing value, a service that is down, and a value that is too large", func() {
 		Expect(client.Read(context.Background(), "manifest")).Error().To(MatchError("platform call for manifest: status 404"))
 		platform.Publish("manifest", bytes.Repeat([]byte{'x'}, document.MaxBytes+1))
