core: hosts of a large failure domain do not call a lost store in step

Nobody reported it from a deployment.

Cause: when the store falls silent, the updates of all hosts become stale within half a second of each other, and so their calls fail together.

Evidence: core/propagation_test.go "spread their calls to a store that is down" fails before, with 20 hosts: a gap above 1.5 s, which is what the bound of 3 s leaves beside the wait for expired entries.

The backoff is drawn from 0.6 s to the whole now. Hosts together call no more often than before: the specs on calls with many hosts pass as they are.

--- a/core/propagation.go
+++ b/core/propagation.go
@@ -49,9 +49,9 @@
 	// polled again after minSeedInterval.
 	minSeedInterval = 150 * time.Millisecond
 	maxSeedInterval = 15 * time.Second
-	// minBackoffWithReader is the lower limit of the backoff, before jitter,
-	// after a failed store call of a host that has a reader, since the reader
-	// notices the recovery of the store earlier.
+	// minBackoffWithReader is the least upper limit of the backoff after a failed store
+	// call of a host that has a reader, since the reader notices the recovery of the
+	// store earlier. The lower limit is half of it.
 	minBackoffWithReader = 1200 * time.Millisecond
 	// expiredRetention is the time for which a server that was removed without a
 	// change of the store is reported as removed. Each neighbour polls a few times
--- a/core/propagation_test.go
+++ b/core/propagation_test.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -256,6 +257,37 @@
 		Expect(calls).To(BeNumerically("<=", hosts+single))
 	})
 
+	// Guards against the hosts of a large failure domain that call a silent store all at
+	// once and then not for seconds: none of them notices its recovery in time.
+	ginkgo.It("spread their calls to a store that is down", func() {
+		const hosts, longestGap = 20, outageRecoveryBound - expiryGrace
+		var calls []Instant
+		for i := range hosts {
+			r := newPropagationTestReducer("entry-2", 5)
+			r.state.random.state = uint64(i)
+			r.list(routing(1), storeServer("a", "read", "mtl-a"))
+			names := []Neighbour{neighbourNamed("entry-1", 5)}
+			for j := range hosts - 1 {
+				names = append(names, neighbourNamed("entry-3"+string(rune('a'+j)), 5))
+			}
+			r.deliverNeighbours(names...)
+			r.advance(maxStaleness)
+			r.step(StoreFailed{Reason: "refused"})
+			for r.now < Instant(6*time.Second) {
+				if count[WatchStore](r.advance(20*time.Millisecond)) > 0 {
+					calls = append(calls, r.now)
+					r.step(StoreFailed{Reason: "refused"})
+				}
+			}
+		}
+		slices.Sort(calls)
+		last := Instant(maxStaleness)
+		for _, at := range calls {
+			Expect(at.Sub(last)).To(BeNumerically("<", longestGap), "after %v", time.Duration(last))
+			last = at
+		}
+	})
+
 	// Guards against a listing at full price after each restart, where a stale one is
 	// enough at first, and against a host that keeps using the stale one.
 	ginkgo.It("accept a stale listing at a restart, and confirm it", func() {
--- a/core/storecalls.go
+++ b/core/storecalls.go
@@ -188,27 +188,29 @@
 			{Key: "age", Value: s.storeStaleness().String()},
 		}})
 	}
-	reg.nextCall = max(s.now, call.startedAt.Add(s.jitteredStoreBackoff()))
+	reg.nextCall = max(s.now, call.startedAt.Add(s.storeBackoff()))
 	s.scheduleTick(reg.nextCall)
 	s.pollRandomNeighbour()
 }
 
-// storeBackoff returns the least time between the starts of a failed call and of the
-// next one, before jitter. Hosts of a failure domain with the same reader together call
-// no more often than a host without a reader does alone: any of them that the store
-// serves notifies the reader.
+// storeBackoff returns a random time, the least between the starts of a failed call and of
+// the next one.
 func (s *State) storeBackoff() time.Duration {
 	reader := s.reader()
 	if reader == nil {
-		return min(minStoreBackoff<<min(s.registry.failures-1, 8), maxStoreBackoff)
+		backoff := min(minStoreBackoff<<min(s.registry.failures-1, 8), maxStoreBackoff)
+		return s.randomBetween(backoff/2, backoff)
 	}
-	return max(minBackoffWithReader, maxStoreBackoff*time.Duration(s.readerClients(reader)))
+	// Hosts of a failure domain with the same reader together call no more often than a
+	// host without a reader does alone: any of them that the store serves notifies the
+	// reader. Their first calls fail at about the same time, so the next ones are spread
+	// over the whole time from the least backoff on.
+	shared := max(minBackoffWithReader, maxStoreBackoff*time.Duration(s.readerClients(reader)))
+	return s.randomBetween(minBackoffWithReader/2, shared)
 }
 
-// jitteredStoreBackoff returns a random time from half of the backoff to the whole.
-func (s *State) jitteredStoreBackoff() time.Duration {
-	backoff := s.storeBackoff()
-	return backoff/2 + time.Duration(s.random.intN(int(backoff/2)))
+func (s *State) randomBetween(from, to time.Duration) time.Duration {
+	return from + time.Duration(s.random.intN(int(to-from)))
 }
 
 // callSoonerAsReader brings the next call forward while calls fail. This host may have
@@ -218,6 +220,6 @@
 	if reg.failures == 0 {
 		return
 	}
-	reg.nextCall = min(reg.nextCall, s.now.Add(s.jitteredStoreBackoff()))
+	reg.nextCall = min(reg.nextCall, s.now.Add(s.storeBackoff()))
 	s.scheduleTick(reg.nextCall)
 }
