core: notifications of the reader survive a lost reader and pending removals

Cause: a host that the store serves notifies the host that it polls, once. If that one is lost, the notification was, too, although the failed poll tells of it at once. And while servers are pending removal it sent none, so that a new configuration did not reach a reader which the store rejects.

Evidence: core/propagation_test.go "notify the next reader if the notified one does not respond" and "notify their reader of a configuration while entries are pending removal" fail before: no notification is sent.

The next reader is notified once the notified one fails. A new configuration is notified at once; the response to the reverse poll holds the configuration alone while servers are pending removal.

Result: the specs of core pass.

--- a/core/neighbours.go
+++ b/core/neighbours.go
@@ -135,6 +135,10 @@
 	if lost {
 		s.callSoonerAsReader()
 	}
+	if lost && e.Aside && s.storeStaleness() < staleAfter {
+		// This may have been a notification. The next reader needs it.
+		s.notifyReader()
+	}
 	s.pollReader()
 	s.callStoreIfDue()
 }
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -247,7 +247,10 @@
 // updateRequest returns a poll for the updates after the known revision, which the
 // receiver may hold for the given time.
 func (s *State) updateRequest(wait time.Duration) NewsAsk {
-	poll := NewsAsk{From: s.selfNeighbour(), After: s.registry.revision, Wait: wait, Age: s.storeStaleness(), Leaving: s.recentLeaving(), Hosts: s.subtreeSize(), Domains: s.domainMarks(), Era: s.registry.era}
+	poll := NewsAsk{
+		From: s.selfNeighbour(), After: s.registry.revision, Era: s.registry.era, Wait: wait, Age: s.storeStaleness(),
+		Leaving: s.recentLeaving(), Domains: s.domainMarks(), Hosts: s.subtreeSize(),
+	}
 	if s.registry.routing != nil {
 		poll.Routing = s.registry.routing.Version
 	}
@@ -347,9 +350,7 @@
 	if routing == nil || reg.routing == nil {
 		return false
 	}
-	before := reg.routing.Version
-	s.acceptRouting(routing, "")
-	if reg.routing.Version == before {
+	if !s.acceptRouting(routing, "") {
 		return false
 	}
 	s.adoptRegistry()
--- a/core/propagation_test.go
+++ b/core/propagation_test.go
@@ -288,6 +288,39 @@
 		}
 	})
 
+	// Guards against a configuration that only the hosts know which the store serves,
+	// while their servers are pending removal (rule CONFIG).
+	ginkgo.It("notify their reader of a configuration while entries are pending removal", func() {
+		r := newPropagationTestReducer("entry-2", 5)
+		r.list(routing(1), storeServer("a", "read", "mtl-a"), storeServer("b", "read", "mtl-a"))
+		r.deliverNeighbours(neighbourNamed("entry-1", 5))
+		r.advance(maxStaleness)
+		r.step(StoreFailed{Reason: "refused"})
+		r.advance(minBackoffWithReader)
+		r.change(removed("a"), removed("b"))
+		r.revision++
+		notified := notifications(r.step(StoreChanged{Revision: r.revision, Routing: routing(2)}))
+		Expect(notified).To(HaveLen(1))
+		Expect(notified[0].Ask.Routing).To(Equal(uint64(2)))
+		response := responseOf(r, NewsAsk{From: neighbourNamed("entry-1", 5), After: 1, Routing: 1})
+		Expect(response.Known).To(BeFalse())
+		Expect(response.Routing.Version).To(Equal(uint64(2)))
+	})
+
+	// Guards against updates that reach no host but the one that the store serves, since
+	// the reader that it notified is lost.
+	ginkgo.It("notify the next reader if the notified one does not respond", func() {
+		r := newPropagationTestReducer("entry-3", 5)
+		r.list(routing(1), storeServer("a", "read", "mtl-a"))
+		r.deliverNeighbours(neighbourNamed("entry-1", 5), neighbourNamed("entry-2", 5))
+		r.advance(maxStaleness)
+		notified := notifications(r.change(removed("a")))
+		Expect(notified).To(ConsistOf(HaveField("Address", "entry-1:1")))
+		next := notifications(r.step(NewsAnswered{Address: "entry-1:1", Aside: true, Failed: true, Reason: "timeout"}))
+		Expect(next).To(ConsistOf(HaveField("Address", "entry-2:1")))
+		Expect(notifications(r.step(NewsAnswered{Address: "entry-1:1", Aside: true, Failed: true, Reason: "timeout"}))).To(BeEmpty())
+	})
+
 	// Guards against a listing at full price after each restart, where a stale one is
 	// enough at first, and against a host that keeps using the stale one.
 	ginkgo.It("accept a stale listing at a restart, and confirm it", func() {
--- a/core/registry.go
+++ b/core/registry.go
@@ -222,21 +222,23 @@
 
 // acceptRouting stores a routing configuration that is valid and newer than the
 // known one, nil if there is none. It logs problem, which describes why a published
-// one cannot be read. adoptRegistry puts the stored one in force.
-func (s *State) acceptRouting(routing *config.Routing, problem string) {
+// one cannot be read. adoptRegistry puts the stored one in force. It reports whether it
+// stored one.
+func (s *State) acceptRouting(routing *config.Routing, problem string) bool {
 	reg := &s.registry
 	if problem != "" {
 		s.count(CounterConfigurations, "refused")
 		s.out.add(Log{Level: LogError, Message: "configuration refused", Fields: []LogField{{Key: "problem", Value: problem}}})
 	}
 	if routing == nil || reg.routing != nil && routing.Version <= reg.routing.Version {
-		return
+		return false
 	}
 	if problems := config.CheckRouting(routing); len(problems) > 0 {
 		s.refuseConfiguration(config.Version{Generation: routing.Version}, problems)
-		return
+		return false
 	}
 	reg.routing = routing
+	return true
 }
 
 // adoptRegistry puts the known routing and servers in force. Services without a
--- a/core/reversepoll.go
+++ b/core/reversepoll.go
@@ -35,8 +35,14 @@
 // it cannot read the store itself. A host with servers pending removal sends
 // nothing, since it does not know yet what to propagate.
 func (s *State) notifyReader() {
+	if len(s.registry.pendingRemoval) == 0 {
+		s.sendNotification()
+	}
+}
+
+func (s *State) sendNotification() {
 	reader := s.reader()
-	if reader == nil || len(s.registry.pendingRemoval) > 0 {
+	if reader == nil {
 		return
 	}
 	poll := s.updateRequest(0)
--- a/core/store.go
+++ b/core/store.go
@@ -337,13 +337,18 @@
 		return
 	}
 	s.changeServers(e.Servers)
-	s.acceptRouting(e.Routing, e.RoutingProblem)
+	newRouting := s.acceptRouting(e.Routing, e.RoutingProblem)
 	if len(e.Servers) > 0 || e.Routing != nil {
 		s.adoptRegistry()
 		s.delayStoreCall()
 	}
 	s.respondToPendingPolls()
-	s.notifyReader()
+	if newRouting {
+		// The configuration is propagated even while servers are pending removal.
+		s.sendNotification()
+	} else {
+		s.notifyReader()
+	}
 	s.callStoreIfDue()
 }
 
