core: hosts tell each other when the store was back

Cause: a host keeps servers whose entries have expired for 1.5 s from when it noticed the end of the outage itself. An update of a host that had decided sooner did not end the wait if its revision was earlier than the known one.

Evidence: core/propagation_test.go "end the wait for expired entries with the host that noticed the recovery first" and "pass on the recovery that another host has noticed" fail before.

Polls and responses carry the time since a host first noticed the end of the last outage, also those of hosts that did not notice it themselves. The wait ends 1.5 s after that. It applies only to the outage in which the calls of the receiving host failed.

--- a/core/polls.go
+++ b/core/polls.go
@@ -19,6 +19,7 @@
 		s.notifyReader()
 	}
 	s.hearEra(e.Ask.Era)
+	s.hearRecovery(e.Ask.SinceRecovery)
 	s.recordClient(&e.Ask)
 	s.reversePoll(&e.Ask)
 	s.recordReaderPoll(&e.Ask)
@@ -113,7 +114,10 @@
 // the revision of the sender. The response holds all servers if it needs them.
 func (s *State) respondToPoll(id uint64, poll *NewsAsk) {
 	reg := &s.registry
-	response := NewsAnswer{Neighbours: s.neighboursFor(poll.From), Leaving: s.recentLeaving(), Hosts: max(s.registry.fleet.largest, s.subtreeSize()), Domains: s.domainMarks(), Era: reg.era}
+	response := NewsAnswer{
+		Era: reg.era, SinceRecovery: s.sinceRecovery(), Neighbours: s.neighboursFor(poll.From),
+		Leaving: s.recentLeaving(), Domains: s.domainMarks(), Hosts: max(s.registry.fleet.largest, s.subtreeSize()),
+	}
 	if !poll.NamesOnly && s.mayPropagate() {
 		response.Known = true
 		response.Revision = reg.revision
--- a/core/propagation.go
+++ b/core/propagation.go
@@ -94,6 +94,9 @@
 	Era uint64
 	// Domains holds the marks of failure domains that the sender knows.
 	Domains []DomainMark
+	// SinceRecovery is the time since the sender noticed the end of the last outage of
+	// the store, 0 if that is not recent.
+	SinceRecovery time.Duration
 }
 
 // NewsAnswer is the response to a NewsAsk.
@@ -119,6 +122,8 @@
 	Era uint64
 	// Domains holds the marks of failure domains that the responding host knows.
 	Domains []DomainMark
+	// SinceRecovery is as in NewsAsk.
+	SinceRecovery time.Duration
 }
 
 // NewsAsked reports a poll from another entry host. The response is AnswerNews.
@@ -248,7 +253,7 @@
 // receiver may hold for the given time.
 func (s *State) updateRequest(wait time.Duration) NewsAsk {
 	poll := NewsAsk{
-		From: s.selfNeighbour(), After: s.registry.revision, Era: s.registry.era, Wait: wait, Age: s.storeStaleness(),
+		From: s.selfNeighbour(), After: s.registry.revision, Era: s.registry.era, Wait: wait, Age: s.storeStaleness(), SinceRecovery: s.sinceRecovery(),
 		Leaving: s.recentLeaving(), Domains: s.domainMarks(), Hosts: s.subtreeSize(),
 	}
 	if s.registry.routing != nil {
@@ -311,6 +316,7 @@
 	s.neighbourResponded(e.Address)
 	s.leavingReceived(e.Answer.Leaving)
 	s.hearEra(e.Answer.Era)
+	s.hearRecovery(e.Answer.SinceRecovery)
 	domainsChanged := s.domainsReceived(e.Answer.Domains)
 	s.recordFleet(min(e.Answer.Hosts, maxNeighbours))
 	switch {
--- a/core/propagation_test.go
+++ b/core/propagation_test.go
@@ -288,6 +288,48 @@
 		}
 	})
 
+	// Guards against a host that keeps servers which have left, since it noticed the end
+	// of an outage later than others (rule DRAIN).
+	ginkgo.DescribeTable("end the wait for expired entries with the host that noticed the recovery first", func(since time.Duration, ends bool) {
+		r := newPropagationTestReducer("entry-2", 5)
+		r.list(routing(1), storeServer("a", "read", "mtl-a"), storeServer("b", "read", "mtl-a"))
+		r.deliverNeighbours(neighbourNamed("entry-1", 5))
+		r.advance(maxStaleness)
+		for range 2 {
+			r.step(StoreFailed{Reason: "refused"})
+			r.advance(minBackoffWithReader)
+		}
+		r.change(removed("a"), removed("b"))
+		Expect(r.state.registry.pendingRemoval).To(HaveLen(2))
+		r.step(NewsAnswered{Address: "entry-1:1", Answer: NewsAnswer{SinceRecovery: since}})
+		r.advance(10 * time.Millisecond)
+		Expect(r.upstreams("read")).To(HaveLen(map[bool]int{true: 0, false: 2}[ends]))
+		relayed := responseOf(r, NewsAsk{From: neighbourNamed("entry-3", 5)}).SinceRecovery
+		Expect(relayed).To(BeNumerically(">", 0))
+		r.advance(expiryGrace)
+		Expect(r.upstreams("read")).To(BeEmpty())
+	},
+		ginkgo.Entry("which was a grace period ago", expiryGrace, true),
+		ginkgo.Entry("which has just noticed it", time.Millisecond, false),
+		ginkgo.Entry("which did so before this host's calls failed", 3*time.Second, false),
+	)
+
+	// Guards against hosts that learn of the recovery from nobody, since their reader has
+	// not noticed it itself.
+	ginkgo.It("pass on the recovery that another host has noticed", func() {
+		r := newPropagationTestReducer("entry-1", 5)
+		r.list(routing(1), storeServer("a", "read", "mtl-a"))
+		r.advance(watchBatchDelay)
+		Expect(responseOf(r, NewsAsk{From: neighbourNamed("entry-2", 5)}).SinceRecovery).To(BeZero())
+		r.step(StoreFailed{Reason: "refused"})
+		r.advance(time.Second)
+		r.step(NewsAsked{ID: 9, Ask: NewsAsk{From: neighbourNamed("entry-3", 5), NamesOnly: true, SinceRecovery: 500 * time.Millisecond}})
+		r.advance(time.Second)
+		Expect(responseOf(r, NewsAsk{From: neighbourNamed("entry-2", 5)}).SinceRecovery).To(Equal(1500 * time.Millisecond))
+		r.advance(recoveryMemory)
+		Expect(responseOf(r, NewsAsk{From: neighbourNamed("entry-2", 5)}).SinceRecovery).To(BeZero())
+	})
+
 	// Guards against a configuration that only the hosts know which the store serves,
 	// while their servers are pending removal (rule CONFIG).
 	ginkgo.It("notify their reader of a configuration while entries are pending removal", func() {
--- a/core/store.go
+++ b/core/store.go
@@ -182,6 +182,11 @@
 	confirmedAt Instant
 	confirmed   bool
 	recoveredAt Instant
+	// failingSince is the start of the first call of the last period of failed calls, and
+	// heardRecoveredAt the first instant at which another host noticed the end of the last
+	// outage that this host heard of.
+	failingSince     Instant
+	heardRecoveredAt Instant
 	// pendingRemoval holds the servers whose entries went missing during a store
 	// outage, with the instant at which they are removed.
 	pendingRemoval map[string]Instant
--- a/core/store_outage_test.go
+++ b/core/store_outage_test.go
@@ -19,8 +19,11 @@
 	reregistrationTime = 2 * time.Second
 	// outageServers is the number of registered servers before an outage.
 	outageServers = 9
-	// outageSeeds is the number of seeds of each kind of outage.
-	outageSeeds = 40
+	// outageSeeds is the number of seeds of each kind of outage. From largeOutageSeeds on
+	// the failure domains have largeDomain hosts.
+	outageSeeds      = 48
+	largeOutageSeeds = 40
+	largeDomain      = 12
 )
 
 // outageScenario is one outage of the store that begins and ends at any moment. Entries
@@ -195,7 +198,11 @@
 	for _, name := range sortedKeys(faults) {
 		for seed := range uint64(outageSeeds) {
 			ginkgo.It(fmt.Sprintf("(%s) every host applies what the store says, seed %d", name, seed), func() {
-				o := newOutageScenario(seed, 1+int(seed%4))
+				perDomain := 1 + int(seed%4)
+				if seed >= largeOutageSeeds {
+					perDomain = largeDomain
+				}
+				o := newOutageScenario(seed, perDomain)
 				o.planOutage(func(begins bool) { faults[name](o, begins) })
 				o.play()
 			})
--- a/core/storecalls.go
+++ b/core/storecalls.go
@@ -141,7 +141,7 @@
 		reg.failures--
 	}
 	if reg.failures > 0 {
-		reg.recoveredAt = s.now
+		s.recordRecovery()
 		s.out.add(Log{Message: "store responds again", Fields: []LogField{
 			{Key: "failures", Value: strconv.Itoa(reg.failures)},
 		}})
@@ -180,6 +180,9 @@
 // call counts from the start of this one, since the time that it took has passed as well.
 func (s *State) storeCallMissed(call *storeCall, reason string) {
 	reg := &s.registry
+	if reg.failures == 0 {
+		reg.failingSince = call.startedAt
+	}
 	reg.failures++
 	if reg.failures <= maxStoreWarnings {
 		s.out.add(Log{Level: LogWarn, Message: "store call failed", Fields: []LogField{
