--- a/core/neighbours.go
+++ b/core/neighbours.go
@@ -113,7 +113,7 @@
 // next-ranked host becomes the reader.
 func (s *State) neighbourFailed(e NewsAnswered) {
 	s.count(CounterStoreUpdates, "failed")
-	lost := false
+	newlyFailed := false
 	for _, name := range sortedKeys(s.registry.propagation.neighbours) {
 		other := s.registry.propagation.neighbours[name]
 		if other.Address == e.Address {
@@ -122,7 +122,7 @@
 				// known to be down is no reason to query them again: it may be a
 				// seed itself.
 				s.registry.propagation.nextSeedQuery = s.now
-				lost = true
+				newlyFailed = true
 			}
 			other.backoffUntil = s.now.Add(min(minNeighbourBackoff<<min(other.failures, 8), maxNeighbourBackoff))
 			other.failures++
@@ -132,10 +132,10 @@
 			}})
 		}
 	}
-	if lost {
+	if newlyFailed {
 		s.callSoonerAsReader()
 	}
-	if lost && e.Aside && s.storeStaleness() < staleAfter {
+	if newlyFailed && e.Aside && s.storeStaleness() < staleAfter {
 		// This may have been a notification. The next reader needs it.
 		s.notifyReader()
 	}
--- a/core/reversepoll.go
+++ b/core/reversepoll.go
@@ -40,6 +40,7 @@
 	}
 }
 
+// sendNotification sends the notification whether or not servers are pending removal.
 func (s *State) sendNotification() {
 	reader := s.reader()
 	if reader == nil {
--- a/core/storecalls.go
+++ b/core/storecalls.go
@@ -196,8 +196,8 @@
 	s.pollRandomNeighbour()
 }
 
-// storeBackoff returns a random time, the least between the starts of a failed call and of
-// the next one.
+// storeBackoff returns a random lower limit of the time between the start of a failed call
+// and that of the next one.
 func (s *State) storeBackoff() time.Duration {
 	reader := s.reader()
 	if reader == nil {
