caller, relay: tests report listings as results of the call that started them

Since a result of the store names its call, and one of no pending call is ignored. Two tests outside core sent a listing without one: "is selected by the bytes that are forwarded" and FuzzTarget of caller failed (the system is not ready), and the fuzz targets of relay went on with a host that knew nothing.

Both name the first call now. The checks are unchanged; caller and relay pass.

--- a/caller/paths_test.go
+++ b/caller/paths_test.go
@@ -74,7 +74,7 @@
 			ID: name, Born: 1, Service: name, Address: s.Address(), FailureDomain: "mtl-a", Slots: 64,
 		}})
 	}
-	loop.Send(core.StoreListed{Revision: 1, Routing: routing, Servers: servers})
+	loop.Send(core.StoreListed{Call: 1, Revision: 1, Routing: routing, Servers: servers})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/relay/fuzz_test.go
+++ b/relay/fuzz_test.go
@@ -15,7 +15,7 @@
 	var out core.Effects
 	s.Step(0, core.Start{Host: "entry-1", Region: "mtl", FailureDomain: "mtl-a", Seed: 1, Registry: &core.RegistrySettings{Address: "entry-1:1", RetrySlack: 10}}, &out)
 	server := core.Server{ID: "a", Service: "s", Address: "10.0.0.1:80", FailureDomain: "mtl-a", Slots: 2}
-	s.Step(1, core.StoreListed{Revision: 1, Servers: []core.ServerChange{{ID: "a", Server: &server}}, Routing: &config.Routing{
+	s.Step(1, core.StoreListed{Call: 1, Revision: 1, Servers: []core.ServerChange{{ID: "a", Server: &server}}, Routing: &config.Routing{
 		Version: 1, Services: []config.RoutedService{{Name: "s"}},
 		Routes: []config.Route{{Name: "r", Host: "h", PathPrefix: "/", MaxAttempts: 2, Targets: []config.Target{{Service: "s", Weight: 1}}}},
 	}}, &out)
