--- /dev/null
+++ b/review/kit-3/names.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	_ "embed"
+	"encoding/json"
+)
+
+//go:embed names.json
+var rawNames []byte
+
+// names are the headers of the platform.
+type names struct {
+	RequestID string `json:"request_id"`
+	// Deadline is the remaining time of a request in milliseconds.
+	Deadline string `json:"deadline"`
+	// Target names the instance that a request is meant for, Instance the one that
+	// answers a question for its health.
+	Target    string `json:"target"`
+	Instance  string `json:"instance"`
+	Load      string `json:"load"`
+	Signature string `json:"signature"`
+	NotRun    string `json:"not_run"`
+}
+
+func readNames() (n names, err error) {
+	err = json.Unmarshal(rawNames, &n)
+	return n, err
+}
