review: case 12, slow request bodies keep new callers out

Looked for ways in which callers out of control hold the connections of an entry host, by comparing the phases that a connection passes with the kinds that the decision on shortages closes, and with the time limits of each phase.

--- a/review/kit-3/deployment.go
+++ b/review/kit-3/deployment.go
@@ -22,6 +22,8 @@
 	graceTime = 6 * time.Second
 	// readyTimeout bounds the wait for an entry host to be ready.
 	readyTimeout = 20 * time.Second
+	// stabilityWindow is the time without disturbance after which a host is in touch.
+	stabilityWindow = 3 * time.Second
 )
 
 // deployment is a small deployment: a store, upstreams in this process, and entry hosts
@@ -55,7 +57,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &deployment{names: n, record: r, directory: directory, program: program, store: platformtest.NewStore()}, nil
+	d := &deployment{names: n, record: r, directory: directory, program: program, store: platformtest.NewStore()}
+	d.store.Put(n.Configuration, configuration)
+	return d, nil
 }
 
 // close ends all processes and removes the files.
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"pipelined-stop": pipelinedStop,
+	"slow-bodies":    slowBodies,
 }
 
 func main() { os.Exit(run()) }
--- a/review/kit-3/names.go
+++ b/review/kit-3/names.go
@@ -8,9 +8,23 @@
 //go:embed names.json
 var rawNames []byte
 
-// names are the headers of the platform.
+// configuration is the routing that every case publishes.
+//
+//go:embed config.json
+var configuration []byte
+
+// Host and paths of the routes of configuration.
+const (
+	routeHost   = "jepu9.example"
+	lookupPath  = "/lepu270/"
+	orderPath   = "/kola3/"
+	historyPath = "/nuro81/"
+)
+
+// names are the headers of the platform, and the key of the routing in its store.
 type names struct {
-	RequestID string `json:"request_id"`
+	Configuration string `json:"configuration"`
+	RequestID     string `json:"request_id"`
 	// Deadline is the remaining time of a request in milliseconds.
 	Deadline string `json:"deadline"`
 	// Target names the instance that a request is meant for, Instance the one that
--- a/review/kit-3/pipelined.go
+++ b/review/kit-3/pipelined.go
@@ -8,13 +8,9 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"wisteriapond/platform/platformtest"
 )
 
 const (
-	host1     = "jepu9.example"
-	routePath = "/lepu270/"
 	// pipelinedCallers is the number of connections, and timeBudget what each request has.
 	pipelinedCallers = 4
 	timeBudget       = 15 * time.Second
@@ -34,18 +30,13 @@
 // answered, and stops the entry host that has them. Every request that the entry host
 // has passed on to an upstream has to be answered.
 func pipelinedStop(d *deployment, trouble bool) (bool, error) {
-	d.store.Publish(1, probePath, []platformtest.Route{{
-		Name: "r1", Host: host1, Prefix: routePath, Service: "archive", Timeout: 8 * time.Second, Goal: 4 * time.Second, MaxAttempts: 2,
-	}})
-	for i := range 4 {
-		if _, err := startUpstream(d, fmt.Sprintf("i-%d", i+1), "archive"); err != nil {
-			return false, err
-		}
+	if err := d.startUpstreams("archive", 4); err != nil {
+		return false, err
 	}
 	if err := d.startHosts(2); err != nil {
 		return false, err
 	}
-	time.Sleep(3 * time.Second)
+	time.Sleep(stabilityWindow)
 	requests := make([][]pipelinedRequest, pipelinedCallers)
 	var callers sync.WaitGroup
 	errs := make([]error, pipelinedCallers)
@@ -87,7 +78,7 @@
 		requests = append(requests, pipelinedRequest{id: id})
 		d.record.add("client %s sends %s, %d ms of work", caller, id, ms)
 		if _, err := fmt.Fprintf(c, "GET %s%d HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n",
-			routePath, ms, host1, d.names.RequestID, id, d.names.Deadline, timeBudget.Milliseconds()); err != nil {
+			historyPath, ms, routeHost, d.names.RequestID, id, d.names.Deadline, timeBudget.Milliseconds()); err != nil {
 			return nil, err
 		}
 	}
--- a/review/kit-3/upstream.go
+++ b/review/kit-3/upstream.go
@@ -31,8 +31,18 @@
 	running int
 }
 
+// startUpstreams starts n upstreams of a service.
+func (d *deployment) startUpstreams(service string, n int) error {
+	for i := range n {
+		if _, err := d.startUpstream(fmt.Sprintf("i-%s-%d", service, i+1), service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // startUpstream starts an upstream of a service and registers it.
-func startUpstream(d *deployment, id, service string) (*upstream, error) {
+func (d *deployment) startUpstream(id, service string) (*upstream, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("upstream %s: %w", id, err)
