review: case 13, answers of pipelined downloads exceed the memory

Looked for memory that callers make a process hold and that no bound counts, by following an answer that is read ahead of its turn from the socket to the census.

--- a/review/kit-3/deployment.go
+++ b/review/kit-3/deployment.go
@@ -35,8 +35,17 @@
 	program   string
 	store     *platformtest.Store
 	hosts     []*host
+	limits    limits
 }
 
+// limits are the limits of each entry host's process, which the platform enforces.
+type limits struct {
+	megabytes, descriptors int
+}
+
+// smallMachine has the limits of the machines of a small site.
+var smallMachine = limits{megabytes: 284, descriptors: 4100}
+
 // host is the process of one entry host.
 type host struct {
 	name    string
@@ -57,7 +66,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{names: n, record: r, directory: directory, program: program, store: platformtest.NewStore()}
+	d := &deployment{names: n, record: r, directory: directory, program: program, store: platformtest.NewStore(), limits: smallMachine}
 	d.store.Put(n.Configuration, configuration)
 	return d, nil
 }
@@ -119,12 +128,13 @@
 	settings := fmt.Sprintf(`{
 		"host": %q, "region": %q, "failure_domain": %q, "listen": %q, "admin": %q,
 		"store": {
-			"address": %q, "domains": [{"name": %q, "region": %q}], "listen": %q, "seeds": [%s], "capacity": 284,
+			"address": %q, "domains": [{"name": %q, "region": %q}], "listen": %q, "seeds": [%s], "capacity": %d,
 			"retry_ratio": 0.2, "retry_slack": 56, "warm_up_ratio": 1.5, "warm_up_slack": 8, "first_start": true
 		},
-		"limits": {"memory": "284MB", "descriptors": 4100},
+		"limits": {"memory": "%dMB", "descriptors": %d},
 		"hold_answers": "1MiB", "unsized_limit": "16MiB", "accept_for": "3s", "kill_after": "%ds"
-	}`, h.name, region, domain, h.address, h.admin, d.store.Address(), domain, region, h.relay, seeds, int(graceTime/time.Second))
+	}`, h.name, region, domain, h.address, h.admin, d.store.Address(), domain, region, h.relay, seeds, d.limits.megabytes,
+		d.limits.megabytes, d.limits.descriptors, int(graceTime/time.Second))
 	file := filepath.Join(d.directory, h.name+".json")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
@@ -135,7 +145,8 @@
 	}
 	defer logs.Close()
 	h.process = exec.Command(d.program, "serve", "--settings", file)
-	h.process.Env = append(os.Environ(), "GOGC=50")
+	// The machines of the platform show one core to a process.
+	h.process.Env = append(os.Environ(), "GOGC=50", "GOMAXPROCS=1")
 	h.process.Stdout, h.process.Stderr = logs, logs
 	if err := h.process.Start(); err != nil {
 		h.process = nil
@@ -149,6 +160,16 @@
 	return nil
 }
 
+// running reports whether the process has not ended.
+func (h *host) running() bool {
+	select {
+	case <-h.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 func (h *host) awaitReady() error {
 	client := http.Client{Timeout: time.Second}
 	for until := time.Now().Add(readyTimeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -18,8 +18,9 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
-	"pipelined-stop": pipelinedStop,
-	"slow-bodies":    slowBodies,
+	"pipelined-stop":      pipelinedStop,
+	"slow-bodies":         slowBodies,
+	"pipelined-downloads": pipelinedDownloads,
 }
 
 func main() { os.Exit(run()) }
--- a/review/kit-3/names.go
+++ b/review/kit-3/names.go
@@ -19,6 +19,8 @@
 	lookupPath  = "/lepu270/"
 	orderPath   = "/kola3/"
 	historyPath = "/nuro81/"
+	filesPath   = "/deva27/"
+	statusPath  = "/sobi63/"
 )
 
 // names are the headers of the platform, and the key of the routing in its store.
--- a/review/kit-3/upstream.go
+++ b/review/kit-3/upstream.go
@@ -89,8 +89,9 @@
 	}
 	h.Set(u.names.Load, u.load())
 	u.end()
-	body := "answer to " + id + "\n"
+	body := bodyOf(id, r.URL.Query().Get("bytes"))
 	h.Set(u.names.Signature, signatureOf(body))
+	h.Set("Content-Length", strconv.Itoa(len(body)))
 	u.record.add("upstream %s answers %s", u.id, id)
 	fmt.Fprint(w, body)
 }
@@ -133,6 +134,15 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// bodyOf returns the body of an answer, of the size that a request asks for.
+func bodyOf(id, size string) string {
+	text := "answer to " + id + "\n"
+	if n, err := strconv.Atoi(size); err == nil {
+		return strings.Repeat(text, n/len(text)+1)[:n]
+	}
+	return text
+}
+
 func signatureOf(body string) string {
 	h := fnv.New64a()
 	h.Write([]byte(body))
