review: case 15, heads with many fields exceed the memory

Looked for what callers inside the limits of the configuration make a process hold beyond what it counts for a connection, by measuring resident memory for heads of the same size with few and with many fields.

Case 13 now has 60 ordinary clients. The ports of a case are asked for together, since one was handed out twice in a trial (exit 2).

--- a/review/kit-3/deployment.go
+++ b/review/kit-3/deployment.go
@@ -84,29 +84,32 @@
 	os.RemoveAll(d.directory)
 }
 
-// unusedAddress returns a loopback address at which nothing listens. Its host part is
-// that of this process alone, so that no other process gets the port meanwhile.
-func unusedAddress() (string, error) {
+// unusedAddresses returns n different loopback addresses at which nothing listens. Their
+// host part is that of this process alone, so that no other process gets a port meanwhile.
+func unusedAddresses(n int) ([]string, error) {
 	id := os.Getpid()
-	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+id>>16&0x7f, id>>8&0xff, id&0xff))
-	if err != nil {
-		return "", err
+	addresses := make([]string, n)
+	for i := range addresses {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+id>>16&0x7f, id>>8&0xff, id&0xff))
+		if err != nil {
+			return nil, err
+		}
+		// Until all are known, so that none is handed out twice.
+		defer l.Close()
+		addresses[i] = l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return addresses, nil
 }
 
 // startHosts starts n entry hosts and waits until they are ready.
 func (d *deployment) startHosts(n int) error {
 	var seeds []string
+	addresses, err := unusedAddresses(3 * n)
+	if err != nil {
+		return err
+	}
 	for i := range n {
-		h := &host{name: fmt.Sprintf("entry-%d", i+1)}
-		for _, address := range []*string{&h.address, &h.admin, &h.relay} {
-			var err error
-			if *address, err = unusedAddress(); err != nil {
-				return err
-			}
-		}
+		h := &host{name: fmt.Sprintf("entry-%d", i+1), address: addresses[3*i], admin: addresses[3*i+1], relay: addresses[3*i+2]}
 		d.hosts = append(d.hosts, h)
 		seeds = append(seeds, `"`+h.relay+`"`)
 	}
--- a/review/kit-3/downloads.go
+++ b/review/kit-3/downloads.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -30,8 +31,8 @@
 	crowdTime       = 45 * time.Second
 	// keptClients are ordinary clients with kept connections, whose requests have
 	// keptWork. maxLost is the number of requests that a machine may lose.
-	keptClients = 40
-	keptWork    = 300
+	keptClients = 60
+	keptWork    = 600
 	// keptInterval is the time between the starts of two of them.
 	keptInterval = 11 * time.Millisecond
 	maxLost      = 3
@@ -62,7 +63,7 @@
 	})
 	var lost atomic.Int64
 	for i := range keptClients {
-		clients.Go(func() { lost.Add(int64(d.lookUp(fmt.Sprintf("k%d", i+1), stop))) })
+		clients.Go(func() { lost.Add(int64(d.lookUp(fmt.Sprintf("k%d", i+1), statusPath, 5*time.Second, stop))) })
 		time.Sleep(keptInterval)
 	}
 	time.Sleep(time.Second)
@@ -83,9 +84,9 @@
 	return lost.Load() > maxLost, nil
 }
 
-// lookUp sends lookups on a kept connection, and returns how many were passed on and not
-// answered.
-func (d *deployment) lookUp(client string, stop <-chan struct{}) (lost int) {
+// lookUp sends lookups of a path with a time budget on a kept connection, and returns how
+// many were passed on and not answered.
+func (d *deployment) lookUp(client, path string, budget time.Duration, stop <-chan struct{}) (lost int) {
 	c, err := net.Dial("tcp", d.hosts[0].address)
 	if err != nil {
 		return 0
@@ -99,10 +100,16 @@
 		default:
 		}
 		id := fmt.Sprintf("%s-%d", client, n)
-		c.SetDeadline(time.Now().Add(5 * time.Second))
-		fmt.Fprintf(c, "GET %s%d HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 5000\r\n\r\n", statusPath, keptWork, routeHost, d.names.RequestID, id, d.names.Deadline)
+		c.SetDeadline(time.Now().Add(budget))
+		fmt.Fprintf(c, "GET %s%d HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n",
+			path, keptWork, routeHost, d.names.RequestID, id, d.names.Deadline, budget.Milliseconds())
 		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
+			var late net.Error
+			if errors.As(err, &late) && late.Timeout() {
+				d.record.add("client %s gives up %s, whose time is over", client, id)
+				return lost
+			}
 			if n > 1 && d.record.has("runs "+id) {
 				d.record.add("LOST: client %s gets no answer to %s, which was passed on: %v", client, id, err)
 				lost++
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -20,6 +20,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"pipelined-stop":      pipelinedStop,
 	"slow-bodies":         slowBodies,
+	"many-fields":         manyFields,
 	"late-readers":        lateRead,
 	"pipelined-downloads": pipelinedDownloads,
 }
