--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Lets a crowd of clients send the bodies of their requests slowly.
+# Stops an entry host while clients pipeline requests and read late.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-exec target/review-3/kit-3 -program target/wisteriapond -record review/12/record.txt slow-bodies
+exec target/review-3/kit-3 -program target/wisteriapond -record review/12/record.txt late-readers
--- a/review/kit-3/downloads.go
+++ b/review/kit-3/downloads.go
@@ -25,6 +25,8 @@
 	downloadBytes          = 540_000
 	readBytes              = 4 << 10
 	readInterval           = 100 * time.Millisecond
+	// patience is the time that they are willing to wait.
+	patience = 2 * time.Minute
 	// arrivalInterval is the time between the arrivals of two of these clients. Their
 	// answers take 195 Mbit/s. crowdTime is the time from the first to the end.
 	arrivalInterval = 177 * time.Millisecond
@@ -128,8 +130,8 @@
 	}
 	defer c.Close()
 	for i := range pipelinedDownloadCount {
-		fmt.Fprintf(c, "GET %s%d?bytes=%d HTTP/1.1\r\nHost: %s\r\n%s: %s-%d\r\n%s: 8000\r\n\r\n",
-			filesPath, downloadWork, downloadBytes, routeHost, d.names.RequestID, client, i+1, d.names.Deadline)
+		fmt.Fprintf(c, "GET %s%d?bytes=%d HTTP/1.1\r\nHost: %s\r\n%s: %s-%d\r\n%s: %d\r\n\r\n",
+			filesPath, downloadWork, downloadBytes, routeHost, d.names.RequestID, client, i+1, d.names.Deadline, patience.Milliseconds())
 	}
 	read := 0
 	for {
--- a/review/kit-3/main.go
+++ b/review/kit-3/main.go
@@ -19,7 +19,6 @@
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, err error){
 	"pipelined-stop":      pipelinedStop,
-	"slow-bodies":         slowBodies,
 	"many-fields":         manyFields,
 	"late-readers":        lateRead,
 	"pipelined-downloads": pipelinedDownloads,
--- a/review/kit-3/manyfields.go
+++ b/review/kit-3/manyfields.go
@@ -11,9 +11,14 @@
 )
 
 const (
+	// A body is announced with slowBodyBytes, of which slowBodyFirst are sent at once and
+	// then one byte in slowBodyInterval.
+	slowBodyBytes    = 20_000
+	slowBodyFirst    = 9000
+	slowBodyInterval = 2 * time.Second
 	// fieldClients is the number of clients whose heads have many fields: fieldCount times
 	// manyField, within the limit on heads. One comes in each fieldInterval, so that they
-	// send 10 Mbit/s. Their bodies are those of slowBodies.
+	// send 10 Mbit/s.
 	fieldClients  = 700
 	fieldCount    = 3200
 	manyField     = "a:b\r\n"
@@ -74,14 +79,14 @@
 		return
 	}
 	defer c.Close()
-	fmt.Fprintf(c, "POST %s10 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 1500\r\nContent-Length: %d\r\n%s\r\n%s",
-		orderPath, routeHost, d.names.RequestID, id, d.names.Deadline, crowdBodyBytes,
-		strings.Repeat(manyField, fieldCount), strings.Repeat("b", crowdFirstBytes))
+	fmt.Fprintf(c, "POST %s10 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n%s\r\n%s",
+		orderPath, routeHost, d.names.RequestID, id, d.names.Deadline, patience.Milliseconds(), slowBodyBytes,
+		strings.Repeat(manyField, fieldCount), strings.Repeat("b", slowBodyFirst))
 	for {
 		select {
 		case <-stop:
 			return
-		case <-time.After(crowdByteInterval):
+		case <-time.After(slowBodyInterval):
 		}
 		if _, err := io.WriteString(c, "b"); err != nil {
 			return
--- a/review/kit-3/names.go
+++ b/review/kit-3/names.go
@@ -16,7 +16,6 @@
 // Host and paths of the routes of configuration.
 const (
 	routeHost   = "jepu9.example"
-	lookupPath  = "/lepu270/"
 	orderPath   = "/kola3/"
 	historyPath = "/nuro81/"
 	filesPath   = "/deva27/"
